--- /dev/null
+++ b/src/main/java/waytrestle/Control.java
@@ -0,0 +1,819 @@
+package waytrestle;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * Every decision of a controller. The interface (settings, events, actions) is ControlApi.java.
+ *
+ * The mechanism: for each request, estimate each invoker's finish time as queue + run + load-if-cold,
+ * send to the lowest, refuse early when even the best estimate exceeds the time left. Everything else
+ * here filters the candidates or corrects a term of that estimate. Methods follow a request's path.
+ */
+public final class Control implements ControlApi {
+    // ---- Tuned numbers: unit, reason. ----
+    /** Weight of a new answer in running averages: about the last ten answers count. */
+    private static final double NEWS = 0.1;
+    /** Run time assumed before any answer, as a share of the class's aim: aims leave room for queueing. */
+    private static final double FIRST_RUN_SHARE = 0.2;
+    /** Requests an invoker is thought to run side by side unhindered; softens the crowd correction. */
+    private static final double SOFT_CROWD = 2;
+    /** Cold invokers whose estimates differ by less than this share of a load time count as level. */
+    private static final double COLD_TIE = 0.5;
+    /** Share of the average load time by which each load under way at an invoker delays the next one. */
+    private static final double LOAD_CROWD = 0.2;
+    /** Estimates this close (microseconds) tie and are drawn for: below what any estimate can tell. */
+    private static final long TIE = 1_000;
+    /** Microseconds between looks at held requests that found no candidate: a fraction of any aim. */
+    private static final long HOLD = 40_000;
+    /** Longest wait for answers to questions, microseconds: a few round trips within a site. */
+    private static final long ASK_WAIT = 25_000;
+    /** First pause after a failed connection, doubled each time; microseconds. */
+    private static final long SUSPECT = 300_000;
+    /** Longest such pause, microseconds. */
+    private static final long SUSPECT_MOST = 4_000_000;
+    /** Pause after a full invoker's answer, microseconds: about one run. */
+    private static final long FULL_PAUSE = 150_000;
+    /** Load orders out at once from this controller: the small bound of the design page. */
+    private static final int ORDERS_OUT = 4;
+    /** Share of the cold budget used: others' traffic and chance need the rest. */
+    private static final double COLD_MARGIN = 0.7;
+    /** Time constant of rates, microseconds: a few seconds smooth bursts yet follow swings. */
+    private static final double RATE_SPAN = 4_000_000;
+    /** Microseconds between rounds of upkeep (renewals, replacements): fine against keep-alives. */
+    private static final long UPKEEP = 250_000;
+    /** Share of the keep-alive after which an idle copy is renewed: leaves time for late or lost orders. */
+    private static final double RENEW_AT = 0.7;
+    /** Keep-alives without a call after which a function is let go. */
+    private static final double RENEW_FOR = 2.5;
+    /** Calls before a function is worth keeping: one call may be the only one. */
+    private static final int RENEW_CALLS = 2;
+
+    // ---- What this controller remembers. ----
+    private static final class Worker {
+        final String id;
+        final long hash;
+        Invoker entry;
+        boolean ready;
+        long coldSince;           // start of the present process, 0 when long past
+        int out;                  // own attempts out
+        int warmOut;              // of them those not waiting for a load
+        int loadsOut;             // own attempts and orders that load there
+        long quietSince;          // last heard, or first send after idleness
+        double slowness = 1;      // answers' time over the function's usual time
+        double crowdThen;         // crowd at the sends behind that slowness
+        double others;            // crowd of other controllers, from reports
+        double failing;           // share of recent attempts that failed in a way that may repeat
+        double served;            // answers per second, decayed
+        long servedAt;
+        int strikes;              // connection failures in a row
+        long pausedUntil;
+        final ArrayDeque<Long> coldSends = new ArrayDeque<>();
+        final HashMap<String, Copy> copies = new HashMap<>();
+
+        Worker(String id) {
+            this.id = id;
+            this.hash = mix(id);
+        }
+    }
+
+    /** The belief that an invoker holds a function, from this controller's own sends and answers. */
+    private static final class Copy {
+        int count = 1;
+        int out;
+        double company;           // other controllers' requests for the function there
+        long usedAt;
+        long loadingSince;        // 0: stands loaded
+        boolean ordered;
+    }
+
+    private static final class Function {
+        final String id;
+        final long hash;
+        int requestClass;
+        int lanes = 1;
+        long toldLoad;
+        double run;               // usual time of a warm answer, micros
+        int runs;
+        int calls;
+        long calledAt;
+        double heat;              // calls within about a keep-alive
+        int asksOut;
+        final List<Call> waiting = new ArrayList<>();
+
+        Function(String id) {
+            this.id = id;
+            this.hash = mix(id);
+        }
+    }
+
+    private static final class Attempt {
+        Worker worker;
+        Copy copy;
+        boolean cold;
+        long sentAt;
+        double crowd;
+        boolean ended;
+    }
+
+    private static final class Call {
+        long id;
+        RequestClass kind;
+        Function function;
+        long deadline;
+        final List<Attempt> attempts = new ArrayList<>();
+        int out;
+        boolean mayHaveRun;       // some ended attempt is not proved never to have run
+        Worker boundTo;           // where the first such attempt went
+        long boundAt;
+        boolean streaming;
+        boolean held;
+        boolean asked;
+        boolean over;
+        final List<Worker> tried = new ArrayList<>();
+    }
+
+    private final Settings settings;
+    private final SplittableRandom random;
+    private final LinkedHashMap<String, Worker> workers = new LinkedHashMap<>();
+    private final LinkedHashMap<String, Function> functions = new LinkedHashMap<>();
+    private final HashMap<Long, Call> calls = new HashMap<>();
+    private final ArrayDeque<Long> ordersSent = new ArrayDeque<>();
+    private final ArrayDeque<Long> taken = new ArrayDeque<>();
+    private double loadAverage;   // measured extra latency of cold sends, micros; 0 unmeasured
+    private double askYield = 0.5;
+    private int ordersOut;
+    private boolean started;
+    private long now;
+    private Actions actions;
+
+    public Control(Settings settings, long seed) {
+        this.settings = settings;
+        this.random = new SplittableRandom(seed);
+    }
+
+    @Override
+    public void on(long nowMicros, Event event, Actions out) {
+        now = nowMicros;
+        actions = out;
+        if (event instanceof Request e) {
+            request(e);
+        } else if (event instanceof AttemptEnded e) {
+            attemptEnded(e);
+        } else if (event instanceof OrderEnded e) {
+            orderEnded(e);
+        } else if (event instanceof TimerFired e) {
+            timer(e.tag());
+        } else if (event instanceof InvokerList e) {
+            list(e);
+        } else if (event instanceof InvokerListFailed) {
+            actions.add(new SetTimer(Math.max(UPKEEP, settings.rules().askEveryMicros() / 8), "subscribe"));
+        } else if (event instanceof StreamBegan e) {
+            streamBegan(e);
+        } else if (event instanceof RequestGone e) {
+            forget(calls.get(e.id()));
+        }
+    }
+
+    // ---- A request comes. ----
+    private void request(Request e) {
+        Function f = functions.computeIfAbsent(e.function(), Function::new);
+        f.requestClass = e.requestClass();
+        f.lanes = Math.max(1, e.lanes());
+        f.toldLoad = e.loadMicros();
+        f.heat = f.heat * Math.exp(-(now - f.calledAt) / (double) keepAlive()) + 1;
+        f.calls++;
+        f.calledAt = now;
+        taken.add(now);
+        Call call = new Call();
+        call.id = e.id();
+        call.kind = settings.classes().get(e.requestClass());
+        call.function = f;
+        call.deadline = now + e.timeLeftMicros();
+        calls.put(call.id, call);
+        actions.add(new SetTimer(Math.max(1, e.timeLeftMicros() - settings.tickMicros()), "end:" + call.id));
+        route(call);
+    }
+
+    /** The ordinary path: the lowest estimated finish, or an early refusal. */
+    private void route(Call call) {
+        call.held = false;
+        if (call.over || call.streaming || call.out > 0) {
+            return;
+        }
+        if (call.attempts.size() >= Math.max(1, settings.limits().maxAttempts()) || !mayResend(call)) {
+            end(call);
+            return;
+        }
+        Worker best = lowest(call);
+        if (best == null) {
+            call.tried.clear();
+            hold(call, HOLD);
+            return;
+        }
+        if (estimate(call.function, best, false) > call.deadline - now && mayRefuse(call)) {
+            refuse(call);
+            return;
+        }
+        if (copyAt(best, call.function) == null && ask(call)) {
+            return;
+        }
+        send(call, best);
+    }
+
+    private Worker lowest(Call call) {
+        Function f = call.function;
+        Worker best = null;
+        double bestCost = 0;
+        int ties = 0;
+        double coldFloor = Double.MAX_VALUE;
+        for (Worker w : workers.values()) {
+            if (candidate(call, w) && copyAt(w, f) == null) {
+                coldFloor = Math.min(coldFloor, cost(call, w));
+            }
+        }
+        Worker home = null;
+        for (Worker w : workers.values()) {
+            if (!candidate(call, w)) {
+                continue;
+            }
+            double cost = cost(call, w);
+            if (copyAt(w, f) == null) {
+                boolean level = cost <= coldFloor + COLD_TIE * loadTime(f, true);
+                if (level && (home == null || rank(f, w) > rank(f, home))) {
+                    home = w;
+                }
+                continue;
+            }
+            if (best == null || cost < bestCost - TIE) {
+                best = w;
+                bestCost = cost;
+                ties = 1;
+            } else if (cost <= bestCost + TIE && random.nextInt(++ties) == 0) {
+                best = w;
+            }
+        }
+        return best == null || (home != null && cost(call, home) < bestCost) ? home : best;
+    }
+
+    /** Guards as filters: drains, health, what this request has tried, repeats, the cold budget. */
+    private boolean candidate(Call call, Worker w) {
+        return w.ready && !paused(w) && !call.tried.contains(w) && mayRepeatAt(call, w) && coldBudgetLeft(w);
+    }
+
+    /** A paused invoker is left alone; after the pause one attempt at a time tries it. */
+    private boolean paused(Worker w) {
+        return now < w.pausedUntil || (w.strikes > 0 && w.out > 0);
+    }
+
+    // ---- The estimate: queue + run + load. ----
+    private double estimate(Function f, Worker w, boolean ranking) {
+        Copy copy = copyAt(w, f);
+        double run = runTime(f) * w.slowness * (crowd(w) + SOFT_CROWD) / (w.crowdThen + SOFT_CROWD);
+        double queue = 0;
+        double load = 0;
+        if (copy == null) {
+            load = loadTime(f, ranking) * (1 + LOAD_CROWD * w.loadsOut);
+        } else {
+            double lanes = copy.count * (double) f.lanes;
+            queue = Math.max(0, copy.out + copy.company + 1 - lanes) * run / lanes;
+            if (copy.loadingSince > 0) {
+                double full = loadTime(f, ranking);
+                load = Math.max(full * LOAD_CROWD, full - (now - copy.loadingSince));
+            }
+        }
+        double silence = w.warmOut > 0 ? Math.max(0, now - w.quietSince - 2 * run) : 0;
+        return queue + run + load + silence;
+    }
+
+    /** The estimate with what a choice costs beyond time: crossings and failures, in units of the aim. */
+    private double cost(Call call, Worker w) {
+        double aim = call.kind.aimMicros();
+        double crossing = w.entry.zone() != settings.zone() ? settings.prices().crossZone() * aim : 0;
+        return estimate(call.function, w, true) + crossing + w.failing * 2 * aim;
+    }
+
+    private double crowd(Worker w) {
+        return w.out + w.others;
+    }
+
+    private double runTime(Function f) {
+        return f.run > 0 ? f.run : FIRST_RUN_SHARE * settings.classes().get(f.requestClass).aimMicros();
+    }
+
+    /** Told or measured load time; unmeasured it ranks cold behind warm and counts nought for refusal. */
+    private double loadTime(Function f, boolean ranking) {
+        if (f.toldLoad > 0) {
+            return Math.max(f.toldLoad, loadAverage / 2);
+        }
+        if (loadAverage > 0) {
+            return loadAverage;
+        }
+        return ranking ? settings.classes().get(f.requestClass).deadlineMicros() : 0;
+    }
+
+    private Copy copyAt(Worker w, Function f) {
+        Copy copy = w.copies.get(f.id);
+        if (copy == null || (copy.out == 0 && copy.loadingSince == 0 && now - copy.usedAt > keepAlive())) {
+            return null;
+        }
+        return copy;
+    }
+
+    private long keepAlive() {
+        return Math.max(1, settings.loading().keepAliveMicros());
+    }
+
+    /** Rendezvous rank: controllers that share nothing meet at the same copies. */
+    private static long rank(Function f, Worker w) {
+        long x = (f.hash ^ w.hash) * 0x9E3779B97F4A7C15L;
+        x ^= x >>> 32;
+        x *= 0xD6E8FEB86659FD93L;
+        return (x ^ (x >>> 32)) >>> 1;
+    }
+
+    private static long mix(String text) {
+        long x = 0xCBF29CE484222325L;
+        for (int i = 0; i < text.length(); i++) {
+            x = (x ^ text.charAt(i)) * 0x100000001B3L;
+        }
+        return x ^ (x >>> 29);
+    }
+
+    // ---- Asking before loading. ----
+    /** Before a cold send, asks who holds the function when the answers' yield is worth their price. */
+    private boolean ask(Call call) {
+        Function f = call.function;
+        int ready = (int) workers.values().stream().filter(w -> w.ready).count();
+        double gain = 1 - call.kind.lateWorth() + settings.prices().fetch();
+        boolean worth = askYield * gain > ready * settings.prices().probe();
+        if (call.asked || !settings.loading().orders() || !worth) {
+            return false;
+        }
+        call.asked = true;
+        call.held = true;
+        f.waiting.add(call);
+        if (f.asksOut == 0) {
+            for (Worker w : workers.values()) {
+                if (w.ready && !paused(w)) {
+                    f.asksOut++;
+                    actions.add(new Order(w.id, f.id, 0));
+                }
+            }
+        }
+        actions.add(new SetTimer(ASK_WAIT, "hold:" + call.id));
+        return true;
+    }
+
+    // ---- Sending and ending. ----
+    private void send(Call call, Worker w) {
+        Attempt attempt = new Attempt();
+        Copy copy = copyAt(w, call.function);
+        attempt.cold = copy == null || copy.loadingSince > 0;
+        if (copy == null) {
+            copy = new Copy();
+            copy.loadingSince = now;
+            w.copies.put(call.function.id, copy);
+        }
+        attempt.worker = w;
+        attempt.copy = copy;
+        attempt.sentAt = now;
+        attempt.crowd = crowd(w);
+        copy.out++;
+        copy.usedAt = now;
+        w.out++;
+        if (attempt.cold) {
+            w.loadsOut++;
+        } else if (w.warmOut++ == 0) {
+            w.quietSince = now;
+        }
+        if (cold(w)) {
+            w.coldSends.add(now);
+        }
+        call.out++;
+        call.attempts.add(attempt);
+        actions.add(new Send(call.id, w.id, 0));
+    }
+
+    private void hold(Call call, long micros) {
+        call.held = true;
+        actions.add(new SetTimer(micros, "hold:" + call.id));
+    }
+
+    private void refuse(Call call) {
+        actions.add(new Refuse(call.id, 0));
+        forget(call);
+    }
+
+    /** Ends a request that cannot be served: refused where a retry is proved harmless, else failed. */
+    private void end(Call call) {
+        if (mayRefuse(call)) {
+            refuse(call);
+        } else {
+            actions.add(new Fail(call.id));
+            forget(call);
+        }
+    }
+
+    private void forget(Call call) {
+        if (call != null) {
+            call.over = true;
+            calls.remove(call.id);
+            closedAttempts(call);
+        }
+    }
+
+    /** Attempts still out at the end are cancelled where allowed; their reports find them here. */
+    private void closedAttempts(Call call) {
+        for (int i = 0; i < call.attempts.size(); i++) {
+            if (!call.attempts.get(i).ended) {
+                orphans.put(call.id, call);
+                if (settings.limits().cancel() && !call.streaming) {
+                    actions.add(new Cancel(call.id, i));
+                }
+            }
+        }
+    }
+
+    private final HashMap<Long, Call> orphans = new HashMap<>();
+
+    // ---- The repeat rules. ----
+    private boolean mayResend(Call call) {
+        if (!call.mayHaveRun || call.kind.repeat() == Repeat.SAFE) {
+            return true;
+        }
+        return call.kind.repeat() == Repeat.KEYED
+                && now <= call.boundAt + call.kind.windowMicros() - settings.tickMicros();
+    }
+
+    private boolean mayRepeatAt(Call call, Worker w) {
+        if (!call.mayHaveRun || call.kind.repeat() != Repeat.KEYED || call.kind.group() == Group.ALL) {
+            return true;
+        }
+        return call.kind.group() == Group.ZONE ? w.entry.zone() == call.boundTo.entry.zone()
+                : w.entry.cell() == call.boundTo.entry.cell();
+    }
+
+    private boolean mayRefuse(Call call) {
+        boolean unproved = call.mayHaveRun || call.out > 0;
+        return !unproved || call.kind.repeat() == Repeat.SAFE
+                || (call.kind.repeat() == Repeat.KEYED && call.kind.group() == Group.ALL);
+    }
+
+    // ---- Answers. ----
+    private void attemptEnded(AttemptEnded e) {
+        Call call = calls.get(e.id());
+        boolean orphan = call == null;
+        if (orphan) {
+            call = orphans.get(e.id());
+        }
+        if (call == null || e.attempt() < 0 || e.attempt() >= call.attempts.size()) {
+            return;
+        }
+        Attempt attempt = call.attempts.get(e.attempt());
+        if (attempt.ended) {
+            return;
+        }
+        attempt.ended = true;
+        call.out--;
+        release(call, attempt);
+        learn(call, attempt, e);
+        if (orphan) {
+            if (call.out == 0) {
+                orphans.remove(e.id());
+            }
+        } else if (e.isFinal()) {
+            forget(call);
+        } else {
+            next(call, attempt, e);
+        }
+    }
+
+    private void release(Call call, Attempt attempt) {
+        attempt.worker.out--;
+        attempt.copy.out--;
+        if (attempt.cold) {
+            attempt.worker.loadsOut--;
+        } else {
+            attempt.worker.warmOut--;
+        }
+    }
+
+    /** What the answer tells of the invoker, the function and its copy there. */
+    private void learn(Call call, Attempt attempt, AttemptEnded e) {
+        Worker w = attempt.worker;
+        Copy copy = attempt.copy;
+        boolean heard = e.code() == Code.OK || e.code() == Code.ERROR || e.code() == Code.FULL
+                || e.code() == Code.MISS;
+        if (heard) {
+            w.quietSince = now;
+            w.strikes = 0;
+            report(w, e.report());
+        }
+        w.failing += NEWS * ((e.code() == Code.ERROR ? 1 : 0) - w.failing);
+        switch (e.code()) {
+            case OK -> {
+                learnTime(call.function, attempt, e);
+                copy.loadingSince = 0;
+                copy.usedAt = now;
+                if (e.company() >= 0) {
+                    copy.company += 0.3 * (Math.max(0, e.company() - copy.out) - copy.company);
+                }
+                w.served = servedRate(w) + 1e6 / RATE_SPAN;
+                w.servedAt = now;
+            }
+            case MISS -> drop(w, call.function, copy);
+            case ERROR -> {
+                if (e.start() == Start.LOAD_FAILED) {
+                    drop(w, call.function, copy);
+                }
+            }
+            case FULL -> w.pausedUntil = Math.max(w.pausedUntil, now + FULL_PAUSE);
+            case CONNECT_FAILED, RESET -> strike(w);
+            default -> { }
+        }
+    }
+
+    private void drop(Worker w, Function f, Copy copy) {
+        if (w.copies.get(f.id) == copy) {
+            w.copies.remove(f.id);
+        }
+    }
+
+    /** A broken or refused connection: the process may be gone and with it all it held. */
+    private void strike(Worker w) {
+        if (w.strikes++ == 0) {
+            w.copies.clear();
+        }
+        w.coldSince = now;
+        long pause = Math.min(SUSPECT_MOST, SUSPECT << Math.min(6, w.strikes - 1));
+        w.pausedUntil = Math.max(w.pausedUntil, now + pause);
+    }
+
+    private void learnTime(Function f, Attempt attempt, AttemptEnded e) {
+        boolean cold = settings.loading().tellsStart() ? e.start() != Start.WARM : attempt.cold;
+        double took = e.tookMicros();
+        if (cold) {
+            boolean whole = settings.loading().tellsStart() ? e.start() == Start.COLD
+                    : attempt.sentAt == attempt.copy.loadingSince;
+            if (whole) {
+                learnLoad(Math.max(1, took - runTime(f)));
+            }
+            return;
+        }
+        Worker w = attempt.worker;
+        w.slowness += NEWS * (Math.min(10, took / runTime(f)) - w.slowness);
+        w.crowdThen += NEWS * (attempt.crowd - w.crowdThen);
+        f.run = f.runs++ == 0 ? took : f.run + Math.max(NEWS, 1.0 / f.runs) * (took - f.run);
+    }
+
+    private void learnLoad(double micros) {
+        loadAverage = loadAverage == 0 ? micros : loadAverage + NEWS * (micros - loadAverage);
+    }
+
+    private double servedRate(Worker w) {
+        return w.served * Math.exp(-(now - w.servedAt) / RATE_SPAN);
+    }
+
+    private void report(Worker w, Map<String, Double> report) {
+        Double inflight = report.get("inflight");
+        if (inflight != null) {
+            w.others += 0.3 * (Math.max(0, inflight - w.out) - w.others);
+        }
+    }
+
+    /** After an attempt that did not serve: the next-best invoker, or after a miss one order held there. */
+    private void next(Call call, Attempt attempt, AttemptEnded e) {
+        boolean proved = e.code() == Code.FULL || e.code() == Code.CONNECT_FAILED || e.code() == Code.MOOT
+                || e.code() == Code.MISS;
+        if (!proved && !call.mayHaveRun) {
+            call.mayHaveRun = true;
+            call.boundTo = attempt.worker;
+            call.boundAt = attempt.sentAt;
+        }
+        if (now >= call.deadline - settings.tickMicros() || e.code() == Code.MOOT) {
+            end(call);
+        } else if (e.code() == Code.MISS && e.start() != Start.LOAD_FAILED && orderAfterMiss(call, attempt)) {
+            hold(call, Math.max(settings.tickMicros(), e.tookMicros()));
+        } else {
+            call.tried.add(attempt.worker);
+            route(call);
+        }
+    }
+
+    private boolean orderAfterMiss(Call call, Attempt attempt) {
+        Function f = call.function;
+        Worker w = attempt.worker;
+        boolean fits = estimate(f, w, false) <= call.deadline - now;
+        return fits && order(w, f, 1);
+    }
+
+    // ---- Orders to load. ----
+    private boolean order(Worker w, Function f, int copies) {
+        Copy copy = w.copies.get(f.id);
+        if (copy != null && copy.ordered && copies <= copy.count) {
+            return true;
+        }
+        if (!w.ready || !settings.loading().orders() || ordersOut >= ORDERS_OUT || !rationLeft()) {
+            return false;
+        }
+        if (copy == null) {
+            copy = new Copy();
+            copy.loadingSince = now;
+            copy.usedAt = now;
+            w.copies.put(f.id, copy);
+        }
+        copy.ordered = true;
+        ordersOut++;
+        ordersSent.add(now);
+        actions.add(new Order(w.id, f.id, copies));
+        return true;
+    }
+
+    private boolean rationLeft() {
+        long period = settings.loading().loadPeriodMicros();
+        if (period <= 0) {
+            ordersSent.clear();
+            return true;
+        }
+        trim(ordersSent, period);
+        trim(taken, period);
+        return ordersSent.size() + 1 <= settings.loading().freeLoads()
+                + settings.loading().loadRatio() * taken.size();
+    }
+
+    private void trim(ArrayDeque<Long> times, long span) {
+        while (!times.isEmpty() && times.peekFirst() < now - span) {
+            times.removeFirst();
+        }
+    }
+
+    private void orderEnded(OrderEnded e) {
+        Function f = functions.get(e.function());
+        Worker w = workers.get(e.invoker());
+        if (f == null) {
+            return;
+        }
+        Copy copy = w == null ? null : w.copies.get(f.id);
+        boolean stands = e.copies() > 0;
+        if (copy != null && copy.ordered) {
+            ordersOut--;
+            copy.ordered = false;
+            if (stands && copy.loadingSince > 0 && e.code() == Code.OK) {
+                learnLoad(e.tookMicros());
+            }
+        } else if (f.asksOut > 0) {
+            f.asksOut--;
+        }
+        if (w != null && stands) {
+            if (copy == null) {
+                copy = new Copy();
+                w.copies.put(f.id, copy);
+                copy.usedAt = now;
+            }
+            copy.loadingSince = 0;
+            copy.count = e.copies();
+            copy.usedAt = Math.max(copy.usedAt, now - keepAlive() / 2);
+        } else if (copy != null && copy.out == 0 && e.code() != Code.OK) {
+            drop(w, f, copy);
+        }
+        if (!f.waiting.isEmpty() && (stands || f.asksOut == 0)) {
+            askYield += 0.05 * ((stands ? 1 : 0) - askYield);
+            List<Call> waiting = new ArrayList<>(f.waiting);
+            f.waiting.clear();
+            for (Call call : waiting) {
+                if (call.held) {
+                    route(call);
+                }
+            }
+        }
+    }
+
+    // ---- Upkeep: copies worth keeping are renewed before they lapse or placed anew. ----
+    private void upkeep() {
+        actions.add(new SetTimer(UPKEEP, "upkeep"));
+        trim(taken, Math.max(1, settings.loading().loadPeriodMicros()));
+        for (Function f : functions.values()) {
+            if (f.calls >= RENEW_CALLS && now - f.calledAt < RENEW_FOR * keepAlive()) {
+                keep(f);
+            }
+        }
+    }
+
+    private void keep(Function f) {
+        Worker best = null;
+        for (Worker w : workers.values()) {
+            if (w.ready && !paused(w) && copyAt(w, f) != null && (best == null || rank(f, w) > rank(f, best))) {
+                best = w;
+            }
+        }
+        if (best != null) {
+            Copy copy = best.copies.get(f.id);
+            if (!copy.ordered && copy.out == 0 && now - copy.usedAt > RENEW_AT * keepAlive()) {
+                if (order(best, f, 1)) {
+                    copy.usedAt = now;
+                }
+            }
+        }
+    }
+
+    // ---- The cold budget. ----
+    private boolean cold(Worker w) {
+        return w.coldSince > 0 && now - w.coldSince < settings.rules().warmAfterMicros();
+    }
+
+    /**
+     * Guards a fresh invoker: own sends within the stated window stay under the stated multiple of its
+     * share of what this controller sees warm invokers serve. All controllers doing so keep the rule.
+     */
+    private boolean coldBudgetLeft(Worker w) {
+        if (!cold(w)) {
+            return true;
+        }
+        Rules rules = settings.rules();
+        trim(w.coldSends, rules.overloadMicros());
+        double age = Math.max(0, now - w.coldSince) / (double) Math.max(1, rules.warmAfterMicros());
+        double share = rules.coldShare() + (1 - rules.coldShare()) * age;
+        double total = 0;
+        int count = 0;
+        for (Worker other : workers.values()) {
+            if (other.ready && !cold(other) && other.entry.kind() == w.entry.kind()) {
+                total += servedRate(other);
+                count++;
+            }
+        }
+        double usual = count == 0 ? 0 : total / count;
+        double budget = COLD_MARGIN * rules.fallMultiple() * share * usual * rules.overloadMicros() / 1e6;
+        return w.coldSends.size() + 1 <= Math.max(1, budget);
+    }
+
+    // ---- The list of invokers. ----
+    private void list(InvokerList e) {
+        if (!started) {
+            started = true;
+            actions.add(new SetTimer(UPKEEP, "upkeep"));
+            if (settings.discovery() == Discovery.ASKED) {
+                actions.add(new Subscribe(true));
+            }
+        }
+        if (e.whole()) {
+            List<String> named = new ArrayList<>();
+            e.entries().forEach(entry -> named.add(entry.id()));
+            java.util.HashSet<String> present = new java.util.HashSet<>(named);
+            for (Worker w : workers.values()) {
+                if (!present.contains(w.id)) {
+                    w.ready = false;
+                    w.copies.clear();
+                }
+            }
+        }
+        for (Invoker entry : e.entries()) {
+            Worker w = workers.computeIfAbsent(entry.id(), Worker::new);
+            boolean fresh = w.entry != null && entry.upSinceMicros() > w.entry.upSinceMicros();
+            if (fresh || entry.state() == State.GONE) {
+                w.copies.clear();
+                w.strikes = 0;
+                w.pausedUntil = 0;
+                w.slowness = 1;
+            }
+            if (fresh || w.entry == null) {
+                w.coldSince = Math.max(w.coldSince, entry.upSinceMicros());
+            }
+            w.entry = entry;
+            w.ready = entry.state() == State.READY;
+        }
+    }
+
+    private void streamBegan(StreamBegan e) {
+        Call call = calls.get(e.id());
+        if (call != null) {
+            call.streaming = true;
+            call.mayHaveRun = true;
+        }
+    }
+
+    // ---- Timers. ----
+    private void timer(String tag) {
+        if (tag.equals("upkeep")) {
+            upkeep();
+        } else if (tag.equals("subscribe")) {
+            actions.add(new Subscribe(true));
+        } else {
+            int colon = tag.indexOf(':');
+            Call call = calls.get(Long.parseLong(tag.substring(colon + 1)));
+            if (call == null || call.streaming) {
+                return;
+            }
+            if (tag.startsWith("end:")) {
+                end(call);
+            } else if (call.held) {
+                route(call);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/wire/Json.java
@@ -0,0 +1,169 @@
+package waytrestle.wire;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads one JSON line into maps and lists, with typed look-ups that name what is malformed. */
+final class Json {
+    static final JsonFactory FACTORY = JsonFactory.builder()
+            .streamReadConstraints(StreamReadConstraints.builder()
+                    .maxStringLength(Integer.MAX_VALUE).maxDocumentLength(-1).build())
+            .disable(com.fasterxml.jackson.core.StreamWriteFeature.AUTO_CLOSE_TARGET)
+            .build();
+
+    private Json() { }
+
+    /** Says in one line what was wrong with the input. */
+    static final class Malformed extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        Malformed(String message) {
+            super(message);
+        }
+    }
+
+    static Map<String, Object> line(String text) {
+        try (JsonParser in = FACTORY.createParser(text)) {
+            if (in.nextToken() != JsonToken.START_OBJECT) {
+                throw new Malformed("a batch must be a JSON object");
+            }
+            Map<String, Object> value = object(in);
+            if (in.nextToken() != null) {
+                throw new Malformed("a batch has text after its JSON object");
+            }
+            return value;
+        } catch (IOException e) {
+            throw new Malformed("a batch is not JSON: " + String.valueOf(e.getMessage()).split("\n")[0]);
+        }
+    }
+
+    private static Map<String, Object> object(JsonParser in) throws IOException {
+        Map<String, Object> map = new HashMap<>();
+        while (in.nextToken() != JsonToken.END_OBJECT) {
+            String key = in.currentName();
+            in.nextToken();
+            map.put(key, value(in));
+        }
+        return map;
+    }
+
+    private static Object value(JsonParser in) throws IOException {
+        switch (in.currentToken()) {
+            case START_OBJECT:
+                return object(in);
+            case START_ARRAY:
+                List<Object> list = new ArrayList<>();
+                while (in.nextToken() != JsonToken.END_ARRAY) {
+                    list.add(value(in));
+                }
+                return list;
+            case VALUE_STRING:
+                return in.getText();
+            case VALUE_NUMBER_INT:
+                return in.getLongValue();
+            case VALUE_NUMBER_FLOAT:
+                return in.getDoubleValue();
+            case VALUE_TRUE:
+                return Boolean.TRUE;
+            case VALUE_FALSE:
+                return Boolean.FALSE;
+            default:
+                return null;
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    static Map<String, Object> map(Object value, String what) {
+        if (value instanceof Map) {
+            return (Map<String, Object>) value;
+        }
+        throw new Malformed(what + " must be an object");
+    }
+
+    @SuppressWarnings("unchecked")
+    static Map<String, Object> mapOrEmpty(Map<String, Object> in, String key) {
+        Object value = in.get(key);
+        return value == null ? Map.of() : map(value, key);
+    }
+
+    @SuppressWarnings("unchecked")
+    static List<Object> list(Map<String, Object> in, String key) {
+        Object value = in.get(key);
+        if (value == null) {
+            return List.of();
+        }
+        if (value instanceof List) {
+            return (List<Object>) value;
+        }
+        throw new Malformed(key + " must be an array");
+    }
+
+    static double number(Map<String, Object> in, String key) {
+        Object value = in.get(key);
+        if (value == null) {
+            return 0;
+        }
+        if (value instanceof Number) {
+            return ((Number) value).doubleValue();
+        }
+        throw new Malformed(key + " must be a number");
+    }
+
+    static long whole(Map<String, Object> in, String key) {
+        Object value = in.get(key);
+        if (value == null) {
+            return 0;
+        }
+        if (value instanceof Long) {
+            return (Long) value;
+        }
+        if (value instanceof Double) {
+            return Math.round((Double) value);
+        }
+        throw new Malformed(key + " must be a whole number");
+    }
+
+    static long required(Map<String, Object> in, String key) {
+        if (in.get(key) == null) {
+            throw new Malformed(key + " is missing");
+        }
+        return whole(in, key);
+    }
+
+    static boolean flag(Map<String, Object> in, String key) {
+        Object value = in.get(key);
+        if (value == null) {
+            return false;
+        }
+        if (value instanceof Boolean) {
+            return (Boolean) value;
+        }
+        throw new Malformed(key + " must be true or false");
+    }
+
+    static String text(Map<String, Object> in, String key) {
+        Object value = in.get(key);
+        if (value == null) {
+            return "";
+        }
+        if (value instanceof String) {
+            return (String) value;
+        }
+        throw new Malformed(key + " must be text");
+    }
+
+    static String requiredText(Map<String, Object> in, String key) {
+        String value = text(in, key);
+        if (value.isEmpty()) {
+            throw new Malformed(key + " is missing");
+        }
+        return value;
+    }
+}
