Estimate: slowness as a ratio of averages, loads counted as loads

Cause: a mean of ratios exceeds one for spread-out run times, and each request waiting for a load counted as one more load, so estimates ran past the time left and were refused.

--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -19,6 +19,8 @@
     // ---- Tuned numbers: unit, reason. ----
     /** Weight of a new answer in running averages: about the last ten answers count. */
     private static final double NEWS = 0.1;
+    /** Weight of "as usual" against the recent answers when an invoker's slowness is judged. */
+    private static final double SHY = 0.2;
     /** Run time assumed before any answer, as a share of the class's aim: aims leave room for queueing. */
     private static final double FIRST_RUN_SHARE = 0.2;
     /** Requests an invoker is thought to run side by side unhindered; softens the crowd correction. */
@@ -63,9 +65,11 @@
         long coldSince;           // start of the present process, 0 when long past
         int out;                  // own attempts out
         int warmOut;              // of them those not waiting for a load
-        int loadsOut;             // own attempts and orders that load there
+        int loading;              // functions believed to be loading there
         long quietSince;          // last heard, or first send after idleness
-        double slowness = 1;      // answers' time over the function's usual time
+        double slowness = 1;      // answers' time over the functions' usual times, both averaged
+        double tookSum;
+        double usualSum;
         double crowdThen;         // crowd at the sends behind that slowness
         double others;            // crowd of other controllers, from reports
         double failing;           // share of recent attempts that failed in a way that may repeat
@@ -80,6 +84,11 @@
             this.id = id;
             this.hash = mix(id);
         }
+
+        void clear() {
+            copies.clear();
+            loading = 0;
+        }
     }
 
     /** The belief that an invoker holds a function, from this controller's own sends and answers. */
@@ -278,7 +287,7 @@
         double queue = 0;
         double load = 0;
         if (copy == null) {
-            load = loadTime(f, ranking) * (1 + LOAD_CROWD * w.loadsOut);
+            load = loadTime(f, ranking) * (1 + LOAD_CROWD * w.loading);
         } else {
             double lanes = copy.count * (double) f.lanes;
             queue = Math.max(0, copy.out + copy.company + 1 - lanes) * run / lanes;
@@ -376,9 +385,7 @@
         Copy copy = copyAt(w, call.function);
         attempt.cold = copy == null || copy.loadingSince > 0;
         if (copy == null) {
-            copy = new Copy();
-            copy.loadingSince = now;
-            w.copies.put(call.function.id, copy);
+            copy = expectLoad(w, call.function);
         }
         attempt.worker = w;
         attempt.copy = copy;
@@ -387,9 +394,7 @@
         copy.out++;
         copy.usedAt = now;
         w.out++;
-        if (attempt.cold) {
-            w.loadsOut++;
-        } else if (w.warmOut++ == 0) {
+        if (!attempt.cold && w.warmOut++ == 0) {
             w.quietSince = now;
         }
         if (cold(w)) {
@@ -400,6 +405,22 @@
         actions.add(new Send(call.id, w.id, 0));
     }
 
+    private Copy expectLoad(Worker w, Function f) {
+        Copy copy = new Copy();
+        copy.loadingSince = now;
+        copy.usedAt = now;
+        w.loading++;
+        w.copies.put(f.id, copy);
+        return copy;
+    }
+
+    private void loaded(Worker w, Copy copy) {
+        if (copy.loadingSince > 0) {
+            copy.loadingSince = 0;
+            w.loading = Math.max(0, w.loading - 1);
+        }
+    }
+
     private void hold(Call call, long micros) {
         call.held = true;
         actions.add(new SetTimer(micros, "hold:" + call.id));
@@ -497,11 +518,7 @@
     private void release(Call call, Attempt attempt) {
         attempt.worker.out--;
         attempt.copy.out--;
-        if (attempt.cold) {
-            attempt.worker.loadsOut--;
-        } else {
-            attempt.worker.warmOut--;
-        }
+        attempt.worker.warmOut -= attempt.cold ? 0 : 1;
     }
 
     /** What the answer tells of the invoker, the function and its copy there. */
@@ -519,7 +536,7 @@
         switch (e.code()) {
             case OK -> {
                 learnTime(call.function, attempt, e);
-                copy.loadingSince = 0;
+                loaded(w, copy);
                 copy.usedAt = now;
                 if (e.company() >= 0) {
                     copy.company += 0.3 * (Math.max(0, e.company() - copy.out) - copy.company);
@@ -541,6 +558,7 @@
 
     private void drop(Worker w, Function f, Copy copy) {
         if (w.copies.get(f.id) == copy) {
+            loaded(w, copy);
             w.copies.remove(f.id);
         }
     }
@@ -548,7 +566,7 @@
     /** A broken or refused connection: the process may be gone and with it all it held. */
     private void strike(Worker w) {
         if (w.strikes++ == 0) {
-            w.copies.clear();
+            w.clear();
         }
         w.coldSince = now;
         long pause = Math.min(SUSPECT_MOST, SUSPECT << Math.min(6, w.strikes - 1));
@@ -567,7 +585,9 @@
             return;
         }
         Worker w = attempt.worker;
-        w.slowness += NEWS * (Math.min(10, took / runTime(f)) - w.slowness);
+        w.tookSum += NEWS * (took - w.tookSum);
+        w.usualSum += NEWS * (runTime(f) - w.usualSum);
+        w.slowness = (w.tookSum + SHY * runTime(f)) / (w.usualSum + SHY * runTime(f));
         w.crowdThen += NEWS * (attempt.crowd - w.crowdThen);
         f.run = f.runs++ == 0 ? took : f.run + Math.max(NEWS, 1.0 / f.runs) * (took - f.run);
     }
@@ -623,10 +643,7 @@
             return false;
         }
         if (copy == null) {
-            copy = new Copy();
-            copy.loadingSince = now;
-            copy.usedAt = now;
-            w.copies.put(f.id, copy);
+            copy = expectLoad(w, f);
         }
         copy.ordered = true;
         ordersOut++;
@@ -676,7 +693,7 @@
                 w.copies.put(f.id, copy);
                 copy.usedAt = now;
             }
-            copy.loadingSince = 0;
+            loaded(w, copy);
             copy.count = e.copies();
             copy.usedAt = Math.max(copy.usedAt, now - keepAlive() / 2);
         } else if (copy != null && copy.out == 0 && e.code() != Code.OK) {
@@ -768,7 +785,7 @@
             for (Worker w : workers.values()) {
                 if (!present.contains(w.id)) {
                     w.ready = false;
-                    w.copies.clear();
+                    w.clear();
                 }
             }
         }
@@ -776,10 +793,12 @@
             Worker w = workers.computeIfAbsent(entry.id(), Worker::new);
             boolean fresh = w.entry != null && entry.upSinceMicros() > w.entry.upSinceMicros();
             if (fresh || entry.state() == State.GONE) {
-                w.copies.clear();
+                w.clear();
                 w.strikes = 0;
                 w.pausedUntil = 0;
                 w.slowness = 1;
+                w.tookSum = 0;
+                w.usualSum = 0;
             }
             if (fresh || w.entry == null) {
                 w.coldSince = Math.max(w.coldSince, entry.upSinceMicros());
