--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -209,7 +209,10 @@
         route(call);
     }
 
-    /** The ordinary path: the lowest estimated finish, or an early refusal. */
+    /**
+     * The ordinary path: the lowest estimated finish, or an early refusal. A refusal for a load that
+     * outlasts the request orders the load all the same, or a slow function would be refused for ever.
+     */
     private void route(Call call) {
         call.held = false;
         if (call.over || call.streaming || call.out > 0) {
@@ -225,11 +228,16 @@
             hold(call, HOLD);
             return;
         }
-        if (estimate(call.function, best, false) > call.deadline - now && mayRefuse(call)) {
-            refuse(call);
+        boolean coldBest = copyAt(best, call.function) == null;
+        if (coldBest && ask(call)) {
             return;
         }
-        if (copyAt(best, call.function) == null && ask(call)) {
+        double estimate = estimate(call.function, best, false);
+        if (estimate > call.deadline - now && mayRefuse(call)) {
+            if (coldBest) {
+                order(best, call.function, 1);
+            }
+            refuse(call, (long) estimate);
             return;
         }
         send(call, best);
@@ -426,15 +434,17 @@
         actions.add(new SetTimer(micros, "hold:" + call.id));
     }
 
-    private void refuse(Call call) {
-        actions.add(new Refuse(call.id, 0));
+    private void refuse(Call call, long comeBackAfter) {
+        Limits limits = settings.limits();
+        long wait = limits.retryAfter() ? Math.min(limits.maxRetryAfterMicros(), comeBackAfter) : 0;
+        actions.add(new Refuse(call.id, wait));
         forget(call);
     }
 
     /** Ends a request that cannot be served: refused where a retry is proved harmless, else failed. */
     private void end(Call call) {
         if (mayRefuse(call)) {
-            refuse(call);
+            refuse(call, 0);
         } else {
             actions.add(new Fail(call.id));
             forget(call);
