Level invokers are told apart by rendezvous rank, warm ones too

Cause: most cold starts hit copies believed warm; controllers strewed copies over the fleet and the loads pushed idle copies out of memory.

--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -29,8 +29,8 @@
     private static final double COLD_TIE = 0.5;
     /** Share of the average load time by which each load under way at an invoker delays the next one. */
     private static final double LOAD_CROWD = 0.2;
-    /** Estimates this close (microseconds) tie and are drawn for: below what any estimate can tell. */
-    private static final long TIE = 1_000;
+    /** Warm invokers whose costs differ by less than this share of the aim count as level. */
+    private static final double WARM_TIE = 0.15;
     /** Microseconds between looks at held requests that found no candidate: a fraction of any aim. */
     private static final long HOLD = 40_000;
     /** Longest wait for answers to questions, microseconds: a few round trips within a site. */
@@ -64,6 +64,8 @@
         boolean ready;
         long coldSince;           // start of the present process, 0 when long past
         int out;                  // own attempts out
+        boolean eligible;         // for the choice in hand, with its cost
+        double cost;
         int warmOut;              // of them those not waiting for a load
         int loading;              // functions believed to be loading there
         long quietSince;          // last heard, or first send after idleness
@@ -243,39 +245,38 @@
         send(call, best);
     }
 
+    /**
+     * The lowest cost. Level ones, warm or cold alike, are told apart by rank and not at random: against
+     * copies of one function strewn over the fleet by controllers that cannot agree, which push each
+     * other out of memory. A crowded copy is not level, so a hot function still spreads.
+     */
     private Worker lowest(Call call) {
+        Worker warm = highest(call, true, WARM_TIE * call.kind.aimMicros());
+        Worker cold = highest(call, false, COLD_TIE * loadTime(call.function, true));
+        if (warm == null || cold == null) {
+            return warm == null ? cold : warm;
+        }
+        return cost(call, cold) < cost(call, warm) ? cold : warm;
+    }
+
+    private Worker highest(Call call, boolean warm, double tolerance) {
         Function f = call.function;
-        Worker best = null;
-        double bestCost = 0;
-        int ties = 0;
-        double coldFloor = Double.MAX_VALUE;
+        double least = Double.MAX_VALUE;
         for (Worker w : workers.values()) {
-            if (candidate(call, w) && copyAt(w, f) == null) {
-                coldFloor = Math.min(coldFloor, cost(call, w));
+            w.eligible = candidate(call, w) && warm == (copyAt(w, f) != null);
+            if (w.eligible) {
+                w.cost = cost(call, w);
+                least = Math.min(least, w.cost);
             }
         }
-        Worker home = null;
+        Worker best = null;
         for (Worker w : workers.values()) {
-            if (!candidate(call, w)) {
-                continue;
-            }
-            double cost = cost(call, w);
-            if (copyAt(w, f) == null) {
-                boolean level = cost <= coldFloor + COLD_TIE * loadTime(f, true);
-                if (level && (home == null || rank(f, w) > rank(f, home))) {
-                    home = w;
-                }
-                continue;
-            }
-            if (best == null || cost < bestCost - TIE) {
-                best = w;
-                bestCost = cost;
-                ties = 1;
-            } else if (cost <= bestCost + TIE && random.nextInt(++ties) == 0) {
+            boolean level = w.eligible && w.cost <= least + tolerance;
+            if (level && (best == null || rank(f, w) > rank(f, best))) {
                 best = w;
             }
         }
-        return best == null || (home != null && cost(call, home) < bestCost) ? home : best;
+        return best;
     }
 
     /** Guards as filters: drains, health, what this request has tried, repeats, the cold budget. */
@@ -387,6 +388,10 @@
         return true;
     }
 
+    private boolean warmAnywhere(Function f) {
+        return workers.values().stream().anyMatch(w -> w.ready && copyAt(w, f) != null);
+    }
+
     // ---- Sending and ending. ----
     private void send(Call call, Worker w) {
         Attempt attempt = new Attempt();
@@ -709,8 +714,8 @@
         } else if (copy != null && copy.out == 0 && e.code() != Code.OK) {
             drop(w, f, copy);
         }
-        if (!f.waiting.isEmpty() && (stands || f.asksOut == 0)) {
-            askYield += 0.05 * ((stands ? 1 : 0) - askYield);
+        if (!f.waiting.isEmpty() && f.asksOut == 0) {
+            askYield += 0.05 * ((warmAnywhere(f) ? 1 : 0) - askYield);
             List<Call> waiting = new ArrayList<>(f.waiting);
             f.waiting.clear();
             for (Call call : waiting) {
