Where invokers answer miss, order first and hold the request while the order travels

Attempts are no longer burnt on invokers known to lack the function; orders are bounded by the fleet's size.

--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -41,8 +41,8 @@
     private static final long SUSPECT_MOST = 4_000_000;
     /** Pause after a full invoker's answer, microseconds: about one run. */
     private static final long FULL_PAUSE = 150_000;
-    /** Load orders out at once from this controller: the small bound of the design page. */
-    private static final int ORDERS_OUT = 4;
+    /** Load orders out at once per ready invoker, from all controllers: the design page's small bound. */
+    private static final double ORDERS_EACH = 2;
     /** Share of the cold budget used: others' traffic and chance need the rest. */
     private static final double COLD_MARGIN = 0.7;
     /** Time constant of rates, microseconds: a few seconds smooth bursts yet follow swings. */
@@ -158,6 +158,7 @@
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
     private double loadAverage;   // measured extra latency of cold sends, micros; 0 unmeasured
     private double askYield = 0.5;
+    private double askTime;       // slow side of the answers to questions, micros
     private int ordersOut;
     private boolean started;
     private long now;
@@ -242,6 +243,10 @@
             refuse(call, (long) estimate);
             return;
         }
+        if (coldBest && settings.loading().missAnswers() && settings.loading().orders()) {
+            hold(call, order(best, call.function, 1) ? orderLead() : HOLD);
+            return;
+        }
         send(call, best);
     }
 
@@ -367,9 +372,8 @@
     /** Before a cold send, asks who holds the function when the answers' yield is worth their price. */
     private boolean ask(Call call) {
         Function f = call.function;
-        int ready = (int) workers.values().stream().filter(w -> w.ready).count();
         double gain = 1 - call.kind.lateWorth() + settings.prices().fetch();
-        boolean worth = askYield * gain > ready * settings.prices().probe();
+        boolean worth = askYield * gain > readyCount() * settings.prices().probe();
         if (call.asked || !settings.loading().orders() || !worth) {
             return false;
         }
@@ -559,7 +563,11 @@
                 w.served = servedRate(w) + 1e6 / RATE_SPAN;
                 w.servedAt = now;
             }
-            case MISS -> drop(w, call.function, copy);
+            case MISS -> {
+                if (!copy.ordered) {
+                    drop(w, call.function, copy);
+                }
+            }
             case ERROR -> {
                 if (e.start() == Start.LOAD_FAILED) {
                     drop(w, call.function, copy);
@@ -634,7 +642,7 @@
         if (now >= call.deadline - settings.tickMicros() || e.code() == Code.MOOT) {
             end(call);
         } else if (e.code() == Code.MISS && e.start() != Start.LOAD_FAILED && orderAfterMiss(call, attempt)) {
-            hold(call, Math.max(settings.tickMicros(), e.tookMicros()));
+            hold(call, Math.max(orderLead(), e.tookMicros()));
         } else {
             call.tried.add(attempt.worker);
             route(call);
@@ -654,7 +662,7 @@
         if (copy != null && copy.ordered && copies <= copy.count) {
             return true;
         }
-        if (!w.ready || !settings.loading().orders() || ordersOut >= ORDERS_OUT || !rationLeft()) {
+        if (!w.ready || !settings.loading().orders() || ordersOut >= ordersAllowed() || !rationLeft()) {
             return false;
         }
         if (copy == null) {
@@ -667,6 +675,23 @@
         return true;
     }
 
+    private double ordersAllowed() {
+        return Math.max(1, ORDERS_EACH * readyCount() / Math.max(1, settings.controllers()));
+    }
+
+    /** What an order needs to arrive, as answers to questions show; a send sooner would overtake it. */
+    private long orderLead() {
+        return Math.max(2 * settings.tickMicros(), (long) askTime);
+    }
+
+    private int readyCount() {
+        int count = 0;
+        for (Worker w : workers.values()) {
+            count += w.ready ? 1 : 0;
+        }
+        return count;
+    }
+
     private boolean rationLeft() {
         long period = settings.loading().loadPeriodMicros();
         if (period <= 0) {
@@ -701,6 +726,7 @@
             }
         } else if (f.asksOut > 0) {
             f.asksOut--;
+            askTime = Math.max(e.tookMicros(), askTime - NEWS * (askTime - e.tookMicros()));
         }
         if (w != null && stands) {
             if (copy == null) {
