After a miss route again; orders bounded per invoker; questions told from orders

Cause (zone cut, 20 s into big-2): orders stuck on unreachable invokers used up the bound and requests burnt all attempts on misses.

--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -41,8 +41,10 @@
     private static final long SUSPECT_MOST = 4_000_000;
     /** Pause after a full invoker's answer, microseconds: about one run. */
     private static final long FULL_PAUSE = 150_000;
-    /** Load orders out at once per ready invoker, from all controllers: the design page's small bound. */
-    private static final double ORDERS_EACH = 2;
+    /** Load orders out at once at one invoker: the small bound, each by itself so that a dead one jams no other. */
+    private static final int ORDERS_EACH = 2;
+    /** Misses after which a request has its copy ordered even where one is believed to stand. */
+    private static final int MISSES = 2;
     /** Share of the cold budget used: others' traffic and chance need the rest. */
     private static final double COLD_MARGIN = 0.7;
     /** Time constant of rates, microseconds: a few seconds smooth bursts yet follow swings. */
@@ -67,6 +69,7 @@
         boolean eligible;         // for the choice in hand, with its cost
         double cost;
         int warmOut;              // of them those not waiting for a load
+        int ordersOut;
         int loading;              // functions believed to be loading there
         long quietSince;          // last heard, or first send after idleness
         double slowness = 1;      // answers' time over the functions' usual times, both averaged
@@ -90,6 +93,7 @@
         void clear() {
             copies.clear();
             loading = 0;
+            ordersOut = 0;
         }
     }
 
@@ -145,6 +149,7 @@
         boolean streaming;
         boolean held;
         boolean asked;
+        int misses;               // since an order was last placed for it
         boolean over;
         final List<Worker> tried = new ArrayList<>();
     }
@@ -159,7 +164,6 @@
     private double loadAverage;   // measured extra latency of cold sends, micros; 0 unmeasured
     private double askYield = 0.5;
     private double askTime;       // slow side of the answers to questions, micros
-    private int ordersOut;
     private boolean started;
     private long now;
     private Actions actions;
@@ -243,7 +247,9 @@
             refuse(call, (long) estimate);
             return;
         }
-        if (coldBest && settings.loading().missAnswers() && settings.loading().orders()) {
+        boolean misses = settings.loading().missAnswers() && settings.loading().orders();
+        if (misses && (coldBest || call.misses >= MISSES)) {
+            call.misses = 0;
             hold(call, order(best, call.function, 1) ? orderLead() : HOLD);
             return;
         }
@@ -630,7 +636,7 @@
         }
     }
 
-    /** After an attempt that did not serve: the next-best invoker, or after a miss one order held there. */
+    /** After an attempt that did not serve: the next best; after a miss the route orders where it finds no copy. */
     private void next(Call call, Attempt attempt, AttemptEnded e) {
         boolean proved = e.code() == Code.FULL || e.code() == Code.CONNECT_FAILED || e.code() == Code.MOOT
                 || e.code() == Code.MISS;
@@ -641,44 +647,38 @@
         }
         if (now >= call.deadline - settings.tickMicros() || e.code() == Code.MOOT) {
             end(call);
-        } else if (e.code() == Code.MISS && e.start() != Start.LOAD_FAILED && orderAfterMiss(call, attempt)) {
-            hold(call, Math.max(orderLead(), e.tookMicros()));
+        } else if (e.code() == Code.MISS && settings.loading().orders()) {
+            call.misses++;
+            if (attempt.copy.ordered) {
+                hold(call, orderLead());
+            } else {
+                route(call);
+            }
         } else {
             call.tried.add(attempt.worker);
             route(call);
         }
     }
 
-    private boolean orderAfterMiss(Call call, Attempt attempt) {
-        Function f = call.function;
-        Worker w = attempt.worker;
-        boolean fits = estimate(f, w, false) <= call.deadline - now;
-        return fits && order(w, f, 1);
-    }
-
     // ---- Orders to load. ----
     private boolean order(Worker w, Function f, int copies) {
         Copy copy = w.copies.get(f.id);
         if (copy != null && copy.ordered && copies <= copy.count) {
             return true;
         }
-        if (!w.ready || !settings.loading().orders() || ordersOut >= ordersAllowed() || !rationLeft()) {
+        if (!w.ready || !settings.loading().orders() || w.ordersOut >= ORDERS_EACH || !rationLeft()) {
             return false;
         }
         if (copy == null) {
             copy = expectLoad(w, f);
         }
         copy.ordered = true;
-        ordersOut++;
+        w.ordersOut++;
         ordersSent.add(now);
         actions.add(new Order(w.id, f.id, copies));
         return true;
     }
 
-    private double ordersAllowed() {
-        return Math.max(1, ORDERS_EACH * readyCount() / Math.max(1, settings.controllers()));
-    }
-
     /** What an order needs to arrive, as answers to questions show; a send sooner would overtake it. */
     private long orderLead() {
         return Math.max(2 * settings.tickMicros(), (long) askTime);
@@ -718,8 +718,13 @@
         }
         Copy copy = w == null ? null : w.copies.get(f.id);
         boolean stands = e.copies() > 0;
-        if (copy != null && copy.ordered) {
-            ordersOut--;
+        boolean question = f.asksOut > 0 && e.tookMicros() <= ASK_WAIT || stands == (e.code() != Code.OK);
+        if (w != null && (e.code() == Code.CONNECT_FAILED || e.code() == Code.RESET)) {
+            strike(w);
+            copy = null;
+        }
+        if (!question && copy != null && copy.ordered) {
+            w.ordersOut--;
             copy.ordered = false;
             if (stands && copy.loadingSince > 0 && e.code() == Code.OK) {
                 learnLoad(e.tookMicros());
