--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -41,7 +41,7 @@
     private static final long SUSPECT_MOST = 4_000_000;
     /** Pause after a full invoker's answer, microseconds: about one run. */
     private static final long FULL_PAUSE = 150_000;
-    /** Load orders out at once at one invoker: the small bound, each by itself so that a dead one jams no other. */
+    /** Load orders out at once at one invoker: the design's small bound; a dead invoker jams no other. */
     private static final int ORDERS_EACH = 2;
     /** Misses after which a request has its copy ordered even where one is believed to stand. */
     private static final int MISSES = 2;
@@ -636,7 +636,7 @@
         }
     }
 
-    /** After an attempt that did not serve: the next best; after a miss the route orders where it finds no copy. */
+    /** After an attempt that did not serve: the next best; after a miss the route sees to an order. */
     private void next(Call call, Attempt attempt, AttemptEnded e) {
         boolean proved = e.code() == Code.FULL || e.code() == Code.CONNECT_FAILED || e.code() == Code.MOOT
                 || e.code() == Code.MISS;
@@ -718,7 +718,7 @@
         }
         Copy copy = w == null ? null : w.copies.get(f.id);
         boolean stands = e.copies() > 0;
-        boolean question = f.asksOut > 0 && e.tookMicros() <= ASK_WAIT || stands == (e.code() != Code.OK);
+        boolean question = f.asksOut > 0 && e.tookMicros() <= ASK_WAIT || !stands && e.code() == Code.OK;
         if (w != null && (e.code() == Code.CONNECT_FAILED || e.code() == Code.RESET)) {
             strike(w);
             copy = null;
@@ -771,7 +771,8 @@
     private void keep(Function f) {
         Worker best = null;
         for (Worker w : workers.values()) {
-            if (w.ready && !paused(w) && copyAt(w, f) != null && (best == null || rank(f, w) > rank(f, best))) {
+            boolean holds = w.ready && !paused(w) && copyAt(w, f) != null;
+            if (holds && (best == null || rank(f, w) > rank(f, best))) {
                 best = w;
             }
         }
