--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -29,6 +29,8 @@
     private static final double COLD_TIE = 0.5;
     /** Share of the average load time by which each load under way at an invoker delays the next one. */
     private static final double LOAD_CROWD = 0.2;
+    /** A finish this many run times away is due to the crowd, not to the function. */
+    private static final double JAM = 2;
     /** Warm invokers whose costs differ by less than this share of the aim count as level. */
     private static final double WARM_TIE = 0.15;
     /** Microseconds between looks at held requests that found no candidate: a fraction of any aim. */
@@ -247,6 +249,10 @@
             refuse(call, (long) estimate);
             return;
         }
+        if (!coldBest && jammed(call, estimate) && mayRefuse(call)) {
+            refuse(call, (long) estimate);
+            return;
+        }
         boolean misses = settings.loading().missAnswers() && settings.loading().orders();
         if (misses && (coldBest || call.misses >= MISSES)) {
             call.misses = 0;
@@ -256,6 +262,15 @@
         send(call, best);
     }
 
+    /**
+     * Guards against a jam, whatever filled it (burst, lost invokers, slow ones): when even the best
+     * invoker would answer past the aim because of its crowd, serving late only makes the next late too.
+     * Not for functions that are slow by themselves. It can hurt where a crowd is about to pass.
+     */
+    private boolean jammed(Call call, double estimate) {
+        return estimate > call.kind.aimMicros() && estimate > JAM * runTime(call.function);
+    }
+
     /**
      * The lowest cost. Level ones, warm or cold alike, are told apart by rank and not at random: against
      * copies of one function strewn over the fleet by controllers that cannot agree, which push each
