--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -29,6 +29,8 @@
     private static final double COLD_TIE = 0.5;
     /** Share of the average load time by which each load under way at an invoker delays the next one. */
     private static final double LOAD_CROWD = 0.2;
+    /** Share of the aim past which a function gets one copy more. */
+    private static final double WIDEN = 0.5;
     /** A finish this many run times away is due to the crowd, not to the function. */
     private static final double JAM = 2;
     /** Warm invokers whose costs differ by less than this share of the aim count as level. */
@@ -249,7 +251,10 @@
             refuse(call, (long) estimate);
             return;
         }
-        if (!coldBest && jammed(call, estimate) && mayRefuse(call)) {
+        if (!coldBest) {
+            widen(call, best, estimate);
+        }
+        if (!coldBest && jammed(call, best, estimate) && mayRefuse(call)) {
             refuse(call, (long) estimate);
             return;
         }
@@ -262,13 +267,34 @@
         send(call, best);
     }
 
+    /**
+     * Guards a hot function against its lanes and its invoker: each controller sees only its own queue and
+     * judges a load dearer than waiting, for ever. Past half the aim it orders one copy more: here when
+     * the lanes are short, elsewhere when the invoker is crowded. It can hurt where memory is short.
+     */
+    private void widen(Call call, Worker best, double estimate) {
+        Copy copy = copyAt(best, call.function);
+        if (estimate < WIDEN * call.kind.aimMicros() || copy.loadingSince > 0 || copy.ordered) {
+            return;
+        }
+        if (copy.out + copy.company + 1 > copy.count * call.function.lanes) {
+            order(best, call.function, Math.min(16, copy.count + 1));
+        } else if (estimate > JAM * runTime(call.function)) {
+            Worker other = highest(call, false, COLD_TIE * loadTime(call.function, true));
+            if (other != null) {
+                order(other, call.function, 1);
+            }
+        }
+    }
+
     /**
      * Guards against a jam, whatever filled it (burst, lost invokers, slow ones): when even the best
      * invoker would answer past the aim because of its crowd, serving late only makes the next late too.
      * Not for functions that are slow by themselves. It can hurt where a crowd is about to pass.
      */
-    private boolean jammed(Call call, double estimate) {
-        return estimate > call.kind.aimMicros() && estimate > JAM * runTime(call.function);
+    private boolean jammed(Call call, Worker best, double estimate) {
+        boolean loading = copyAt(best, call.function).loadingSince > 0;
+        return !loading && estimate > call.kind.aimMicros() && estimate > JAM * runTime(call.function);
     }
 
     /**
@@ -678,7 +704,7 @@
     // ---- Orders to load. ----
     private boolean order(Worker w, Function f, int copies) {
         Copy copy = w.copies.get(f.id);
-        if (copy != null && copy.ordered && copies <= copy.count) {
+        if (copy != null && copy.ordered) {
             return true;
         }
         if (!w.ready || !settings.loading().orders() || w.ordersOut >= ORDERS_EACH || !rationLeft()) {
