--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -24,7 +24,7 @@
     /** Run time assumed before any answer, as a share of the class's aim: aims leave room for queueing. */
     private static final double FIRST_RUN_SHARE = 0.2;
     /** Requests an invoker is thought to run side by side unhindered; softens the crowd correction. */
-    private static final double SOFT_CROWD = 2;
+    private static final double SOFT_CROWD = 4;
     /** Cold invokers whose estimates differ by less than this share of a load time count as level. */
     private static final double COLD_TIE = 0.5;
     /** Share of the average load time by which each load under way at an invoker delays the next one. */
@@ -343,8 +343,9 @@
         return estimate(call.function, w, true) + crossing + w.failing * 2 * aim;
     }
 
+    /** Requests at work there; those that wait for a load use no core. */
     private double crowd(Worker w) {
-        return w.out + w.others;
+        return w.warmOut + w.others;
     }
 
     private double runTime(Function f) {
@@ -599,6 +600,18 @@
             case CONNECT_FAILED, RESET -> strike(w);
             default -> { }
         }
+        settle(w, call.function, copy, e.code());
+    }
+
+    /** A load expected but never confirmed must not go on counting as one under way. */
+    private void settle(Worker w, Function f, Copy copy, Code code) {
+        if (copy.loadingSince > 0 && copy.out == 0 && !copy.ordered) {
+            if (code == Code.TIMEOUT || code == Code.CANCELLED) {
+                loaded(w, copy);
+            } else {
+                drop(w, f, copy);
+            }
+        }
     }
 
     private void drop(Worker w, Function f, Copy copy) {
@@ -648,7 +661,8 @@
     private void report(Worker w, Map<String, Double> report) {
         Double inflight = report.get("inflight");
         if (inflight != null) {
-            w.others += 0.3 * (Math.max(0, inflight - w.out) - w.others);
+            double waiting = report.getOrDefault("queue", 0.0);
+            w.others += 0.3 * (Math.max(0, inflight - waiting - w.warmOut) - w.others);
         }
     }
 
