--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -41,8 +41,10 @@
     private static final long SUSPECT = 300_000;
     /** Longest such pause, microseconds. */
     private static final long SUSPECT_MOST = 4_000_000;
-    /** Pause after a full invoker's answer, microseconds: about one run. */
-    private static final long FULL_PAUSE = 150_000;
+    /** Pause after a full answer, microseconds: less than a run, doubled for each in a row. */
+    private static final long FULL_PAUSE = 80_000;
+    /** Longest such pause, microseconds: a few runs drain a queue. */
+    private static final long FULL_MOST = 600_000;
     /** Load orders out at once at one invoker: the design's small bound; a dead invoker jams no other. */
     private static final int ORDERS_EACH = 2;
     /** Misses after which a request has its copy ordered even where one is believed to stand. */
@@ -84,6 +86,8 @@
         long servedAt;
         int strikes;              // connection failures in a row
         long pausedUntil;
+        int fulls;                // full answers in a row
+        long noLoadsUntil;
         final ArrayDeque<Long> coldSends = new ArrayDeque<>();
         final HashMap<String, Copy> copies = new HashMap<>();
 
@@ -250,6 +254,7 @@
             return;
         }
         if (!coldBest && jammed(call, best, estimate) && mayRefuse(call)) {
+            widen(call);
             refuse(call, (long) estimate);
             return;
         }
@@ -272,6 +277,14 @@
         return !loading && estimate > call.kind.aimMicros() && estimate > JAM * runTime(call.function);
     }
 
+    /** A jam of some invokers only: orders a copy on an invoker that is not crowded, for the next calls. */
+    private void widen(Call call) {
+        Worker other = highest(call, false, COLD_TIE * loadTime(call.function, true));
+        if (other != null && runAt(call.function, other) < call.kind.aimMicros()) {
+            order(other, call.function, 1);
+        }
+    }
+
     /**
      * The lowest cost. Level ones, warm or cold alike, are told apart by rank and not at random: against
      * copies of one function strewn over the fleet by controllers that cannot agree, which push each
@@ -308,7 +321,8 @@
 
     /** Guards as filters: drains, health, what this request has tried, repeats, the cold budget. */
     private boolean candidate(Call call, Worker w) {
-        return w.ready && !paused(w) && !call.tried.contains(w) && mayRepeatAt(call, w) && coldBudgetLeft(w);
+        boolean loads = now >= w.noLoadsUntil || copyAt(w, call.function) != null;
+        return loads && w.ready && !paused(w) && !call.tried.contains(w) && mayRepeatAt(call, w) && coldBudgetLeft(w);
     }
 
     /** A paused invoker is left alone; after the pause one attempt at a time tries it. */
@@ -319,7 +333,7 @@
     // ---- The estimate: queue + run + load. ----
     private double estimate(Function f, Worker w, boolean ranking) {
         Copy copy = copyAt(w, f);
-        double run = runTime(f) * w.slowness * (crowd(w) + SOFT_CROWD) / (w.crowdThen + SOFT_CROWD);
+        double run = runAt(f, w);
         double queue = 0;
         double load = 0;
         if (copy == null) {
@@ -336,6 +350,10 @@
         return queue + run + load + silence;
     }
 
+    private double runAt(Function f, Worker w) {
+        return runTime(f) * w.slowness * (crowd(w) + SOFT_CROWD) / (w.crowdThen + SOFT_CROWD);
+    }
+
     /** The estimate with what a choice costs beyond time: crossings and failures, in units of the aim. */
     private double cost(Call call, Worker w) {
         double aim = call.kind.aimMicros();
@@ -580,6 +598,7 @@
                 learnTime(call.function, attempt, e);
                 loaded(w, copy);
                 copy.usedAt = now;
+                w.fulls = 0;
                 if (e.company() >= 0) {
                     copy.company += 0.3 * (Math.max(0, e.company() - copy.out) - copy.company);
                 }
@@ -596,7 +615,7 @@
                     drop(w, call.function, copy);
                 }
             }
-            case FULL -> w.pausedUntil = Math.max(w.pausedUntil, now + FULL_PAUSE);
+            case FULL -> full(w, attempt);
             case CONNECT_FAILED, RESET -> strike(w);
             default -> { }
         }
@@ -631,6 +650,16 @@
         w.pausedUntil = Math.max(w.pausedUntil, now + pause);
     }
 
+    /** Full for a load blocks loads there, full for a warm copy the invoker; longer each time in a row. */
+    private void full(Worker w, Attempt attempt) {
+        long pause = Math.min(FULL_MOST, FULL_PAUSE << Math.min(6, w.fulls++));
+        if (attempt.cold) {
+            w.noLoadsUntil = now + pause;
+        } else {
+            w.pausedUntil = Math.max(w.pausedUntil, now + pause);
+        }
+    }
+
     private void learnTime(Function f, Attempt attempt, AttemptEnded e) {
         boolean cold = settings.loading().tellsStart() ? e.start() != Start.WARM : attempt.cold;
         double took = e.tookMicros();
