--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -21,6 +21,8 @@
     private static final double NEWS = 0.1;
     /** Weight of "as usual" against the recent answers when an invoker's slowness is judged. */
     private static final double SHY = 0.2;
+    /** Answers slower than usual move the usual run time by so much less: crowds must not become usual. */
+    private static final double SLOW_NEWS = 0.3;
     /** Run time assumed before any answer, as a share of the class's aim: aims leave room for queueing. */
     private static final double FIRST_RUN_SHARE = 0.2;
     /** Requests an invoker is thought to run side by side unhindered; softens the crowd correction. */
@@ -87,6 +89,7 @@
         int strikes;              // connection failures in a row
         long pausedUntil;
         int fulls;                // full answers in a row
+        long fullUntil;
         long noLoadsUntil;
         final ArrayDeque<Long> coldSends = new ArrayDeque<>();
         final HashMap<String, Copy> copies = new HashMap<>();
@@ -258,6 +261,10 @@
             refuse(call, (long) estimate);
             return;
         }
+        if (best.fullUntil > now) {
+            hold(call, Math.min(HOLD, best.fullUntil - now));
+            return;
+        }
         boolean misses = settings.loading().missAnswers() && settings.loading().orders();
         if (misses && (coldBest || call.misses >= MISSES)) {
             call.misses = 0;
@@ -347,7 +354,7 @@
             }
         }
         double silence = w.warmOut > 0 ? Math.max(0, now - w.quietSince - 2 * run) : 0;
-        return queue + run + load + silence;
+        return queue + run + load + silence + Math.max(0, w.fullUntil - now);
     }
 
     private double runAt(Function f, Worker w) {
@@ -650,13 +657,16 @@
         w.pausedUntil = Math.max(w.pausedUntil, now + pause);
     }
 
-    /** Full for a load blocks loads there, full for a warm copy the invoker; longer each time in a row. */
+    /**
+     * Full for a load blocks loads there; full for a warm copy adds its pause to the invoker's queue term,
+     * so that waiting is weighed against a load elsewhere: loads begun at every full answer jam the store.
+     */
     private void full(Worker w, Attempt attempt) {
         long pause = Math.min(FULL_MOST, FULL_PAUSE << Math.min(6, w.fulls++));
         if (attempt.cold) {
             w.noLoadsUntil = now + pause;
         } else {
-            w.pausedUntil = Math.max(w.pausedUntil, now + pause);
+            w.fullUntil = now + pause;
         }
     }
 
@@ -676,7 +686,8 @@
         w.usualSum += NEWS * (runTime(f) - w.usualSum);
         w.slowness = (w.tookSum + SHY * runTime(f)) / (w.usualSum + SHY * runTime(f));
         w.crowdThen += NEWS * (attempt.crowd - w.crowdThen);
-        f.run = f.runs++ == 0 ? took : f.run + Math.max(NEWS, 1.0 / f.runs) * (took - f.run);
+        double step = Math.max(NEWS, 1.0 / (f.runs + 1)) * (took > f.run && f.runs > 0 ? SLOW_NEWS : 1);
+        f.run = f.runs++ == 0 ? took : f.run + step * (took - f.run);
     }
 
     private void learnLoad(double micros) {
@@ -714,7 +725,9 @@
                 route(call);
             }
         } else {
-            call.tried.add(attempt.worker);
+            if (e.code() != Code.FULL || attempt.cold) {
+                call.tried.add(attempt.worker);
+            }
             route(call);
         }
     }
