--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -31,6 +31,8 @@
     private static final double COLD_TIE = 0.5;
     /** Share of the average load time by which each load under way at an invoker delays the next one. */
     private static final double LOAD_CROWD = 0.2;
+    /** Share of the aim past which a worthless request would give way to a jam. */
+    private static final double WORTH_FLOOR = 0.3;
     /** A finish this many run times away is due to the crowd, not to the function. */
     private static final double JAM = 2;
     /** Warm invokers whose costs differ by less than this share of the aim count as level. */
@@ -277,11 +279,16 @@
     /**
      * Guards against a jam, whatever filled it (burst, lost invokers, slow ones): when even the best
      * invoker would answer past the aim because of its crowd, serving late only makes the next late too.
-     * Not for functions that are slow by themselves. It can hurt where a crowd is about to pass.
+     * What is worth least gives way first. Not for functions that are slow by themselves. It can hurt where a crowd is about to pass.
      */
     private boolean jammed(Call call, Worker best, double estimate) {
         boolean loading = copyAt(best, call.function).loadingSince > 0;
-        return !loading && estimate > call.kind.aimMicros() && estimate > JAM * runTime(call.function);
+        double most = 0;
+        for (RequestClass kind : settings.classes()) {
+            most = Math.max(most, kind.worth());
+        }
+        double share = most > 0 ? WORTH_FLOOR + (1 - WORTH_FLOOR) * call.kind.worth() / most : 1;
+        return !loading && estimate > share * call.kind.aimMicros() && estimate > JAM * runTime(call.function);
     }
 
     /** A jam of some invokers only: orders a copy on an invoker that is not crowded, for the next calls. */
