--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -1,12 +1,6 @@
 package waytrestle;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.SplittableRandom;
+import java.util.*;
 
 /**
  * Every decision of a controller. The interface (settings, events, actions) is ControlApi.java.
@@ -74,25 +68,21 @@
         boolean ready;
         long coldSince;           // start of the present process, 0 when long past
         int out;                  // own attempts out
-        boolean eligible;         // for the choice in hand, with its cost
-        double cost;
+        double cost;              // for the choice in hand; infinite when no candidate
         int warmOut;              // of them those not waiting for a load
         int ordersOut;
         int loading;              // functions believed to be loading there
         long quietSince;          // last heard, or first send after idleness
         double slowness = 1;      // answers' time over the functions' usual times, both averaged
-        double tookSum;
-        double usualSum;
+        double tookSum, usualSum;
         double crowdThen;         // crowd at the sends behind that slowness
         double others;            // crowd of other controllers, from reports
         double failing;           // share of recent attempts that failed in a way that may repeat
-        double served;            // answers per second, decayed
-        long servedAt;
+        double served;            // answers per second, decayed since servedAt
+        long servedAt, fullUntil, noLoadsUntil;
         int strikes;              // connection failures in a row
         long pausedUntil;
         int fulls;                // full answers in a row
-        long fullUntil;
-        long noLoadsUntil;
         final ArrayDeque<Long> coldSends = new ArrayDeque<>();
         final HashMap<String, Copy> copies = new HashMap<>();
 
@@ -103,8 +93,7 @@
 
         void clear() {
             copies.clear();
-            loading = 0;
-            ordersOut = 0;
+            loading = ordersOut = 0;
         }
     }
 
@@ -121,15 +110,11 @@
     private static final class Function {
         final String id;
         final long hash;
-        int requestClass;
-        int lanes = 1;
+        int requestClass, lanes = 1;
         long toldLoad;
         double run;               // usual time of a warm answer, micros
-        int runs;
-        int calls;
+        int runs, calls, asksOut;
         long calledAt;
-        double heat;              // calls within about a keep-alive
-        int asksOut;
         final List<Call> waiting = new ArrayList<>();
 
         Function(String id) {
@@ -141,27 +126,22 @@
     private static final class Attempt {
         Worker worker;
         Copy copy;
-        boolean cold;
+        boolean cold, ended;
         long sentAt;
         double crowd;
-        boolean ended;
     }
 
     private static final class Call {
-        long id;
+        long id, deadline;
         RequestClass kind;
         Function function;
-        long deadline;
         final List<Attempt> attempts = new ArrayList<>();
         int out;
         boolean mayHaveRun;       // some ended attempt is not proved never to have run
         Worker boundTo;           // where the first such attempt went
         long boundAt;
-        boolean streaming;
-        boolean held;
-        boolean asked;
+        boolean streaming, held, asked, over;
         int misses;               // since an order was last placed for it
-        boolean over;
         final List<Worker> tried = new ArrayList<>();
     }
 
@@ -170,11 +150,11 @@
     private final LinkedHashMap<String, Worker> workers = new LinkedHashMap<>();
     private final LinkedHashMap<String, Function> functions = new LinkedHashMap<>();
     private final HashMap<Long, Call> calls = new HashMap<>();
+    private final HashMap<Long, Call> orphans = new HashMap<>();  // ended, with attempts still out
     private final ArrayDeque<Long> ordersSent = new ArrayDeque<>();
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
     private double loadAverage;   // measured extra latency of cold sends, micros; 0 unmeasured
-    private double askYield = 0.5;
-    private double askTime;       // slow side of the answers to questions, micros
+    private double askYield = 0.5, askTime;  // share of questions that found a copy; micros they take
     private boolean started;
     private long now;
     private Actions actions;
@@ -213,7 +193,6 @@
         f.requestClass = e.requestClass();
         f.lanes = Math.max(1, e.lanes());
         f.toldLoad = e.loadMicros();
-        f.heat = f.heat * Math.exp(-(now - f.calledAt) / (double) keepAlive()) + 1;
         f.calls++;
         f.calledAt = now;
         taken.add(now);
@@ -279,16 +258,19 @@
     /**
      * Guards against a jam, whatever filled it (burst, lost invokers, slow ones): when even the best
      * invoker would answer past the aim because of its crowd, serving late only makes the next late too.
-     * What is worth least gives way first. Not for functions that are slow by themselves. It can hurt where a crowd is about to pass.
+     * What is worth least gives way first. Not for functions that are slow by themselves.
+     * It can hurt where a crowd is about to pass.
      */
     private boolean jammed(Call call, Worker best, double estimate) {
-        boolean loading = copyAt(best, call.function).loadingSince > 0;
+        if (copyAt(best, call.function).loadingSince > 0 || estimate <= JAM * runTime(call.function)) {
+            return false;
+        }
         double most = 0;
         for (RequestClass kind : settings.classes()) {
             most = Math.max(most, kind.worth());
         }
         double share = most > 0 ? WORTH_FLOOR + (1 - WORTH_FLOOR) * call.kind.worth() / most : 1;
-        return !loading && estimate > share * call.kind.aimMicros() && estimate > JAM * runTime(call.function);
+        return estimate > share * call.kind.aimMicros();
     }
 
     /** A jam of some invokers only: orders a copy on an invoker that is not crowded, for the next calls. */
@@ -317,15 +299,13 @@
         Function f = call.function;
         double least = Double.MAX_VALUE;
         for (Worker w : workers.values()) {
-            w.eligible = candidate(call, w) && warm == (copyAt(w, f) != null);
-            if (w.eligible) {
-                w.cost = cost(call, w);
-                least = Math.min(least, w.cost);
-            }
+            boolean eligible = candidate(call, w) && warm == (copyAt(w, f) != null);
+            w.cost = eligible ? cost(call, w) : Double.POSITIVE_INFINITY;
+            least = Math.min(least, w.cost);
         }
         Worker best = null;
         for (Worker w : workers.values()) {
-            boolean level = w.eligible && w.cost <= least + tolerance;
+            boolean level = w.cost <= least + tolerance;
             if (level && (best == null || rank(f, w) > rank(f, best))) {
                 best = w;
             }
@@ -336,7 +316,8 @@
     /** Guards as filters: drains, health, what this request has tried, repeats, the cold budget. */
     private boolean candidate(Call call, Worker w) {
         boolean loads = now >= w.noLoadsUntil || copyAt(w, call.function) != null;
-        return loads && w.ready && !paused(w) && !call.tried.contains(w) && mayRepeatAt(call, w) && coldBudgetLeft(w);
+        return loads && w.ready && !paused(w) && !call.tried.contains(w) && mayRepeatAt(call, w)
+                && coldBudgetLeft(w);
     }
 
     /** A paused invoker is left alone; after the pause one attempt at a time tries it. */
@@ -397,10 +378,8 @@
 
     private Copy copyAt(Worker w, Function f) {
         Copy copy = w.copies.get(f.id);
-        if (copy == null || (copy.out == 0 && copy.loadingSince == 0 && now - copy.usedAt > keepAlive())) {
-            return null;
-        }
-        return copy;
+        boolean idle = copy != null && copy.out == 0 && copy.loadingSince == 0;
+        return idle && now - copy.usedAt > keepAlive() ? null : copy;
     }
 
     private long keepAlive() {
@@ -456,15 +435,13 @@
         Attempt attempt = new Attempt();
         Copy copy = copyAt(w, call.function);
         attempt.cold = copy == null || copy.loadingSince > 0;
-        if (copy == null) {
-            copy = expectLoad(w, call.function);
-        }
+        copy = copy == null ? expectLoad(w, call.function) : copy;
         attempt.worker = w;
         attempt.copy = copy;
         attempt.sentAt = now;
         attempt.crowd = crowd(w);
-        copy.out++;
         copy.usedAt = now;
+        copy.out++;
         w.out++;
         if (!attempt.cold && w.warmOut++ == 0) {
             w.quietSince = now;
@@ -479,8 +456,7 @@
 
     private Copy expectLoad(Worker w, Function f) {
         Copy copy = new Copy();
-        copy.loadingSince = now;
-        copy.usedAt = now;
+        copy.loadingSince = copy.usedAt = now;
         w.loading++;
         w.copies.put(f.id, copy);
         return copy;
@@ -535,14 +511,9 @@
         }
     }
 
-    private final HashMap<Long, Call> orphans = new HashMap<>();
-
     // ---- The repeat rules. ----
     private boolean mayResend(Call call) {
-        if (!call.mayHaveRun || call.kind.repeat() == Repeat.SAFE) {
-            return true;
-        }
-        return call.kind.repeat() == Repeat.KEYED
+        return !call.mayHaveRun || call.kind.repeat() == Repeat.SAFE || call.kind.repeat() == Repeat.KEYED
                 && now <= call.boundAt + call.kind.windowMicros() - settings.tickMicros();
     }
 
@@ -555,8 +526,7 @@
     }
 
     private boolean mayRefuse(Call call) {
-        boolean unproved = call.mayHaveRun || call.out > 0;
-        return !unproved || call.kind.repeat() == Repeat.SAFE
+        return !(call.mayHaveRun || call.out > 0) || call.kind.repeat() == Repeat.SAFE
                 || (call.kind.repeat() == Repeat.KEYED && call.kind.group() == Group.ALL);
     }
 
@@ -624,26 +594,20 @@
                     drop(w, call.function, copy);
                 }
             }
-            case ERROR -> {
-                if (e.start() == Start.LOAD_FAILED) {
-                    drop(w, call.function, copy);
-                }
-            }
             case FULL -> full(w, attempt);
             case CONNECT_FAILED, RESET -> strike(w);
             default -> { }
         }
-        settle(w, call.function, copy, e.code());
+        if (e.start() == Start.LOAD_FAILED) {
+            drop(w, call.function, copy);
+        }
+        settle(w, call.function, copy);
     }
 
     /** A load expected but never confirmed must not go on counting as one under way. */
-    private void settle(Worker w, Function f, Copy copy, Code code) {
+    private void settle(Worker w, Function f, Copy copy) {
         if (copy.loadingSince > 0 && copy.out == 0 && !copy.ordered) {
-            if (code == Code.TIMEOUT || code == Code.CANCELLED) {
-                loaded(w, copy);
-            } else {
-                drop(w, f, copy);
-            }
+            drop(w, f, copy);
         }
     }
 
@@ -748,9 +712,7 @@
         if (!w.ready || !settings.loading().orders() || w.ordersOut >= ORDERS_EACH || !rationLeft()) {
             return false;
         }
-        if (copy == null) {
-            copy = expectLoad(w, f);
-        }
+        copy = copy == null ? expectLoad(w, f) : copy;
         copy.ordered = true;
         w.ordersOut++;
         ordersSent.add(now);
@@ -813,11 +775,7 @@
             askTime = Math.max(e.tookMicros(), askTime - NEWS * (askTime - e.tookMicros()));
         }
         if (w != null && stands) {
-            if (copy == null) {
-                copy = new Copy();
-                w.copies.put(f.id, copy);
-                copy.usedAt = now;
-            }
+            copy = copy == null ? expectLoad(w, f) : copy;
             loaded(w, copy);
             copy.count = e.copies();
             copy.usedAt = Math.max(copy.usedAt, now - keepAlive() / 2);
@@ -855,13 +813,10 @@
                 best = w;
             }
         }
-        if (best != null) {
-            Copy copy = best.copies.get(f.id);
-            if (!copy.ordered && copy.out == 0 && now - copy.usedAt > RENEW_AT * keepAlive()) {
-                if (order(best, f, 1)) {
-                    copy.usedAt = now;
-                }
-            }
+        Copy copy = best == null ? null : best.copies.get(f.id);
+        boolean due = copy != null && !copy.ordered && copy.out == 0;
+        if (due && now - copy.usedAt > RENEW_AT * keepAlive() && order(best, f, 1)) {
+            copy.usedAt = now;
         }
     }
 
@@ -880,7 +835,7 @@
         }
         Rules rules = settings.rules();
         trim(w.coldSends, rules.overloadMicros());
-        double age = Math.max(0, now - w.coldSince) / (double) Math.max(1, rules.warmAfterMicros());
+        double age = Math.max(0, now - w.coldSince) / (double) rules.warmAfterMicros();
         double share = rules.coldShare() + (1 - rules.coldShare()) * age;
         double total = 0;
         int count = 0;
@@ -899,15 +854,14 @@
     private void list(InvokerList e) {
         if (!started) {
             started = true;
-            actions.add(new SetTimer(UPKEEP, "upkeep"));
+            actions.add(new SetTimer(1 + random.nextLong(UPKEEP), "upkeep"));
             if (settings.discovery() == Discovery.ASKED) {
                 actions.add(new Subscribe(true));
             }
         }
         if (e.whole()) {
-            List<String> named = new ArrayList<>();
-            e.entries().forEach(entry -> named.add(entry.id()));
-            java.util.HashSet<String> present = new java.util.HashSet<>(named);
+            HashSet<String> present = new HashSet<>();
+            e.entries().forEach(entry -> present.add(entry.id()));
             for (Worker w : workers.values()) {
                 if (!present.contains(w.id)) {
                     w.ready = false;
@@ -923,8 +877,7 @@
                 w.strikes = 0;
                 w.pausedUntil = 0;
                 w.slowness = 1;
-                w.tookSum = 0;
-                w.usualSum = 0;
+                w.tookSum = w.usualSum = 0;
             }
             if (fresh || w.entry == null) {
                 w.coldSince = Math.max(w.coldSince, entry.upSinceMicros());
