--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -132,7 +132,7 @@
     }
 
     private static final class Call {
-        long id, deadline;
+        long id, takenAt, deadline;
         RequestClass kind;
         Function function;
         final List<Attempt> attempts = new ArrayList<>();
@@ -198,6 +198,7 @@
         taken.add(now);
         Call call = new Call();
         call.id = e.id();
+        call.takenAt = now;
         call.kind = settings.classes().get(e.requestClass());
         call.function = f;
         call.deadline = now + e.timeLeftMicros();
@@ -270,7 +271,7 @@
             most = Math.max(most, kind.worth());
         }
         double share = most > 0 ? WORTH_FLOOR + (1 - WORTH_FLOOR) * call.kind.worth() / most : 1;
-        return estimate > share * call.kind.aimMicros();
+        return now - call.takenAt + estimate > share * call.kind.aimMicros();
     }
 
     /** A jam of some invokers only: orders a copy on an invoker that is not crowded, for the next calls. */
