--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -76,6 +76,7 @@
         double slowness = 1;      // answers' time over the functions' usual times, both averaged
         double tookSum, usualSum;
         double crowdThen;         // crowd at the sends behind that slowness
+        double queued;            // requests waiting there, from reports
         double others;            // crowd of other controllers, from reports
         double failing;           // share of recent attempts that failed in a way that may repeat
         double served;            // answers per second, decayed since servedAt
@@ -330,13 +331,13 @@
     private double estimate(Function f, Worker w, boolean ranking) {
         Copy copy = copyAt(w, f);
         double run = runAt(f, w);
-        double queue = 0;
+        double queue = w.queued * w.usualSum / SOFT_CROWD;
         double load = 0;
         if (copy == null) {
             load = loadTime(f, ranking) * (1 + LOAD_CROWD * w.loading);
         } else {
             double lanes = copy.count * (double) f.lanes;
-            queue = Math.max(0, copy.out + copy.company + 1 - lanes) * run / lanes;
+            queue += Math.max(0, copy.out + copy.company + 1 - lanes) * run / lanes;
             if (copy.loadingSince > 0) {
                 double full = loadTime(f, ranking);
                 load = Math.max(full * LOAD_CROWD, full - (now - copy.loadingSince));
@@ -671,6 +672,7 @@
     }
 
     private void report(Worker w, Map<String, Double> report) {
+        w.queued += 0.3 * (report.getOrDefault("queue", 0.0) - w.queued);
         Double inflight = report.get("inflight");
         if (inflight != null) {
             double waiting = report.getOrDefault("queue", 0.0);
