--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -15,6 +15,8 @@
     private static final double NEWS = 0.1;
     /** Weight of "as usual" against the recent answers when an invoker's slowness is judged. */
     private static final double SHY = 0.2;
+    /** Weight of a new load report: reports are noisy and late, yet a few must suffice. */
+    private static final double REPORT_NEWS = 0.3;
     /** Answers slower than usual move the usual run time by so much less: crowds must not become usual. */
     private static final double SLOW_NEWS = 0.3;
     /** Run time assumed before any answer, as a share of the class's aim: aims leave room for queueing. */
@@ -188,7 +190,6 @@
         }
     }
 
-    // ---- A request comes. ----
     private void request(Request e) {
         Function f = functions.computeIfAbsent(e.function(), Function::new);
         f.requestClass = e.requestClass();
@@ -532,7 +533,6 @@
                 || (call.kind.repeat() == Repeat.KEYED && call.kind.group() == Group.ALL);
     }
 
-    // ---- Answers. ----
     private void attemptEnded(AttemptEnded e) {
         Call call = calls.get(e.id());
         boolean orphan = call == null;
@@ -586,7 +586,7 @@
                 copy.usedAt = now;
                 w.fulls = 0;
                 if (e.company() >= 0) {
-                    copy.company += 0.3 * (Math.max(0, e.company() - copy.out) - copy.company);
+                    copy.company += REPORT_NEWS * (Math.max(0, e.company() - copy.out) - copy.company);
                 }
                 w.served = servedRate(w) + 1e6 / RATE_SPAN;
                 w.servedAt = now;
@@ -671,12 +671,14 @@
         return w.served * Math.exp(-(now - w.servedAt) / RATE_SPAN);
     }
 
+    /** Requests in hand tell the crowd of others; where untold, the queue does, less a waiter a load. */
     private void report(Worker w, Map<String, Double> report) {
-        w.queued += 0.3 * (report.getOrDefault("queue", 0.0) - w.queued);
         Double inflight = report.get("inflight");
+        double waiting = report.getOrDefault("queue", 0.0);
         if (inflight != null) {
-            double waiting = report.getOrDefault("queue", 0.0);
-            w.others += 0.3 * (Math.max(0, inflight - waiting - w.warmOut) - w.others);
+            w.others += REPORT_NEWS * (Math.max(0, inflight - waiting - w.warmOut) - w.others);
+        } else {
+            w.queued += REPORT_NEWS * (Math.max(0, waiting - report.getOrDefault("x1", 0.0)) - w.queued);
         }
     }
 
@@ -706,7 +708,6 @@
         }
     }
 
-    // ---- Orders to load. ----
     private boolean order(Worker w, Function f, int copies) {
         Copy copy = w.copies.get(f.id);
         if (copy != null && copy.ordered) {
@@ -853,7 +854,6 @@
         return w.coldSends.size() + 1 <= Math.max(1, budget);
     }
 
-    // ---- The list of invokers. ----
     private void list(InvokerList e) {
         if (!started) {
             started = true;
@@ -898,7 +898,6 @@
         }
     }
 
-    // ---- Timers. ----
     private void timer(String tag) {
         if (tag.equals("upkeep")) {
             upkeep();
--- a/src/test/java/waytrestle/ControlTest.java
+++ b/src/test/java/waytrestle/ControlTest.java
@@ -292,4 +292,73 @@
         String tag = one(bed.feed(new InvokerListFailed()), SetTimer.class).tag();
         assertEquals(1, every(bed.feed(new TimerFired(tag)), Subscribe.class).size());
     }
+
+    @Test
+    void reportedQueueSteersAwayWhereRequestsInHandAreUntold() {
+        Bed bed = quiet().start(ready("a"), ready("b"));
+        bed.warm(1, "f", "a");
+        String home = one(bed.request(2, "f", 5_000_000, 300_000), Send.class).invoker();
+        bed.feed(new AttemptEnded(2, 0, home, Code.OK, true, 100_000, Start.WARM, -1, Map.of("queue", 900.0)));
+        assertNotEquals(home, one(bed.request(3, "f", 5_000_000, 300_000), Send.class).invoker());
+    }
+
+    @Test
+    void requestsThatWaitForLoadsAreNoQueue() {
+        Bed bed = quiet().start(ready("a"), ready("b"));
+        bed.warm(1, "f", "a");
+        String home = one(bed.request(2, "f", 5_000_000, 300_000), Send.class).invoker();
+        bed.feed(new AttemptEnded(2, 0, home, Code.OK, true, 100_000, Start.WARM, -1,
+                Map.of("queue", 900.0, "x1", 900.0)));
+        assertEquals(home, one(bed.request(3, "f", 5_000_000, 300_000), Send.class).invoker());
+    }
+
+    @Test
+    void aFullWarmInvokerIsWaitedForWhereALoadElsewhereTakesLonger() {
+        Bed bed = quiet().start(ready("a"), ready("b"));
+        bed.warm(1, "f", "a");
+        String home = one(bed.request(2, "f", 5_000_000, 2_000_000), Send.class).invoker();
+        List<Action> out = bed.ended(2, 0, home, Code.FULL, Start.UNKNOWN, 1_000);
+        assertTrue(every(out, Send.class).isEmpty(), "a load begun at each full answer jams the store");
+        bed.now += 100_000;
+        assertEquals(home, one(bed.feed(new TimerFired("hold:2")), Send.class).invoker());
+    }
+
+    @Test
+    void fullForALoadLeavesWarmCopiesThereInUse() {
+        Bed bed = quiet().start(ready("a"));
+        bed.warm(1, "f", "a");
+        bed.request(2, "cold");
+        bed.ended(2, 0, "a", Code.FULL, Start.UNKNOWN, 1_000);
+        assertEquals(1, every(bed.request(3, "f"), Send.class).size());
+        assertTrue(every(bed.request(4, "cold2"), Send.class).isEmpty());
+    }
+
+    @Test
+    void aJamRefusesEarlyAndTimeAlreadyHeldCounts() {
+        Bed bed = quiet().start(ready("a"));
+        bed.warm(1, "f", "a");
+        int refused = 0;
+        for (int i = 2; i < 40; i++) {
+            refused += every(bed.request(i, "f", 5_000_000, 300_000), Refuse.class).size();
+        }
+        assertTrue(refused > 0 && refused < 38, "refused " + refused);
+        Bed held = quiet().start(ready("a"));
+        held.warm(1, "f", "a");
+        for (int i = 2; i < 7; i++) {
+            assertEquals(1, every(held.request(i, "f", 5_000_000, 300_000), Send.class).size());
+        }
+        held.now += 700_000;
+        List<Action> out = held.ended(2, 0, "a", Code.FULL, Start.UNKNOWN, 1_000);
+        assertEquals(1, every(out, Refuse.class).size(), "too late for the aim by now");
+    }
+
+    @Test
+    void loadsTurnedAwayAreForgotten() {
+        Bed bed = quiet().start(ready("a"), ready("b"));
+        String first = one(bed.request(1, "f", 5_000_000, 900_000), Send.class).invoker();
+        bed.ended(1, 0, first, Code.FULL, Start.UNKNOWN, 1_000);
+        bed.now += 4_000_000;
+        String again = one(bed.request(2, "f", 1_100_000, 900_000), Send.class).invoker();
+        assertFalse(again.isEmpty(), "a load turned away must not go on counting as one under way");
+    }
 }
