Round: a fresh invoker's budget by lottery where a controller's share is below one send

Cause: each of 173 controllers was granted at least one send a window; together they pushed fresh invokers over. Change: own share of the budget is rounded at random, window by window, from the seed; windows start at a phase of each controller's own; below one send the margin falls from 0.7 to 0.4, since lotteries add chance. The usual rate of each kind is kept at upkeep instead of walked for each candidate. Could hurt: fresh invokers fill slowly.

--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -51,6 +51,8 @@
     private static final int MISSES = 2;
     /** Share of the cold budget used: others' traffic and chance need the rest. */
     private static final double COLD_MARGIN = 0.7;
+    /** Less of it where the share is below one send a window: lotteries of many controllers add chance. */
+    private static final double COLD_CHANCE = 0.3;
     /** Time constant of rates, microseconds: a few seconds smooth bursts yet follow swings. */
     private static final double RATE_SPAN = 4_000_000;
     /** Microseconds between rounds of upkeep (renewals, replacements): fine against keep-alives. */
@@ -86,6 +88,8 @@
         int strikes;              // connection failures in a row
         long pausedUntil;
         int fulls;                // full answers in a row
+        long coldWindow;          // the window that the draw below is for
+        double coldDraw;
         final ArrayDeque<Long> coldSends = new ArrayDeque<>();
         final HashMap<String, Copy> copies = new HashMap<>();
 
@@ -150,6 +154,7 @@
 
     private final Settings settings;
     private final SplittableRandom random;
+    private final long phase;     // own start of the windows of the cold budget, micros
     private final LinkedHashMap<String, Worker> workers = new LinkedHashMap<>();
     private final LinkedHashMap<String, Function> functions = new LinkedHashMap<>();
     private final HashMap<Long, Call> calls = new HashMap<>();
@@ -158,6 +163,7 @@
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
     private double loadAverage;   // measured extra latency of cold sends, micros; 0 unmeasured
     private double askYield = 0.5, askTime;  // share of questions that found a copy; micros they take
+    private final HashMap<Integer, Double> usualRates = new HashMap<>();  // by kind of invoker
     private boolean started;
     private long now;
     private Actions actions;
@@ -165,6 +171,7 @@
     public Control(Settings settings, long seed) {
         this.settings = settings;
         this.random = new SplittableRandom(seed);
+        this.phase = random.nextLong(1 + settings.rules().overloadMicros());
     }
 
     @Override
@@ -801,6 +808,7 @@
     // ---- Upkeep: copies worth keeping are renewed before they lapse or placed anew. ----
     private void upkeep() {
         actions.add(new SetTimer(UPKEEP, "upkeep"));
+        learnUsualRates();
         trim(taken, Math.max(1, settings.loading().loadPeriodMicros()));
         for (Function f : functions.values()) {
             if (f.calls >= RENEW_CALLS && now - f.calledAt < RENEW_FOR * keepAlive()) {
@@ -830,8 +838,11 @@
     }
 
     /**
-     * Guards a fresh invoker: own sends within the stated window stay under the stated multiple of its
-     * share of what this controller sees warm invokers serve. All controllers doing so keep the rule.
+     * Guards a fresh invoker against all controllers together, each keeping its share alone: own sends
+     * within the stated window stay under the stated multiple of what this controller sees a warm invoker
+     * of the kind serve, times the share warmed so far. A share below one send opens only some windows, by
+     * the seed: hundreds of controllers then meet the budget on average, and chance needs a wider margin.
+     * It can hurt a fresh invoker that this controller alone would use: it fills slowly.
      */
     private boolean coldBudgetLeft(Worker w) {
         if (!cold(w)) {
@@ -841,17 +852,31 @@
         trim(w.coldSends, rules.overloadMicros());
         double age = Math.max(0, now - w.coldSince) / (double) rules.warmAfterMicros();
         double share = rules.coldShare() + (1 - rules.coldShare()) * age;
-        double total = 0;
-        int count = 0;
-        for (Worker other : workers.values()) {
-            if (other.ready && !cold(other) && other.entry.kind() == w.entry.kind()) {
-                total += servedRate(other);
-                count++;
+        double usual = usualRates.getOrDefault(w.entry.kind(), 0.0) * rules.overloadMicros() / 1e6;
+        double budget = rules.fallMultiple() * share * usual;
+        double margin = COLD_MARGIN - COLD_CHANCE * Math.max(0, 1 - budget);
+        long window = (now + phase) / Math.max(1, rules.overloadMicros());
+        if (w.coldWindow != window) {
+            w.coldWindow = window;
+            w.coldDraw = random.nextDouble();
+        }
+        return w.coldSends.size() + 1 <= Math.max(1.0 / settings.controllers(), margin * budget) + w.coldDraw;
+    }
+
+    /** What a warm invoker of each kind answers to this controller, a second; kept while none is warm. */
+    private void learnUsualRates() {
+        for (int kind = 0; kind < settings.loading().memoryByKind().size(); kind++) {
+            double total = 0;
+            int count = 0;
+            for (Worker w : workers.values()) {
+                boolean counts = w.ready && !cold(w) && w.entry.kind() == kind;
+                total += counts ? servedRate(w) : 0;
+                count += counts ? 1 : 0;
+            }
+            if (count > 0) {
+                usualRates.put(kind, total / count);
             }
         }
-        double usual = count == 0 ? 0 : total / count;
-        double budget = COLD_MARGIN * rules.fallMultiple() * share * usual * rules.overloadMicros() / 1e6;
-        return w.coldSends.size() + 1 <= Math.max(1, budget);
     }
 
     private void list(InvokerList e) {
