--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -35,8 +35,6 @@
     private static final double WARM_TIE = 0.15;
     /** Microseconds between looks at held requests that found no candidate: a fraction of any aim. */
     private static final long HOLD = 40_000;
-    /** Longest wait for answers to questions, microseconds: a few round trips within a site. */
-    private static final long ASK_WAIT = 25_000;
     /** First pause after a failed connection, doubled each time; microseconds. */
     private static final long SUSPECT = 300_000;
     /** Longest such pause, microseconds. */
@@ -120,9 +118,8 @@
         int requestClass, lanes = 1;
         long toldLoad;
         double run;               // usual time of a warm answer, micros
-        int runs, calls, asksOut;
+        int runs, calls;
         long calledAt;
-        final List<Call> waiting = new ArrayList<>();
 
         Function(String id) {
             this.id = id;
@@ -147,7 +144,7 @@
         boolean mayHaveRun;       // some ended attempt is not proved never to have run
         Worker boundTo;           // where the first such attempt went
         long boundAt;
-        boolean streaming, held, asked, over;
+        boolean streaming, held, over;
         int misses;               // since an order was last placed for it
         final List<Worker> tried = new ArrayList<>();
     }
@@ -162,7 +159,7 @@
     private final ArrayDeque<Long> ordersSent = new ArrayDeque<>();
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
     private double loadAverage;   // measured extra latency of cold sends, micros; 0 unmeasured
-    private double askYield = 0.5, askTime;  // share of questions that found a copy; micros they take
+    private double missTime;      // micros that an invoker's miss takes to come back
     private final HashMap<Integer, Double> usualRates = new HashMap<>();  // by kind of invoker
     private boolean started;
     private long now;
@@ -236,9 +233,6 @@
             return;
         }
         boolean coldBest = copyAt(best, call.function) == null;
-        if (coldBest && ask(call)) {
-            return;
-        }
         double estimate = estimate(call.function, best, false);
         if (estimate > call.deadline - now && mayRefuse(call)) {
             if (coldBest) {
@@ -412,34 +406,6 @@
         return x ^ (x >>> 29);
     }
 
-    // ---- Asking before loading. ----
-    /** Before a cold send, asks who holds the function when the answers' yield is worth their price. */
-    private boolean ask(Call call) {
-        Function f = call.function;
-        double gain = 1 - call.kind.lateWorth() + settings.prices().fetch();
-        boolean worth = askYield * gain > readyCount() * settings.prices().probe();
-        if (call.asked || !settings.loading().orders() || !worth) {
-            return false;
-        }
-        call.asked = true;
-        call.held = true;
-        f.waiting.add(call);
-        if (f.asksOut == 0) {
-            for (Worker w : workers.values()) {
-                if (w.ready && !paused(w)) {
-                    f.asksOut++;
-                    actions.add(new Order(w.id, f.id, 0));
-                }
-            }
-        }
-        actions.add(new SetTimer(ASK_WAIT, "hold:" + call.id));
-        return true;
-    }
-
-    private boolean warmAnywhere(Function f) {
-        return workers.values().stream().anyMatch(w -> w.ready && copyAt(w, f) != null);
-    }
-
     // ---- Sending and ending. ----
     private void send(Call call, Worker w) {
         Attempt attempt = new Attempt();
@@ -599,6 +565,7 @@
                 w.servedAt = now;
             }
             case MISS -> {
+                missTime = Math.max(e.tookMicros(), missTime - NEWS * (missTime - e.tookMicros()));
                 if (!copy.ordered) {
                     drop(w, call.function, copy);
                 }
@@ -731,17 +698,9 @@
         return true;
     }
 
-    /** What an order needs to arrive, as answers to questions show; a send sooner would overtake it. */
+    /** What an order needs to arrive, as misses show; a send sooner would overtake it. */
     private long orderLead() {
-        return Math.max(2 * settings.tickMicros(), (long) askTime);
-    }
-
-    private int readyCount() {
-        int count = 0;
-        for (Worker w : workers.values()) {
-            count += w.ready ? 1 : 0;
-        }
-        return count;
+        return Math.max(2 * settings.tickMicros(), (long) missTime);
     }
 
     private boolean rationLeft() {
@@ -770,20 +729,16 @@
         }
         Copy copy = w == null ? null : w.copies.get(f.id);
         boolean stands = e.copies() > 0;
-        boolean question = f.asksOut > 0 && e.tookMicros() <= ASK_WAIT || !stands && e.code() == Code.OK;
         if (w != null && (e.code() == Code.CONNECT_FAILED || e.code() == Code.RESET)) {
             strike(w);
             copy = null;
         }
-        if (!question && copy != null && copy.ordered) {
+        if (copy != null && copy.ordered) {
             w.ordersOut--;
             copy.ordered = false;
             if (stands && copy.loadingSince > 0 && e.code() == Code.OK) {
                 learnLoad(e.tookMicros());
             }
-        } else if (f.asksOut > 0) {
-            f.asksOut--;
-            askTime = Math.max(e.tookMicros(), askTime - NEWS * (askTime - e.tookMicros()));
         }
         if (w != null && stands) {
             copy = copy == null ? expectLoad(w, f) : copy;
@@ -793,16 +748,6 @@
         } else if (copy != null && copy.out == 0 && e.code() != Code.OK) {
             drop(w, f, copy);
         }
-        if (!f.waiting.isEmpty() && f.asksOut == 0) {
-            askYield += 0.05 * ((warmAnywhere(f) ? 1 : 0) - askYield);
-            List<Call> waiting = new ArrayList<>(f.waiting);
-            f.waiting.clear();
-            for (Call call : waiting) {
-                if (call.held) {
-                    route(call);
-                }
-            }
-        }
     }
 
     // ---- Upkeep: copies worth keeping are renewed before they lapse or placed anew. ----
