--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -109,6 +109,7 @@
         double company;           // other controllers' requests for the function there
         long usedAt;
         long loadingSince;        // 0: stands loaded
+        double doubt = 1;         // chance that it must be loaded at all, while loadingSince is set
         boolean ordered;
     }
 
@@ -131,6 +132,7 @@
         Worker worker;
         Copy copy;
         boolean cold, ended;
+        int guess = -1;           // where no copy was believed: 0 at the first asked, 1 further on
         long sentAt;
         double crowd;
     }
@@ -144,8 +146,8 @@
         boolean mayHaveRun;       // some ended attempt is not proved never to have run
         Worker boundTo;           // where the first such attempt went
         long boundAt;
-        boolean streaming, held, over;
-        int misses;               // since an order was last placed for it
+        boolean streaming, held, waited, over;
+        int misses;
         final List<Worker> tried = new ArrayList<>();
     }
 
@@ -158,7 +160,9 @@
     private final HashMap<Long, Call> orphans = new HashMap<>();  // ended, with attempts still out
     private final ArrayDeque<Long> ordersSent = new ArrayDeque<>();
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
+    private double guessChance;   // for the choice in hand: that an invoker believed cold is so
     private double loadAverage;   // measured extra latency of cold sends, micros; 0 unmeasured
+    private final double[] coldChance = {0.5, 0.5};  // that a guess finds no copy: first asked, further on
     private double missTime;      // micros that an invoker's miss takes to come back
     private final HashMap<Integer, Double> usualRates = new HashMap<>();  // by kind of invoker
     private boolean started;
@@ -226,6 +230,7 @@
             end(call);
             return;
         }
+        guessChance = call.misses >= MISSES ? 1 : coldChance[call.attempts.isEmpty() ? 0 : 1];
         Worker best = lowest(call);
         if (best == null) {
             call.tried.clear();
@@ -251,8 +256,8 @@
             return;
         }
         boolean misses = settings.loading().missAnswers() && settings.loading().orders();
-        if (misses && (coldBest || call.misses >= MISSES)) {
-            call.misses = 0;
+        if (misses && call.misses >= MISSES && (coldBest || !call.waited)) {
+            call.waited = true;
             hold(call, order(best, call.function, 1) ? orderLead() : HOLD);
             return;
         }
@@ -336,13 +341,14 @@
         double queue = w.queued * w.usualSum / SOFT_CROWD;
         double load = 0;
         if (copy == null) {
-            load = loadTime(f, ranking) * (1 + LOAD_CROWD * w.loading);
+            double chance = ranking ? guessChance : guessChance > 0.5 ? 1 : 0;
+            load = chance * loadTime(f, ranking) * (1 + LOAD_CROWD * w.loading);
         } else {
             double lanes = copy.count * (double) f.lanes;
             queue += Math.max(0, copy.out + copy.company + 1 - lanes) * run / lanes;
             if (copy.loadingSince > 0) {
                 double full = loadTime(f, ranking);
-                load = Math.max(full * LOAD_CROWD, full - (now - copy.loadingSince));
+                load = copy.doubt * Math.max(full * LOAD_CROWD, full - (now - copy.loadingSince));
             }
         }
         double silence = w.warmOut > 0 ? Math.max(0, now - w.quietSince - 2 * run) : 0;
@@ -411,7 +417,11 @@
         Attempt attempt = new Attempt();
         Copy copy = copyAt(w, call.function);
         attempt.cold = copy == null || copy.loadingSince > 0;
-        copy = copy == null ? expectLoad(w, call.function) : copy;
+        if (copy == null) {
+            attempt.guess = call.attempts.isEmpty() ? 0 : 1;
+            copy = expectLoad(w, call.function);
+            copy.doubt = guessChance;
+        }
         attempt.worker = w;
         attempt.copy = copy;
         attempt.sentAt = now;
@@ -551,6 +561,7 @@
             w.strikes = 0;
             report(w, e.report());
         }
+        learnGuess(call.function, attempt, e);
         w.failing += NEWS * ((e.code() == Code.ERROR ? 1 : 0) - w.failing);
         switch (e.code()) {
             case OK -> {
@@ -637,6 +648,19 @@
         f.run = f.runs++ == 0 ? took : f.run + step * (took - f.run);
     }
 
+    /**
+     * How often a guess finds no copy. Invokers are asked by rank, so others' copies are where this
+     * controller asks first; without this thin traffic would see nearly every call as a cold start.
+     */
+    private void learnGuess(Function f, Attempt attempt, AttemptEnded e) {
+        if (attempt.guess >= 0 && (e.code() == Code.OK || e.code() == Code.MISS)) {
+            boolean late = e.tookMicros() > runTime(f) + loadTime(f, true) / 2;
+            boolean warm = settings.loading().tellsStart() ? e.start() == Start.WARM : !late;
+            double found = e.code() == Code.OK && warm ? 0 : 1;
+            coldChance[attempt.guess] += NEWS * (found - coldChance[attempt.guess]);
+        }
+    }
+
     private void learnLoad(double micros) {
         loadAverage = loadAverage == 0 ? micros : loadAverage + NEWS * (micros - loadAverage);
     }
@@ -672,6 +696,9 @@
             if (attempt.copy.ordered) {
                 hold(call, orderLead());
             } else {
+                if (call.misses == 1) {
+                    order(attempt.worker, call.function, 1);
+                }
                 route(call);
             }
         } else {
