--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -80,6 +80,7 @@
         double crowdThen;         // crowd at the sends behind that slowness
         double queued;            // requests waiting there, from reports
         double others;            // crowd of other controllers, from reports
+        long reportedAt;
         double failing;           // share of recent attempts that failed in a way that may repeat
         double served;            // answers per second, decayed since servedAt
         long servedAt, fullUntil, noLoadsUntil;
@@ -160,6 +161,7 @@
     private final HashMap<Long, Call> orphans = new HashMap<>();  // ended, with attempts still out
     private final ArrayDeque<Long> ordersSent = new ArrayDeque<>();
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
+    private double meanOthers, meanQueued;  // of all invokers' reports
     private double guessChance;   // for the choice in hand: that an invoker believed cold is so
     private double loadAverage;   // measured extra latency of cold sends, micros; 0 unmeasured
     private final double[] coldChance = {0.5, 0.5};  // that a guess finds no copy: first asked, further on
@@ -338,7 +340,7 @@
     private double estimate(Function f, Worker w, boolean ranking) {
         Copy copy = copyAt(w, f);
         double run = runAt(f, w);
-        double queue = w.queued * w.usualSum / SOFT_CROWD;
+        double queue = believed(w, w.queued, meanQueued) * runTime(f) / SOFT_CROWD;
         double load = 0;
         if (copy == null) {
             double chance = ranking ? guessChance : guessChance > 0.5 ? 1 : 0;
@@ -356,7 +358,8 @@
     }
 
     private double runAt(Function f, Worker w) {
-        return runTime(f) * w.slowness * (crowd(w) + SOFT_CROWD) / (w.crowdThen + SOFT_CROWD);
+        return runTime(f) * w.slowness * (crowd(w) + SOFT_CROWD)
+                / ((w.usualSum == 0 ? meanOthers : w.crowdThen) + SOFT_CROWD);
     }
 
     /** The estimate with what a choice costs beyond time: crossings and failures, in units of the aim. */
@@ -368,7 +371,12 @@
 
     /** Requests at work there; those that wait for a load use no core. */
     private double crowd(Worker w) {
-        return w.warmOut + w.others;
+        return w.warmOut + believed(w, w.others, meanOthers);
+    }
+
+    /** What was last reported, fading to the average of all: an invoker not heard counts as average. */
+    private double believed(Worker w, double reported, double mean) {
+        return mean + (reported - mean) * (w.reportedAt == 0 ? 0 : Math.exp((w.reportedAt - now) / RATE_SPAN));
     }
 
     private double runTime(Function f) {
@@ -671,13 +679,20 @@
 
     /** Requests in hand tell the crowd of others; where untold, the queue does, less a waiter a load. */
     private void report(Worker w, Map<String, Double> report) {
+        if (report.isEmpty()) {
+            return;
+        }
         Double inflight = report.get("inflight");
         double waiting = report.getOrDefault("queue", 0.0);
-        if (inflight != null) {
-            w.others += REPORT_NEWS * (Math.max(0, inflight - waiting - w.warmOut) - w.others);
-        } else {
-            w.queued += REPORT_NEWS * (Math.max(0, waiting - report.getOrDefault("x1", 0.0)) - w.queued);
-        }
+        double others = inflight == null ? 0 : Math.max(0, inflight - waiting - w.warmOut);
+        double queued = inflight == null ? Math.max(0, waiting - report.getOrDefault("x1", 0.0)) : 0;
+        double before = believed(w, w.others, meanOthers);
+        w.others = before + REPORT_NEWS * (others - before);
+        before = believed(w, w.queued, meanQueued);
+        w.queued = before + REPORT_NEWS * (queued - before);
+        meanOthers += NEWS * (others - meanOthers);
+        meanQueued += NEWS * (queued - meanQueued);
+        w.reportedAt = now;
     }
 
     /** After an attempt that did not serve: the next best; after a miss the route sees to an order. */
