--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -35,6 +35,8 @@
     private static final double WARM_TIE = 0.15;
     /** Microseconds between looks at held requests that found no candidate: a fraction of any aim. */
     private static final long HOLD = 40_000;
+    /** Headroom over the share of the fleet that a function's share of the calls would fill. */
+    private static final double WIDTH = 1.5;
     /** First pause after a failed connection, doubled each time; microseconds. */
     private static final long SUSPECT = 300_000;
     /** Longest such pause, microseconds. */
@@ -114,8 +116,29 @@
         boolean ordered;
     }
 
+    /** A count that fades. */
+    private static final class Fading {
+        double value, span;
+        long at;
+
+        Fading(double span) {
+            this.span = span;
+        }
+
+        double value(long now) {
+            return value * Math.exp((at - now) / span);
+        }
+
+        void add(double more, long now) {
+            value = value(now) + more;
+            at = now;
+        }
+    }
+
     private static final class Function {
         final String id;
+        final double slot;        // own place among the invokers that a hot function needs, 0 to 1
+        final Fading recent;      // calls within about a keep-alive
         final long hash;
         int requestClass, lanes = 1;
         long toldLoad;
@@ -123,8 +146,10 @@
         int runs, calls;
         long calledAt;
 
-        Function(String id) {
+        Function(String id, double slot, double span) {
             this.id = id;
+            this.slot = slot;
+            this.recent = new Fading(span);
             this.hash = mix(id);
         }
     }
@@ -154,6 +179,7 @@
 
     private final Settings settings;
     private final SplittableRandom random;
+    private final Fading recent;  // all calls within about a keep-alive
     private final long phase;     // own start of the windows of the cold budget, micros
     private final LinkedHashMap<String, Worker> workers = new LinkedHashMap<>();
     private final LinkedHashMap<String, Function> functions = new LinkedHashMap<>();
@@ -174,6 +200,7 @@
     public Control(Settings settings, long seed) {
         this.settings = settings;
         this.random = new SplittableRandom(seed);
+        this.recent = new Fading(keepAlive());
         this.phase = random.nextLong(1 + settings.rules().overloadMicros());
     }
 
@@ -201,7 +228,10 @@
     }
 
     private void request(Request e) {
-        Function f = functions.computeIfAbsent(e.function(), Function::new);
+        Function f = functions.computeIfAbsent(e.function(),
+                id -> new Function(id, random.nextDouble(), keepAlive()));
+        f.recent.add(1, now);
+        recent.add(1, now);
         f.requestClass = e.requestClass();
         f.lanes = Math.max(1, e.lanes());
         f.toldLoad = e.loadMicros();
@@ -314,16 +344,31 @@
             w.cost = eligible ? cost(call, w) : Double.POSITIVE_INFINITY;
             least = Math.min(least, w.cost);
         }
+        int place = warm ? 0 : (int) (f.slot * (width(f) - call.attempts.size()));
         Worker best = null;
-        for (Worker w : workers.values()) {
-            boolean level = w.cost <= least + tolerance;
-            if (level && (best == null || rank(f, w) > rank(f, best))) {
-                best = w;
+        for (int i = 0; i <= place; i++) {
+            Worker next = null;
+            for (Worker w : workers.values()) {
+                boolean below = best == null || rank(f, w) < rank(f, best);
+                if (w.cost <= least + tolerance && below && (next == null || rank(f, w) > rank(f, next))) {
+                    next = w;
+                }
             }
+            best = next == null ? best : next;
         }
         return best;
     }
 
+    /**
+     * Invokers that a function's share of all calls would fill, with headroom. Each controller starts at a
+     * place of its own among the best-ranked of that number, so that a hot function's callers do not all
+     * meet at one invoker. Counts few calls for less than they seem: chance must not strew copies.
+     */
+    private double width(Function f) {
+        double sure = f.recent.value(now) - Math.sqrt(f.recent.value(now));
+        return Math.max(1, WIDTH * workers.size() * sure / Math.max(1, recent.value(now)));
+    }
+
     /** Guards as filters: drains, health, what this request has tried, repeats, the cold budget. */
     private boolean candidate(Call call, Worker w) {
         boolean loads = now >= w.noLoadsUntil || copyAt(w, call.function) != null;
