--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -55,15 +55,8 @@
     private static final double COLD_CHANCE = 0.3;
     /** Time constant of rates, microseconds: a few seconds smooth bursts yet follow swings. */
     private static final double RATE_SPAN = 4_000_000;
-    /** Microseconds between rounds of upkeep (renewals, replacements): fine against keep-alives. */
+    /** Microseconds between rounds of upkeep. */
     private static final long UPKEEP = 250_000;
-    /** Share of the keep-alive after which an idle copy is renewed: leaves time for late or lost orders. */
-    private static final double RENEW_AT = 0.7;
-    /** Keep-alives without a call after which a function is let go. */
-    private static final double RENEW_FOR = 2.5;
-    /** Calls before a function is worth keeping: one call may be the only one. */
-    private static final int RENEW_CALLS = 2;
-
     // ---- What this controller remembers. ----
     private static final class Worker {
         final String id;
@@ -84,8 +77,8 @@
         double others;            // crowd of other controllers, from reports
         long reportedAt;
         double failing;           // share of recent attempts that failed in a way that may repeat
-        double served;            // answers per second, decayed since servedAt
-        long servedAt, fullUntil, noLoadsUntil;
+        final Fading served = new Fading(RATE_SPAN);  // answers
+        long fullUntil, noLoadsUntil;
         int strikes;              // connection failures in a row
         long pausedUntil;
         int fulls;                // full answers in a row
@@ -143,8 +136,7 @@
         int requestClass, lanes = 1;
         long toldLoad;
         double run;               // usual time of a warm answer, micros
-        int runs, calls;
-        long calledAt;
+        int runs;
 
         Function(String id, double slot, double span) {
             this.id = id;
@@ -235,8 +227,6 @@
         f.requestClass = e.requestClass();
         f.lanes = Math.max(1, e.lanes());
         f.toldLoad = e.loadMicros();
-        f.calls++;
-        f.calledAt = now;
         taken.add(now);
         Call call = new Call();
         call.id = e.id();
@@ -625,8 +615,7 @@
                 if (e.company() >= 0) {
                     copy.company += REPORT_NEWS * (Math.max(0, e.company() - copy.out) - copy.company);
                 }
-                w.served = servedRate(w) + 1e6 / RATE_SPAN;
-                w.servedAt = now;
+                w.served.add(1, now);
             }
             case MISS -> {
                 missTime = Math.max(e.tookMicros(), missTime - NEWS * (missTime - e.tookMicros()));
@@ -718,10 +707,6 @@
         loadAverage = loadAverage == 0 ? micros : loadAverage + NEWS * (micros - loadAverage);
     }
 
-    private double servedRate(Worker w) {
-        return w.served * Math.exp(-(now - w.servedAt) / RATE_SPAN);
-    }
-
     /** Requests in hand tell the crowd of others; where untold, the queue does, less a waiter a load. */
     private void report(Worker w, Map<String, Double> report) {
         if (report.isEmpty()) {
@@ -837,31 +822,11 @@
         }
     }
 
-    // ---- Upkeep: copies worth keeping are renewed before they lapse or placed anew. ----
+    // ---- Upkeep. ----
     private void upkeep() {
         actions.add(new SetTimer(UPKEEP, "upkeep"));
         learnUsualRates();
         trim(taken, Math.max(1, settings.loading().loadPeriodMicros()));
-        for (Function f : functions.values()) {
-            if (f.calls >= RENEW_CALLS && now - f.calledAt < RENEW_FOR * keepAlive()) {
-                keep(f);
-            }
-        }
-    }
-
-    private void keep(Function f) {
-        Worker best = null;
-        for (Worker w : workers.values()) {
-            boolean holds = w.ready && !paused(w) && copyAt(w, f) != null;
-            if (holds && (best == null || rank(f, w) > rank(f, best))) {
-                best = w;
-            }
-        }
-        Copy copy = best == null ? null : best.copies.get(f.id);
-        boolean due = copy != null && !copy.ordered && copy.out == 0;
-        if (due && now - copy.usedAt > RENEW_AT * keepAlive() && order(best, f, 1)) {
-            copy.usedAt = now;
-        }
     }
 
     // ---- The cold budget. ----
@@ -902,7 +867,7 @@
             int count = 0;
             for (Worker w : workers.values()) {
                 boolean counts = w.ready && !cold(w) && w.entry.kind() == kind;
-                total += counts ? servedRate(w) : 0;
+                total += counts ? w.served.value(now) * 1e6 / RATE_SPAN : 0;
                 count += counts ? 1 : 0;
             }
             if (count > 0) {
