--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -10,53 +10,36 @@
  * here filters the candidates or corrects a term of that estimate. Methods follow a request's path.
  */
 public final class Control implements ControlApi {
-    // ---- Tuned numbers: unit, reason. ----
-    /** Weight of a new answer in running averages: about the last ten answers count. */
-    private static final double NEWS = 0.1;
-    /** Weight of "as usual" against the recent answers when an invoker's slowness is judged. */
-    private static final double SHY = 0.2;
-    /** Weight of a new load report: reports are noisy and late, yet a few must suffice. */
-    private static final double REPORT_NEWS = 0.3;
-    /** Answers slower than usual move the usual run time by so much less: crowds must not become usual. */
-    private static final double SLOW_NEWS = 0.3;
-    /** Run time assumed before any answer, as a share of the class's aim: aims leave room for queueing. */
-    private static final double FIRST_RUN_SHARE = 0.2;
-    /** Requests an invoker is thought to run side by side unhindered; softens the crowd correction. */
-    private static final double SOFT_CROWD = 4;
-    /** Cold invokers whose estimates differ by less than this share of a load time count as level. */
-    private static final double COLD_TIE = 0.5;
-    /** Share of the average load time by which each load under way at an invoker delays the next one. */
-    private static final double LOAD_CROWD = 0.2;
-    /** Share of the aim past which a worthless request would give way to a jam. */
-    private static final double WORTH_FLOOR = 0.3;
-    /** A finish this many run times away is due to the crowd, not to the function. */
-    private static final double JAM = 2;
-    /** Warm invokers whose costs differ by less than this share of the aim count as level. */
-    private static final double WARM_TIE = 0.15;
-    /** Microseconds between looks at held requests that found no candidate: a fraction of any aim. */
-    private static final long HOLD = 40_000;
-    /** Headroom over the share of the fleet that a function's share of the calls would fill. */
-    private static final double WIDTH = 1.5;
-    /** First pause after a failed connection, doubled each time; microseconds. */
-    private static final long SUSPECT = 300_000;
-    /** Longest such pause, microseconds. */
-    private static final long SUSPECT_MOST = 4_000_000;
-    /** Pause after a full answer, microseconds: less than a run, doubled for each in a row. */
-    private static final long FULL_PAUSE = 80_000;
-    /** Longest such pause, microseconds: a few runs drain a queue. */
-    private static final long FULL_MOST = 600_000;
-    /** Load orders out at once at one invoker: the design's small bound; a dead invoker jams no other. */
-    private static final int ORDERS_EACH = 2;
-    /** Misses after which a request has its copy ordered even where one is believed to stand. */
-    private static final int MISSES = 2;
-    /** Share of the cold budget used: others' traffic and chance need the rest. */
-    private static final double COLD_MARGIN = 0.7;
-    /** Less of it where the share is below one send a window: lotteries of many controllers add chance. */
-    private static final double COLD_CHANCE = 0.3;
-    /** Time constant of rates, microseconds: a few seconds smooth bursts yet follow swings. */
-    private static final double RATE_SPAN = 4_000_000;
-    /** Microseconds between rounds of upkeep. */
-    private static final long UPKEEP = 250_000;
+    // ---- Tuned numbers; times are microseconds. ----
+    private static final double NEWS = 0.1;  // weight of an answer in averages: about the last ten count
+    private static final double SHY = 0.2;  // weight of "as usual" when an invoker's slowness is judged
+    private static final double REPORT_NEWS = 0.3;  // weight of a load report: noisy, yet few must suffice
+    private static final double SLOW_NEWS = 0.3;  // less weight for slow answers: crowds must not be usual
+    private static final double FIRST_RUN_SHARE = 0.2;  // of the aim: run time before any answer
+    private static final double SOFT_CROWD = 4;  // requests an invoker is thought to run unhindered
+    private static final double COLD_TIE = 0.5;  // of a load time: cold invokers so close are level
+    private static final double WARM_TIE = 0.15;  // of the aim: warm invokers so close are level
+    private static final double LOAD_CROWD = 0.2;  // of a load time: delay by each load under way there
+    private static final double WORTH_FLOOR = 0.3;  // of the aim: what a worthless request waits in a jam
+    private static final double JAM = 2;  // run times: a longer finish is the crowd's, not the function's
+    private static final double WIDTH = 1.5;  // headroom over the share of the fleet that calls would fill
+    private static final long HOLD = 40_000;  // between looks at held requests: a fraction of any aim
+    private static final double LOST_LEAST = 0.003;  // share of answers that vanish where none was seen to
+    private static final double PATIENCE_LEAST = 2;  // times expected that a silent attempt gets at least
+    private static final long SUSPECT = 300_000;  // first pause after a failed connection; doubles
+    private static final long SUSPECT_MOST = 4_000_000;  // longest such pause: about a restart
+    private static final long FULL_PAUSE = 80_000;  // after a full answer: less than a run; doubles in a row
+    private static final long FULL_MOST = 600_000;  // longest such pause: a few runs drain a queue
+    private static final int ORDERS_EACH = 2;  // load orders out at one invoker: the design's small bound
+    private static final int MISSES = 2;  // after so many a request waits for its load
+    private static final double COLD_MARGIN = 0.7;  // of the cold budget: chance and others need the rest
+    private static final double COLD_CHANCE = 0.3;  // less where the share is below one send: lotteries
+    private static final double RATE_SPAN = 4_000_000;  // over which rates and reports fade: beyond a burst
+    private static final long UPKEEP = 250_000;  // between rounds of upkeep: fine against keep-alives
+    private static final double RENEW_AT = 0.7;  // of the keep-alive: time is left for lost orders
+    private static final double RENEW_FOR = 2.5;  // keep-alives without a call: then it is let go
+    private static final int RENEW_CALLS = 2;  // before a function is worth keeping: one may be the only
+
     // ---- What this controller remembers. ----
     private static final class Worker {
         final String id;
@@ -77,9 +60,8 @@
         double others;            // crowd of other controllers, from reports
         long reportedAt;
         double failing;           // share of recent attempts that failed in a way that may repeat
-        final Fading served = new Fading(RATE_SPAN);  // answers
         long fullUntil, noLoadsUntil;
-        int strikes;              // connection failures in a row
+        int strikes, resets;      // failed connections, broken ones: in a row
         long pausedUntil;
         int fulls;                // full answers in a row
         long coldWindow;          // the window that the draw below is for
@@ -136,7 +118,8 @@
         int requestClass, lanes = 1;
         long toldLoad;
         double run;               // usual time of a warm answer, micros
-        int runs;
+        int runs, calls;
+        long calledAt;
 
         Function(String id, double slot, double span) {
             this.id = id;
@@ -150,6 +133,7 @@
         Worker worker;
         Copy copy;
         boolean cold, ended;
+        double expected;          // queue + run + load if it proves cold, micros
         int guess = -1;           // where no copy was believed: 0 at the first asked, 1 further on
         long sentAt;
         double crowd;
@@ -176,15 +160,15 @@
     private final LinkedHashMap<String, Worker> workers = new LinkedHashMap<>();
     private final LinkedHashMap<String, Function> functions = new LinkedHashMap<>();
     private final HashMap<Long, Call> calls = new HashMap<>();
-    private final HashMap<Long, Call> orphans = new HashMap<>();  // ended, with attempts still out
     private final ArrayDeque<Long> ordersSent = new ArrayDeque<>();
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
     private double meanOthers, meanQueued;  // of all invokers' reports
+    private double lost = LOST_LEAST;  // share of attempts whose answer never comes
     private double guessChance;   // for the choice in hand: that an invoker believed cold is so
     private double loadAverage;   // measured extra latency of cold sends, micros; 0 unmeasured
     private final double[] coldChance = {0.5, 0.5};  // that a guess finds no copy: first asked, further on
     private double missTime;      // micros that an invoker's miss takes to come back
-    private final HashMap<Integer, Double> usualRates = new HashMap<>();  // by kind of invoker
+    private final HashMap<Integer, Fading> servedByKind = new HashMap<>();  // answers, by kind of invoker
     private boolean started;
     private long now;
     private Actions actions;
@@ -222,6 +206,8 @@
     private void request(Request e) {
         Function f = functions.computeIfAbsent(e.function(),
                 id -> new Function(id, random.nextDouble(), keepAlive()));
+        f.calls++;
+        f.calledAt = now;
         f.recent.add(1, now);
         recent.add(1, now);
         f.requestClass = e.requestClass();
@@ -261,18 +247,15 @@
         }
         boolean coldBest = copyAt(best, call.function) == null;
         double estimate = estimate(call.function, best, false);
-        if (estimate > call.deadline - now && mayRefuse(call)) {
-            if (coldBest) {
-                order(best, call.function, 1);
+        boolean hopeless = estimate > call.deadline - now || !coldBest && jammed(call, best, estimate);
+        if (hopeless && mayRefuse(call)) {
+            Worker more = coldBest ? best : uncrowded(call);
+            if (more != null) {
+                order(more, call.function, 1);
             }
             refuse(call, (long) estimate);
             return;
         }
-        if (!coldBest && jammed(call, best, estimate) && mayRefuse(call)) {
-            widen(call);
-            refuse(call, (long) estimate);
-            return;
-        }
         if (best.fullUntil > now) {
             hold(call, Math.min(HOLD, best.fullUntil - now));
             return;
@@ -296,20 +279,15 @@
         if (copyAt(best, call.function).loadingSince > 0 || estimate <= JAM * runTime(call.function)) {
             return false;
         }
-        double most = 0;
-        for (RequestClass kind : settings.classes()) {
-            most = Math.max(most, kind.worth());
-        }
+        double most = settings.classes().stream().mapToDouble(RequestClass::worth).max().orElse(0);
         double share = most > 0 ? WORTH_FLOOR + (1 - WORTH_FLOOR) * call.kind.worth() / most : 1;
         return now - call.takenAt + estimate > share * call.kind.aimMicros();
     }
 
-    /** A jam of some invokers only: orders a copy on an invoker that is not crowded, for the next calls. */
-    private void widen(Call call) {
+    /** In a jam of some invokers only: where one more copy would help the next calls. */
+    private Worker uncrowded(Call call) {
         Worker other = highest(call, false, COLD_TIE * loadTime(call.function, true));
-        if (other != null && runAt(call.function, other) < call.kind.aimMicros()) {
-            order(other, call.function, 1);
-        }
+        return other == null || runAt(call.function, other) >= call.kind.aimMicros() ? null : other;
     }
 
     /**
@@ -411,7 +389,8 @@
 
     /** What was last reported, fading to the average of all: an invoker not heard counts as average. */
     private double believed(Worker w, double reported, double mean) {
-        return mean + (reported - mean) * (w.reportedAt == 0 ? 0 : Math.exp((w.reportedAt - now) / RATE_SPAN));
+        double fresh = w.reportedAt == 0 ? 0 : Math.exp((w.reportedAt - now) / RATE_SPAN);
+        return mean + (reported - mean) * fresh;
     }
 
     private double runTime(Function f) {
@@ -460,6 +439,9 @@
         Attempt attempt = new Attempt();
         Copy copy = copyAt(w, call.function);
         attempt.cold = copy == null || copy.loadingSince > 0;
+        double sure = settings.loading().missAnswers() ? 0 : 1;
+        attempt.expected = estimate(call.function, w, true)
+                + (copy == null ? (sure - guessChance) * loadTime(call.function, true) : 0);
         if (copy == null) {
             attempt.guess = call.attempts.isEmpty() ? 0 : 1;
             copy = expectLoad(w, call.function);
@@ -480,7 +462,20 @@
         }
         call.out++;
         call.attempts.add(attempt);
-        actions.add(new Send(call.id, w.id, 0));
+        actions.add(new Send(call.id, w.id, giveUpAt(call, attempt)));
+    }
+
+    /**
+     * When the silence of an attempt is more likely loss than slowness: run times spread about as widely as
+     * their mean, so after ln(1/lost) times the time expected. Only where a repeat is allowed and fits in.
+     * Guards against answers that vanish; should catch hung processes too. Can hurt where the fleet slows
+     * faster than its answers tell: work is then done twice.
+     */
+    private long giveUpAt(Call call, Attempt attempt) {
+        long at = now + (long) (Math.max(PATIENCE_LEAST, -Math.log(lost)) * attempt.expected);
+        boolean again = call.kind.repeat() != Repeat.UNSAFE && !call.kind.stream()
+                && call.attempts.size() < settings.limits().maxAttempts();
+        return again && at + runTime(call.function) < call.deadline ? at : 0;
     }
 
     private Copy expectLoad(Worker w, Function f) {
@@ -520,24 +515,20 @@
         }
     }
 
+    /** Attempts still out at the end are cancelled where allowed; their reports find the request here. */
     private void forget(Call call) {
-        if (call != null) {
-            call.over = true;
-            calls.remove(call.id);
-            closedAttempts(call);
+        if (call == null || call.over) {
+            return;
         }
-    }
-
-    /** Attempts still out at the end are cancelled where allowed; their reports find them here. */
-    private void closedAttempts(Call call) {
+        call.over = true;
         for (int i = 0; i < call.attempts.size(); i++) {
-            if (!call.attempts.get(i).ended) {
-                orphans.put(call.id, call);
-                if (settings.limits().cancel() && !call.streaming) {
-                    actions.add(new Cancel(call.id, i));
-                }
+            if (!call.attempts.get(i).ended && settings.limits().cancel() && !call.streaming) {
+                actions.add(new Cancel(call.id, i));
             }
         }
+        if (call.out == 0) {
+            calls.remove(call.id);
+        }
     }
 
     // ---- The repeat rules. ----
@@ -561,10 +552,6 @@
 
     private void attemptEnded(AttemptEnded e) {
         Call call = calls.get(e.id());
-        boolean orphan = call == null;
-        if (orphan) {
-            call = orphans.get(e.id());
-        }
         if (call == null || e.attempt() < 0 || e.attempt() >= call.attempts.size()) {
             return;
         }
@@ -576,13 +563,11 @@
         call.out--;
         release(call, attempt);
         learn(call, attempt, e);
-        if (orphan) {
-            if (call.out == 0) {
-                orphans.remove(e.id());
-            }
+        if (call.over && call.out == 0) {
+            calls.remove(call.id);
         } else if (e.isFinal()) {
             forget(call);
-        } else {
+        } else if (!call.over) {
             next(call, attempt, e);
         }
     }
@@ -601,11 +586,11 @@
                 || e.code() == Code.MISS;
         if (heard) {
             w.quietSince = now;
-            w.strikes = 0;
+            w.strikes = w.resets = 0;
             report(w, e.report());
         }
         learnGuess(call.function, attempt, e);
-        w.failing += NEWS * ((e.code() == Code.ERROR ? 1 : 0) - w.failing);
+        learnLost(attempt, e);
         switch (e.code()) {
             case OK -> {
                 learnTime(call.function, attempt, e);
@@ -615,7 +600,7 @@
                 if (e.company() >= 0) {
                     copy.company += REPORT_NEWS * (Math.max(0, e.company() - copy.out) - copy.company);
                 }
-                w.served.add(1, now);
+                servedByKind.computeIfAbsent(w.entry.kind(), kind -> new Fading(RATE_SPAN)).add(1, now);
             }
             case MISS -> {
                 missTime = Math.max(e.tookMicros(), missTime - NEWS * (missTime - e.tookMicros()));
@@ -624,8 +609,12 @@
                 }
             }
             case FULL -> full(w, attempt);
-            case CONNECT_FAILED, RESET -> strike(w);
-            default -> { }
+            case CONNECT_FAILED -> strike(w);
+            default -> {
+                if (e.code() == Code.RESET && w.resets++ > 0) {
+                    strike(w);
+                }
+            }
         }
         if (e.start() == Start.LOAD_FAILED) {
             drop(w, call.function, copy);
@@ -703,6 +692,14 @@
         }
     }
 
+    /** A silent attempt counts as lost by the chance that so long a silence is not mere slowness. */
+    private void learnLost(Attempt attempt, AttemptEnded e) {
+        double slow = (1 - lost) * Math.exp(-e.tookMicros() / Math.max(1, attempt.expected));
+        double chance = e.code() == Code.RESET ? 1 : e.code() == Code.TIMEOUT ? lost / (lost + slow) : 0;
+        lost = Math.max(LOST_LEAST, lost + NEWS * (chance - lost));
+        attempt.worker.failing += NEWS * ((e.code() == Code.ERROR ? 1 : chance) - attempt.worker.failing);
+    }
+
     private void learnLoad(double micros) {
         loadAverage = loadAverage == 0 ? micros : loadAverage + NEWS * (micros - loadAverage);
     }
@@ -825,8 +822,28 @@
     // ---- Upkeep. ----
     private void upkeep() {
         actions.add(new SetTimer(UPKEEP, "upkeep"));
-        learnUsualRates();
         trim(taken, Math.max(1, settings.loading().loadPeriodMicros()));
+        for (Function f : functions.values()) {
+            if (f.calls >= RENEW_CALLS && now - f.calledAt < RENEW_FOR * keepAlive()) {
+                keep(f);
+            }
+        }
+    }
+
+    /** Renews the best-ranked copy of a function worth keeping before it lapses unused. */
+    private void keep(Function f) {
+        Worker best = null;
+        for (Worker w : workers.values()) {
+            boolean holds = w.ready && !paused(w) && copyAt(w, f) != null;
+            if (holds && (best == null || rank(f, w) > rank(f, best))) {
+                best = w;
+            }
+        }
+        Copy copy = best == null ? null : best.copies.get(f.id);
+        boolean due = copy != null && !copy.ordered && copy.out == 0;
+        if (due && now - copy.usedAt > RENEW_AT * keepAlive() && order(best, f, 1)) {
+            copy.usedAt = now;
+        }
     }
 
     // ---- The cold budget. ----
@@ -836,10 +853,10 @@
 
     /**
      * Guards a fresh invoker against all controllers together, each keeping its share alone: own sends
-     * within the stated window stay under the stated multiple of what this controller sees a warm invoker
-     * of the kind serve, times the share warmed so far. A share below one send opens only some windows, by
-     * the seed: hundreds of controllers then meet the budget on average, and chance needs a wider margin.
-     * It can hurt a fresh invoker that this controller alone would use: it fills slowly.
+     * within the stated window stay under the stated multiple of what this controller sees an invoker of
+     * the kind serve, times the share warmed so far. A share below one send opens only some windows, by the
+     * seed: hundreds of controllers then meet the budget on average, and chance needs a wider margin.
+     * It can hurt where this controller alone would use a fresh invoker: it fills slowly.
      */
     private boolean coldBudgetLeft(Worker w) {
         if (!cold(w)) {
@@ -849,7 +866,12 @@
         trim(w.coldSends, rules.overloadMicros());
         double age = Math.max(0, now - w.coldSince) / (double) rules.warmAfterMicros();
         double share = rules.coldShare() + (1 - rules.coldShare()) * age;
-        double usual = usualRates.getOrDefault(w.entry.kind(), 0.0) * rules.overloadMicros() / 1e6;
+        int alike = 0;
+        for (Worker other : workers.values()) {
+            alike += other.ready && other.entry.kind() == w.entry.kind() ? 1 : 0;
+        }
+        Fading served = servedByKind.get(w.entry.kind());
+        double usual = served == null ? 0 : served.value(now) / RATE_SPAN * rules.overloadMicros() / alike;
         double budget = rules.fallMultiple() * share * usual;
         double margin = COLD_MARGIN - COLD_CHANCE * Math.max(0, 1 - budget);
         long window = (now + phase) / Math.max(1, rules.overloadMicros());
@@ -860,22 +882,6 @@
         return w.coldSends.size() + 1 <= Math.max(1.0 / settings.controllers(), margin * budget) + w.coldDraw;
     }
 
-    /** What a warm invoker of each kind answers to this controller, a second; kept while none is warm. */
-    private void learnUsualRates() {
-        for (int kind = 0; kind < settings.loading().memoryByKind().size(); kind++) {
-            double total = 0;
-            int count = 0;
-            for (Worker w : workers.values()) {
-                boolean counts = w.ready && !cold(w) && w.entry.kind() == kind;
-                total += counts ? w.served.value(now) * 1e6 / RATE_SPAN : 0;
-                count += counts ? 1 : 0;
-            }
-            if (count > 0) {
-                usualRates.put(kind, total / count);
-            }
-        }
-    }
-
     private void list(InvokerList e) {
         if (!started) {
             started = true;
@@ -914,7 +920,7 @@
 
     private void streamBegan(StreamBegan e) {
         Call call = calls.get(e.id());
-        if (call != null) {
+        if (call != null && !call.over) {
             call.streaming = true;
             call.mayHaveRun = true;
         }
@@ -928,7 +934,7 @@
         } else {
             int colon = tag.indexOf(':');
             Call call = calls.get(Long.parseLong(tag.substring(colon + 1)));
-            if (call == null || call.streaming) {
+            if (call == null || call.streaming || call.over) {
                 return;
             }
             if (tag.startsWith("end:")) {
