--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -24,8 +24,6 @@
     private static final double JAM = 2;  // run times: a longer finish is the crowd's, not the function's
     private static final double WIDTH = 1.5;  // headroom over the share of the fleet that calls would fill
     private static final long HOLD = 40_000;  // between looks at held requests: a fraction of any aim
-    private static final double LOST_LEAST = 0.003;  // share of answers that vanish where none was seen to
-    private static final double PATIENCE_LEAST = 2;  // times expected that a silent attempt gets at least
     private static final long SUSPECT = 300_000;  // first pause after a failed connection; doubles
     private static final long SUSPECT_MOST = 4_000_000;  // longest such pause: about a restart
     private static final long FULL_PAUSE = 80_000;  // after a full answer: less than a run; doubles in a row
@@ -133,7 +131,6 @@
         Worker worker;
         Copy copy;
         boolean cold, ended;
-        double expected;          // queue + run + load if it proves cold, micros
         int guess = -1;           // where no copy was believed: 0 at the first asked, 1 further on
         long sentAt;
         double crowd;
@@ -163,11 +160,9 @@
     private final ArrayDeque<Long> ordersSent = new ArrayDeque<>();
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
     private double meanOthers, meanQueued;  // of all invokers' reports
-    private double lost = LOST_LEAST;  // share of attempts whose answer never comes
     private double guessChance;   // for the choice in hand: that an invoker believed cold is so
     private double loadAverage;   // measured extra latency of cold sends, micros; 0 unmeasured
     private final double[] coldChance = {0.5, 0.5};  // that a guess finds no copy: first asked, further on
-    private double missTime;      // micros that an invoker's miss takes to come back
     private final HashMap<Integer, Fading> servedByKind = new HashMap<>();  // answers, by kind of invoker
     private boolean started;
     private long now;
@@ -263,7 +258,8 @@
         boolean misses = settings.loading().missAnswers() && settings.loading().orders();
         if (misses && call.misses >= MISSES && (coldBest || !call.waited)) {
             call.waited = true;
-            hold(call, order(best, call.function, 1) ? orderLead() : HOLD);
+            order(best, call.function, 1);
+            hold(call, HOLD);         // a send at once could overtake the order
             return;
         }
         send(call, best);
@@ -272,8 +268,7 @@
     /**
      * Guards against a jam, whatever filled it (burst, lost invokers, slow ones): when even the best
      * invoker would answer past the aim because of its crowd, serving late only makes the next late too.
-     * What is worth least gives way first. Not for functions that are slow by themselves.
-     * It can hurt where a crowd is about to pass.
+     * What is worth least gives way first. It can hurt where a crowd is about to pass.
      */
     private boolean jammed(Call call, Worker best, double estimate) {
         if (copyAt(best, call.function).loadingSince > 0 || estimate <= JAM * runTime(call.function)) {
@@ -292,16 +287,13 @@
 
     /**
      * The lowest cost. Level ones, warm or cold alike, are told apart by rank and not at random: against
-     * copies of one function strewn over the fleet by controllers that cannot agree, which push each
-     * other out of memory. A crowded copy is not level, so a hot function still spreads.
+     * copies strewn over the fleet by controllers that cannot agree, which push each other out of memory.
      */
     private Worker lowest(Call call) {
         Worker warm = highest(call, true, WARM_TIE * call.kind.aimMicros());
         Worker cold = highest(call, false, COLD_TIE * loadTime(call.function, true));
-        if (warm == null || cold == null) {
-            return warm == null ? cold : warm;
-        }
-        return cost(call, cold) < cost(call, warm) ? cold : warm;
+        boolean load = warm == null || cold != null && cost(call, cold) < cost(call, warm);
+        return load ? cold : warm;
     }
 
     private Worker highest(Call call, boolean warm, double tolerance) {
@@ -399,11 +391,8 @@
 
     /** Told or measured load time; unmeasured it ranks cold behind warm and counts nought for refusal. */
     private double loadTime(Function f, boolean ranking) {
-        if (f.toldLoad > 0) {
-            return Math.max(f.toldLoad, loadAverage / 2);
-        }
-        if (loadAverage > 0) {
-            return loadAverage;
+        if (f.toldLoad > 0 || loadAverage > 0) {
+            return f.toldLoad > 0 ? Math.max(f.toldLoad, loadAverage / 2) : loadAverage;
         }
         return ranking ? settings.classes().get(f.requestClass).deadlineMicros() : 0;
     }
@@ -439,9 +428,6 @@
         Attempt attempt = new Attempt();
         Copy copy = copyAt(w, call.function);
         attempt.cold = copy == null || copy.loadingSince > 0;
-        double sure = settings.loading().missAnswers() ? 0 : 1;
-        attempt.expected = estimate(call.function, w, true)
-                + (copy == null ? (sure - guessChance) * loadTime(call.function, true) : 0);
         if (copy == null) {
             attempt.guess = call.attempts.isEmpty() ? 0 : 1;
             copy = expectLoad(w, call.function);
@@ -462,20 +448,7 @@
         }
         call.out++;
         call.attempts.add(attempt);
-        actions.add(new Send(call.id, w.id, giveUpAt(call, attempt)));
-    }
-
-    /**
-     * When the silence of an attempt is more likely loss than slowness: run times spread about as widely as
-     * their mean, so after ln(1/lost) times the time expected. Only where a repeat is allowed and fits in.
-     * Guards against answers that vanish; should catch hung processes too. Can hurt where the fleet slows
-     * faster than its answers tell: work is then done twice.
-     */
-    private long giveUpAt(Call call, Attempt attempt) {
-        long at = now + (long) (Math.max(PATIENCE_LEAST, -Math.log(lost)) * attempt.expected);
-        boolean again = call.kind.repeat() != Repeat.UNSAFE && !call.kind.stream()
-                && call.attempts.size() < settings.limits().maxAttempts();
-        return again && at + runTime(call.function) < call.deadline ? at : 0;
+        actions.add(new Send(call.id, w.id, 0));
     }
 
     private Copy expectLoad(Worker w, Function f) {
@@ -561,7 +534,9 @@
         }
         attempt.ended = true;
         call.out--;
-        release(call, attempt);
+        attempt.worker.out--;
+        attempt.copy.out--;
+        attempt.worker.warmOut -= attempt.cold ? 0 : 1;
         learn(call, attempt, e);
         if (call.over && call.out == 0) {
             calls.remove(call.id);
@@ -572,25 +547,17 @@
         }
     }
 
-    private void release(Call call, Attempt attempt) {
-        attempt.worker.out--;
-        attempt.copy.out--;
-        attempt.worker.warmOut -= attempt.cold ? 0 : 1;
-    }
-
     /** What the answer tells of the invoker, the function and its copy there. */
     private void learn(Call call, Attempt attempt, AttemptEnded e) {
         Worker w = attempt.worker;
         Copy copy = attempt.copy;
-        boolean heard = e.code() == Code.OK || e.code() == Code.ERROR || e.code() == Code.FULL
-                || e.code() == Code.MISS;
-        if (heard) {
+        if (List.of(Code.OK, Code.ERROR, Code.FULL, Code.MISS).contains(e.code())) {
             w.quietSince = now;
             w.strikes = w.resets = 0;
             report(w, e.report());
         }
         learnGuess(call.function, attempt, e);
-        learnLost(attempt, e);
+        w.failing += NEWS * ((e.code() == Code.ERROR || e.code() == Code.RESET ? 1 : 0) - w.failing);
         switch (e.code()) {
             case OK -> {
                 learnTime(call.function, attempt, e);
@@ -603,7 +570,6 @@
                 servedByKind.computeIfAbsent(w.entry.kind(), kind -> new Fading(RATE_SPAN)).add(1, now);
             }
             case MISS -> {
-                missTime = Math.max(e.tookMicros(), missTime - NEWS * (missTime - e.tookMicros()));
                 if (!copy.ordered) {
                     drop(w, call.function, copy);
                 }
@@ -616,17 +582,10 @@
                 }
             }
         }
-        if (e.start() == Start.LOAD_FAILED) {
+        boolean unconfirmed = copy.loadingSince > 0 && copy.out == 0 && !copy.ordered;
+        if (e.start() == Start.LOAD_FAILED || unconfirmed) {  // must not go on counting as a load under way
             drop(w, call.function, copy);
         }
-        settle(w, call.function, copy);
-    }
-
-    /** A load expected but never confirmed must not go on counting as one under way. */
-    private void settle(Worker w, Function f, Copy copy) {
-        if (copy.loadingSince > 0 && copy.out == 0 && !copy.ordered) {
-            drop(w, f, copy);
-        }
     }
 
     private void drop(Worker w, Function f, Copy copy) {
@@ -692,14 +651,6 @@
         }
     }
 
-    /** A silent attempt counts as lost by the chance that so long a silence is not mere slowness. */
-    private void learnLost(Attempt attempt, AttemptEnded e) {
-        double slow = (1 - lost) * Math.exp(-e.tookMicros() / Math.max(1, attempt.expected));
-        double chance = e.code() == Code.RESET ? 1 : e.code() == Code.TIMEOUT ? lost / (lost + slow) : 0;
-        lost = Math.max(LOST_LEAST, lost + NEWS * (chance - lost));
-        attempt.worker.failing += NEWS * ((e.code() == Code.ERROR ? 1 : chance) - attempt.worker.failing);
-    }
-
     private void learnLoad(double micros) {
         loadAverage = loadAverage == 0 ? micros : loadAverage + NEWS * (micros - loadAverage);
     }
@@ -736,13 +687,13 @@
         } else if (e.code() == Code.MISS && settings.loading().orders()) {
             call.misses++;
             if (attempt.copy.ordered) {
-                hold(call, orderLead());
-            } else {
-                if (call.misses == 1) {
-                    order(attempt.worker, call.function, 1);
-                }
-                route(call);
+                hold(call, HOLD);
+                return;
+            }
+            if (call.misses == 1) {
+                order(attempt.worker, call.function, 1);
             }
+            route(call);
         } else {
             if (e.code() != Code.FULL || attempt.cold) {
                 call.tried.add(attempt.worker);
@@ -767,11 +718,6 @@
         return true;
     }
 
-    /** What an order needs to arrive, as misses show; a send sooner would overtake it. */
-    private long orderLead() {
-        return Math.max(2 * settings.tickMicros(), (long) missTime);
-    }
-
     private boolean rationLeft() {
         long period = settings.loading().loadPeriodMicros();
         if (period <= 0) {
@@ -855,8 +801,7 @@
      * Guards a fresh invoker against all controllers together, each keeping its share alone: own sends
      * within the stated window stay under the stated multiple of what this controller sees an invoker of
      * the kind serve, times the share warmed so far. A share below one send opens only some windows, by the
-     * seed: hundreds of controllers then meet the budget on average, and chance needs a wider margin.
-     * It can hurt where this controller alone would use a fresh invoker: it fills slowly.
+     * seed: hundreds of controllers then meet the budget on average. It can hurt: fresh ones fill slowly.
      */
     private boolean coldBudgetLeft(Worker w) {
         if (!cold(w)) {
