--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -23,6 +23,7 @@
     private static final double WORTH_FLOOR = 0.3;  // of the aim: what a worthless request waits in a jam
     private static final double JAM = 2;  // run times: a longer finish is the crowd's, not the function's
     private static final double WIDTH = 1.5;  // headroom over the share of the fleet that calls would fill
+    private static final double QUICK = 0.3;  // of a usual run: what the quicker calls of a function need
     private static final long HOLD = 40_000;  // between looks at held requests: a fraction of any aim
     private static final long SUSPECT = 300_000;  // first pause after a failed connection; doubles
     private static final long SUSPECT_MOST = 4_000_000;  // longest such pause: about a restart
@@ -242,7 +243,8 @@
         }
         boolean coldBest = copyAt(best, call.function) == null;
         double estimate = estimate(call.function, best, false);
-        boolean hopeless = estimate > call.deadline - now || !coldBest && jammed(call, best, estimate);
+        double soonest = estimate - (1 - QUICK) * runAt(call.function, best);
+        boolean hopeless = soonest > call.deadline - now || !coldBest && jammed(call, best, estimate);
         if (hopeless && mayRefuse(call)) {
             Worker more = coldBest ? best : uncrowded(call);
             if (more != null) {
