--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -58,7 +58,7 @@
         double queued;            // requests waiting there, from reports
         double others;            // crowd of other controllers, from reports
         long reportedAt;
-        double failing;           // share of recent attempts that failed in a way that may repeat
+        final HashMap<Integer, Fading> failing = new HashMap<>();  // share of failed attempts, by scope
         long fullUntil, noLoadsUntil;
         int strikes, resets;      // failed connections, broken ones: in a row
         long pausedUntil;
@@ -140,6 +140,7 @@
     private static final class Call {
         long id, takenAt, deadline;
         RequestClass kind;
+        int scope;                // of its class and tenant: some invokers turn only one of them away
         Function function;
         final List<Attempt> attempts = new ArrayList<>();
         int out;
@@ -214,6 +215,7 @@
         call.id = e.id();
         call.takenAt = now;
         call.kind = settings.classes().get(e.requestClass());
+        call.scope = e.tenant() * settings.classes().size() + e.requestClass();
         call.function = f;
         call.deadline = now + e.timeLeftMicros();
         calls.put(call.id, call);
@@ -373,7 +375,9 @@
     private double cost(Call call, Worker w) {
         double aim = call.kind.aimMicros();
         double crossing = w.entry.zone() != settings.zone() ? settings.prices().crossZone() * aim : 0;
-        return estimate(call.function, w, true) + crossing + w.failing * 2 * aim;
+        Fading failing = w.failing.get(call.scope);
+        double again = failing == null ? 0 : failing.value(now) * 2 * aim;
+        return estimate(call.function, w, true) + crossing + again;
     }
 
     /** Requests at work there; those that wait for a load use no core. */
@@ -559,7 +563,9 @@
             report(w, e.report());
         }
         learnGuess(call.function, attempt, e);
-        w.failing += NEWS * ((e.code() == Code.ERROR || e.code() == Code.RESET ? 1 : 0) - w.failing);
+        boolean failed = List.of(Code.ERROR, Code.RESET, Code.FULL).contains(e.code()) && !attempt.cold;
+        Fading failing = w.failing.computeIfAbsent(call.scope, scope -> new Fading(keepAlive()));
+        failing.add(NEWS * ((failed ? 1 : 0) - failing.value(now)), now);
         switch (e.code()) {
             case OK -> {
                 learnTime(call.function, attempt, e);
@@ -697,9 +703,7 @@
             }
             route(call);
         } else {
-            if (e.code() != Code.FULL || attempt.cold) {
-                call.tried.add(attempt.worker);
-            }
+            call.tried.add(attempt.worker);
             route(call);
         }
     }
