--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -246,7 +246,7 @@
         boolean coldBest = copyAt(best, call.function) == null;
         double estimate = estimate(call.function, best, false);
         double soonest = estimate - (1 - QUICK) * runAt(call.function, best);
-        boolean hopeless = soonest > call.deadline - now || !coldBest && jammed(call, best, estimate);
+        boolean hopeless = soonest > call.deadline - now || jammed(call, best);
         if (hopeless && mayRefuse(call)) {
             Worker more = coldBest ? best : uncrowded(call);
             if (more != null) {
@@ -274,13 +274,12 @@
      * invoker would answer past the aim because of its crowd, serving late only makes the next late too.
      * What is worth least gives way first. It can hurt where a crowd is about to pass.
      */
-    private boolean jammed(Call call, Worker best, double estimate) {
-        if (copyAt(best, call.function).loadingSince > 0 || estimate <= JAM * runTime(call.function)) {
-            return false;
-        }
+    private boolean jammed(Call call, Worker best) {
+        double crowded = waitAndRun(call.function, best);
         double most = settings.classes().stream().mapToDouble(RequestClass::worth).max().orElse(0);
         double share = most > 0 ? WORTH_FLOOR + (1 - WORTH_FLOOR) * call.kind.worth() / most : 1;
-        return now - call.takenAt + estimate > share * call.kind.aimMicros();
+        boolean late = now - call.takenAt + crowded > share * call.kind.aimMicros();
+        return late && crowded > JAM * runTime(call.function);
     }
 
     /** In a jam of some invokers only: where one more copy would help the next calls. */
@@ -347,23 +346,29 @@
 
     // ---- The estimate: queue + run + load. ----
     private double estimate(Function f, Worker w, boolean ranking) {
+        return waitAndRun(f, w) + load(f, w, ranking);
+    }
+
+    private double waitAndRun(Function f, Worker w) {
         Copy copy = copyAt(w, f);
         double run = runAt(f, w);
         double queue = believed(w, w.queued, meanQueued) * runTime(f) / SOFT_CROWD;
-        double load = 0;
-        if (copy == null) {
-            double chance = ranking ? guessChance : guessChance > 0.5 ? 1 : 0;
-            load = chance * loadTime(f, ranking) * (1 + LOAD_CROWD * w.loading);
-        } else {
+        if (copy != null) {
             double lanes = copy.count * (double) f.lanes;
             queue += Math.max(0, copy.out + copy.company + 1 - lanes) * run / lanes;
-            if (copy.loadingSince > 0) {
-                double full = loadTime(f, ranking);
-                load = copy.doubt * Math.max(full * LOAD_CROWD, full - (now - copy.loadingSince));
-            }
         }
         double silence = w.warmOut > 0 ? Math.max(0, now - w.quietSince - 2 * run) : 0;
-        return queue + run + load + silence + Math.max(0, w.fullUntil - now);
+        return queue + run + silence + Math.max(0, w.fullUntil - now);
+    }
+
+    private double load(Function f, Worker w, boolean ranking) {
+        Copy copy = copyAt(w, f);
+        double full = loadTime(f, ranking);
+        if (copy == null) {
+            return (ranking ? guessChance : guessChance > 0.5 ? 1 : 0) * full * (1 + LOAD_CROWD * w.loading);
+        }
+        boolean loading = copy.loadingSince > 0;
+        return loading ? copy.doubt * Math.max(full * LOAD_CROWD, full - (now - copy.loadingSince)) : 0;
     }
 
     private double runAt(Function f, Worker w) {
