--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -248,7 +248,7 @@
         double soonest = estimate - (1 - QUICK) * runAt(call.function, best);
         boolean hopeless = soonest > call.deadline - now || jammed(call, best);
         if (hopeless && mayRefuse(call)) {
-            Worker more = coldBest ? best : uncrowded(call);
+            Worker more = coldBest && soonest > call.deadline - now ? best : uncrowded(call);
             if (more != null) {
                 order(more, call.function, 1);
             }
@@ -275,6 +275,10 @@
      * What is worth least gives way first. It can hurt where a crowd is about to pass.
      */
     private boolean jammed(Call call, Worker best) {
+        Copy copy = copyAt(best, call.function);
+        if (copy != null && copy.loadingSince > 0) {
+            return false;
+        }
         double crowded = waitAndRun(call.function, best);
         double most = settings.classes().stream().mapToDouble(RequestClass::worth).max().orElse(0);
         double share = most > 0 ? WORTH_FLOOR + (1 - WORTH_FLOOR) * call.kind.worth() / most : 1;
