--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -248,8 +248,8 @@
         double soonest = estimate - (1 - QUICK) * runAt(call.function, best);
         boolean hopeless = soonest > call.deadline - now || jammed(call, best);
         if (hopeless && mayRefuse(call)) {
-            Worker more = coldBest && soonest > call.deadline - now ? best : uncrowded(call);
-            if (more != null) {
+            Worker more = coldBest ? best : uncrowded(call);
+            if (more != null && (!coldBest || soonest > call.deadline - now)) {
                 order(more, call.function, 1);
             }
             refuse(call, (long) estimate);
@@ -281,7 +281,8 @@
         }
         double crowded = waitAndRun(call.function, best);
         double most = settings.classes().stream().mapToDouble(RequestClass::worth).max().orElse(0);
-        double share = most > 0 ? WORTH_FLOOR + (1 - WORTH_FLOOR) * call.kind.worth() / most : 1;
+        double worth = copy == null || most == 0 ? 1 : call.kind.worth() / most;
+        double share = WORTH_FLOOR + (1 - WORTH_FLOOR) * worth;
         boolean late = now - call.takenAt + crowded > share * call.kind.aimMicros();
         return late && crowded > JAM * runTime(call.function);
     }
