--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -22,7 +22,7 @@
     private static final double LOAD_CROWD = 0.2;  // of a load time: delay by each load under way there
     private static final double WORTH_FLOOR = 0.3;  // of the aim: what a worthless request waits in a jam
     private static final double JAM = 2;  // run times: a longer finish is the crowd's, not the function's
-    private static final double WIDTH = 3;  // headroom over the share of the fleet that calls would fill
+    private static final double WIDTH = 1.5;  // headroom over the share of the fleet that calls would fill
     private static final double QUICK = 0.3;  // of a usual run: what the quicker calls of a function need
     private static final long HOLD = 40_000;  // between looks at held requests: a fraction of any aim
     private static final long SUSPECT = 300_000;  // first pause after a failed connection; doubles
@@ -249,7 +249,7 @@
         boolean hopeless = soonest > call.deadline - now || jammed(call, best);
         if (hopeless && mayRefuse(call)) {
             Worker more = coldBest ? best : uncrowded(call);
-            if (more != null && (!coldBest || soonest > call.deadline - now)) {
+            if (more != null) {
                 order(more, call.function, 1);
             }
             refuse(call, (long) estimate);
