--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -37,6 +37,7 @@
     private static final long UPKEEP = 250_000;  // between rounds of upkeep: fine against keep-alives
     private static final double RENEW_AT = 0.7;  // of the keep-alive: time is left for lost orders
     private static final double RENEW_FOR = 2.5;  // keep-alives without a call: then it is let go
+    private static final double FORGET = 10;  // keep-alives without a call: its times are forgotten too
     private static final int RENEW_CALLS = 2;  // before a function is worth keeping: one may be the only
 
     // ---- What this controller remembers. ----
@@ -66,7 +67,7 @@
         long coldWindow;          // the window that the draw below is for
         double coldDraw;
         final ArrayDeque<Long> coldSends = new ArrayDeque<>();
-        final HashMap<String, Copy> copies = new HashMap<>();
+        final LinkedHashMap<String, Copy> copies = new LinkedHashMap<>();
 
         Worker(String id) {
             this.id = id;
@@ -81,6 +82,7 @@
 
     /** The belief that an invoker holds a function, from this controller's own sends and answers. */
     private static final class Copy {
+        Function function;
         int count = 1;
         int out;
         double company;           // other controllers' requests for the function there
@@ -119,6 +121,7 @@
         double run;               // usual time of a warm answer, micros
         int runs, calls;
         long calledAt;
+        Worker keeper;            // for the upkeep in hand
 
         Function(String id, double slot, double span) {
             this.id = id;
@@ -166,6 +169,7 @@
     private double loadAverage;   // measured extra latency of cold sends, micros; 0 unmeasured
     private final double[] coldChance = {0.5, 0.5};  // that a guess finds no copy: first asked, further on
     private final HashMap<Integer, Fading> servedByKind = new HashMap<>();  // answers, by kind of invoker
+    private final HashMap<Integer, Integer> readyByKind = new HashMap<>();
     private boolean started;
     private long now;
     private Actions actions;
@@ -256,7 +260,7 @@
             return;
         }
         if (best.fullUntil > now) {
-            hold(call, Math.min(HOLD, best.fullUntil - now));
+            hold(call, best.fullUntil - now);
             return;
         }
         boolean misses = settings.loading().missAnswers() && settings.loading().orders();
@@ -415,8 +419,11 @@
 
     private Copy copyAt(Worker w, Function f) {
         Copy copy = w.copies.get(f.id);
-        boolean idle = copy != null && copy.out == 0 && copy.loadingSince == 0;
-        return idle && now - copy.usedAt > keepAlive() ? null : copy;
+        return copy != null && lapsed(copy) ? null : copy;
+    }
+
+    private boolean lapsed(Copy copy) {
+        return copy.out == 0 && copy.loadingSince == 0 && now - copy.usedAt > keepAlive();
     }
 
     private long keepAlive() {
@@ -469,6 +476,7 @@
 
     private Copy expectLoad(Worker w, Function f) {
         Copy copy = new Copy();
+        copy.function = f;
         copy.loadingSince = copy.usedAt = now;
         w.loading++;
         w.copies.put(f.id, copy);
@@ -785,25 +793,30 @@
     private void upkeep() {
         actions.add(new SetTimer(UPKEEP, "upkeep"));
         trim(taken, Math.max(1, settings.loading().loadPeriodMicros()));
+        workers.values().removeIf(w -> !w.ready && w.out == 0);
+        functions.values().removeIf(f -> now - f.calledAt > FORGET * keepAlive());
+        for (Worker w : workers.values()) {
+            w.copies.values().removeIf(this::lapsed);
+            for (Copy copy : w.copies.values()) {
+                Function f = copy.function;
+                if (w.ready && !paused(w) && (f.keeper == null || rank(f, w) > rank(f, f.keeper))) {
+                    f.keeper = w;
+                }
+            }
+        }
         for (Function f : functions.values()) {
-            if (f.calls >= RENEW_CALLS && now - f.calledAt < RENEW_FOR * keepAlive()) {
-                keep(f);
+            if (f.keeper != null && f.calls >= RENEW_CALLS && now - f.calledAt < RENEW_FOR * keepAlive()) {
+                keep(f, f.keeper);
             }
+            f.keeper = null;
         }
     }
 
     /** Renews the best-ranked copy of a function worth keeping before it lapses unused. */
-    private void keep(Function f) {
-        Worker best = null;
-        for (Worker w : workers.values()) {
-            boolean holds = w.ready && !paused(w) && copyAt(w, f) != null;
-            if (holds && (best == null || rank(f, w) > rank(f, best))) {
-                best = w;
-            }
-        }
-        Copy copy = best == null ? null : best.copies.get(f.id);
-        boolean due = copy != null && !copy.ordered && copy.out == 0;
-        if (due && now - copy.usedAt > RENEW_AT * keepAlive() && order(best, f, 1)) {
+    private void keep(Function f, Worker w) {
+        Copy copy = w.copies.get(f.id);
+        boolean due = !copy.ordered && copy.out == 0 && now - copy.usedAt > RENEW_AT * keepAlive();
+        if (due && order(w, f, 1)) {
             copy.usedAt = now;
         }
     }
@@ -827,10 +840,7 @@
         trim(w.coldSends, rules.overloadMicros());
         double age = Math.max(0, now - w.coldSince) / (double) rules.warmAfterMicros();
         double share = rules.coldShare() + (1 - rules.coldShare()) * age;
-        int alike = 0;
-        for (Worker other : workers.values()) {
-            alike += other.ready && other.entry.kind() == w.entry.kind() ? 1 : 0;
-        }
+        int alike = readyByKind.getOrDefault(w.entry.kind(), 1);
         Fading served = servedByKind.get(w.entry.kind());
         double usual = served == null ? 0 : served.value(now) / RATE_SPAN * rules.overloadMicros() / alike;
         double budget = rules.fallMultiple() * share * usual;
@@ -877,6 +887,8 @@
             w.entry = entry;
             w.ready = entry.state() == State.READY;
         }
+        readyByKind.clear();
+        workers.values().forEach(w -> readyByKind.merge(w.entry.kind(), w.ready ? 1 : 0, Integer::sum));
     }
 
     private void streamBegan(StreamBegan e) {
