--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -170,6 +170,7 @@
     private final double[] coldChance = {0.5, 0.5};  // that a guess finds no copy: first asked, further on
     private final HashMap<Integer, Fading> servedByKind = new HashMap<>();  // answers, by kind of invoker
     private final HashMap<Integer, Integer> readyByKind = new HashMap<>();
+    private final HashMap<Integer, Fading> unreachable = new HashMap<>();  // share of sends, by zone
     private boolean started;
     private long now;
     private Actions actions;
@@ -332,9 +333,8 @@
     }
 
     /**
-     * Invokers that a function's share of all calls would fill, with headroom. Each controller starts at a
-     * place of its own among the best-ranked of that number, so that a hot function's callers do not all
-     * meet at one invoker. Counts few calls for less than they seem: chance must not strew copies.
+     * Invokers that a function's share of all calls would fill, with headroom: each controller starts at a
+     * place of its own among so many best-ranked. Few calls count for less: chance must not strew copies.
      */
     private double width(Function f) {
         double sure = f.recent.value(now) - Math.sqrt(f.recent.value(now));
@@ -385,13 +385,15 @@
                 / ((w.usualSum == 0 ? meanOthers : w.crowdThen) + SOFT_CROWD);
     }
 
-    /** The estimate with what a choice costs beyond time: crossings and failures, in units of the aim. */
+    /** The estimate with what a choice costs beyond time: crossings, failures, zones out of reach. */
     private double cost(Call call, Worker w) {
         double aim = call.kind.aimMicros();
         double crossing = w.entry.zone() != settings.zone() ? settings.prices().crossZone() * aim : 0;
         Fading failing = w.failing.get(call.scope);
         double again = failing == null ? 0 : failing.value(now) * 2 * aim;
-        return estimate(call.function, w, true) + crossing + again;
+        Fading cut = unreachable.get(w.entry.zone());
+        double reconnect = cut == null ? 0 : cut.value(now) * 2 * aim;
+        return estimate(call.function, w, true) + crossing + again + reconnect;
     }
 
     /** Requests at work there; those that wait for a load use no core. */
@@ -575,11 +577,16 @@
     private void learn(Call call, Attempt attempt, AttemptEnded e) {
         Worker w = attempt.worker;
         Copy copy = attempt.copy;
-        if (List.of(Code.OK, Code.ERROR, Code.FULL, Code.MISS).contains(e.code())) {
+        boolean heard = List.of(Code.OK, Code.ERROR, Code.FULL, Code.MISS).contains(e.code());
+        if (heard) {
             w.quietSince = now;
             w.strikes = w.resets = 0;
             report(w, e.report());
         }
+        if (heard || e.code() == Code.CONNECT_FAILED) {
+            Fading cut = unreachable.computeIfAbsent(w.entry.zone(), zone -> new Fading(keepAlive()));
+            cut.add(NEWS * ((heard ? 0 : 1) - cut.value(now)), now);
+        }
         learnGuess(call.function, attempt, e);
         boolean failed = List.of(Code.ERROR, Code.RESET, Code.FULL).contains(e.code()) && !attempt.cold;
         Fading failing = w.failing.computeIfAbsent(call.scope, scope -> new Fading(keepAlive()));
@@ -789,7 +796,7 @@
         }
     }
 
-    // ---- Upkeep. ----
+    // ---- Upkeep: the best-ranked copy of a function worth keeping is renewed before it lapses. ----
     private void upkeep() {
         actions.add(new SetTimer(UPKEEP, "upkeep"));
         trim(taken, Math.max(1, settings.loading().loadPeriodMicros()));
@@ -805,22 +812,16 @@
             }
         }
         for (Function f : functions.values()) {
-            if (f.keeper != null && f.calls >= RENEW_CALLS && now - f.calledAt < RENEW_FOR * keepAlive()) {
-                keep(f, f.keeper);
+            Copy copy = f.keeper == null ? null : f.keeper.copies.get(f.id);
+            boolean kept = f.calls >= RENEW_CALLS && now - f.calledAt < RENEW_FOR * keepAlive();
+            boolean idle = copy != null && !copy.ordered && copy.out == 0;
+            if (kept && idle && now - copy.usedAt > RENEW_AT * keepAlive() && order(f.keeper, f, 1)) {
+                copy.usedAt = now;
             }
             f.keeper = null;
         }
     }
 
-    /** Renews the best-ranked copy of a function worth keeping before it lapses unused. */
-    private void keep(Function f, Worker w) {
-        Copy copy = w.copies.get(f.id);
-        boolean due = !copy.ordered && copy.out == 0 && now - copy.usedAt > RENEW_AT * keepAlive();
-        if (due && order(w, f, 1)) {
-            copy.usedAt = now;
-        }
-    }
-
     // ---- The cold budget. ----
     private boolean cold(Worker w) {
         return w.coldSince > 0 && now - w.coldSince < settings.rules().warmAfterMicros();
