--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -170,7 +170,6 @@
     private final double[] coldChance = {0.5, 0.5};  // that a guess finds no copy: first asked, further on
     private final HashMap<Integer, Fading> servedByKind = new HashMap<>();  // answers, by kind of invoker
     private final HashMap<Integer, Integer> readyByKind = new HashMap<>();
-    private final HashMap<Integer, Fading> unreachable = new HashMap<>();  // share of sends, by zone
     private boolean started;
     private long now;
     private Actions actions;
@@ -381,19 +380,17 @@
     }
 
     private double runAt(Function f, Worker w) {
-        return runTime(f) * w.slowness * (crowd(w) + SOFT_CROWD)
-                / ((w.usualSum == 0 ? meanOthers : w.crowdThen) + SOFT_CROWD);
+        double crowdThen = w.usualSum == 0 ? meanOthers : w.crowdThen;
+        return runTime(f) * w.slowness / warmth(w) * (crowd(w) + SOFT_CROWD) / (crowdThen + SOFT_CROWD);
     }
 
-    /** The estimate with what a choice costs beyond time: crossings, failures, zones out of reach. */
+    /** The estimate with what a choice costs beyond time: crossings and failures, in units of the aim. */
     private double cost(Call call, Worker w) {
         double aim = call.kind.aimMicros();
         double crossing = w.entry.zone() != settings.zone() ? settings.prices().crossZone() * aim : 0;
         Fading failing = w.failing.get(call.scope);
         double again = failing == null ? 0 : failing.value(now) * 2 * aim;
-        Fading cut = unreachable.get(w.entry.zone());
-        double reconnect = cut == null ? 0 : cut.value(now) * 2 * aim;
-        return estimate(call.function, w, true) + crossing + again + reconnect;
+        return estimate(call.function, w, true) + crossing + again;
     }
 
     /** Requests at work there; those that wait for a load use no core. */
@@ -577,16 +574,11 @@
     private void learn(Call call, Attempt attempt, AttemptEnded e) {
         Worker w = attempt.worker;
         Copy copy = attempt.copy;
-        boolean heard = List.of(Code.OK, Code.ERROR, Code.FULL, Code.MISS).contains(e.code());
-        if (heard) {
+        if (List.of(Code.OK, Code.ERROR, Code.FULL, Code.MISS).contains(e.code())) {
             w.quietSince = now;
             w.strikes = w.resets = 0;
             report(w, e.report());
         }
-        if (heard || e.code() == Code.CONNECT_FAILED) {
-            Fading cut = unreachable.computeIfAbsent(w.entry.zone(), zone -> new Fading(keepAlive()));
-            cut.add(NEWS * ((heard ? 0 : 1) - cut.value(now)), now);
-        }
         learnGuess(call.function, attempt, e);
         boolean failed = List.of(Code.ERROR, Code.RESET, Code.FULL).contains(e.code()) && !attempt.cold;
         Fading failing = w.failing.computeIfAbsent(call.scope, scope -> new Fading(keepAlive()));
@@ -827,6 +819,13 @@
         return w.coldSince > 0 && now - w.coldSince < settings.rules().warmAfterMicros();
     }
 
+    /** Share of its capacity that an invoker has at least: evenly from the cold share to the whole. */
+    private double warmth(Worker w) {
+        Rules rules = settings.rules();
+        double age = cold(w) ? Math.max(0, now - w.coldSince) / (double) rules.warmAfterMicros() : 1;
+        return rules.coldShare() + (1 - rules.coldShare()) * age;
+    }
+
     /**
      * Guards a fresh invoker against all controllers together, each keeping its share alone: own sends
      * within the stated window stay under the stated multiple of what this controller sees an invoker of
@@ -839,12 +838,10 @@
         }
         Rules rules = settings.rules();
         trim(w.coldSends, rules.overloadMicros());
-        double age = Math.max(0, now - w.coldSince) / (double) rules.warmAfterMicros();
-        double share = rules.coldShare() + (1 - rules.coldShare()) * age;
         int alike = readyByKind.getOrDefault(w.entry.kind(), 1);
         Fading served = servedByKind.get(w.entry.kind());
         double usual = served == null ? 0 : served.value(now) / RATE_SPAN * rules.overloadMicros() / alike;
-        double budget = rules.fallMultiple() * share * usual;
+        double budget = rules.fallMultiple() * warmth(w) * usual;
         double margin = COLD_MARGIN - COLD_CHANCE * Math.max(0, 1 - budget);
         long window = (now + phase) / Math.max(1, rules.overloadMicros());
         if (w.coldWindow != window) {
