--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -260,7 +260,7 @@
             return;
         }
         if (best.fullUntil > now) {
-            hold(call, best.fullUntil - now);
+            hold(call, Math.min(HOLD, best.fullUntil - now));
             return;
         }
         boolean misses = settings.loading().missAnswers() && settings.loading().orders();
@@ -380,8 +380,8 @@
     }
 
     private double runAt(Function f, Worker w) {
-        double crowdThen = w.usualSum == 0 ? meanOthers : w.crowdThen;
-        return runTime(f) * w.slowness / warmth(w) * (crowd(w) + SOFT_CROWD) / (crowdThen + SOFT_CROWD);
+        return runTime(f) * w.slowness * (crowd(w) + SOFT_CROWD)
+                / ((w.usualSum == 0 ? meanOthers : w.crowdThen) + SOFT_CROWD);
     }
 
     /** The estimate with what a choice costs beyond time: crossings and failures, in units of the aim. */
@@ -819,13 +819,6 @@
         return w.coldSince > 0 && now - w.coldSince < settings.rules().warmAfterMicros();
     }
 
-    /** Share of its capacity that an invoker has at least: evenly from the cold share to the whole. */
-    private double warmth(Worker w) {
-        Rules rules = settings.rules();
-        double age = cold(w) ? Math.max(0, now - w.coldSince) / (double) rules.warmAfterMicros() : 1;
-        return rules.coldShare() + (1 - rules.coldShare()) * age;
-    }
-
     /**
      * Guards a fresh invoker against all controllers together, each keeping its share alone: own sends
      * within the stated window stay under the stated multiple of what this controller sees an invoker of
@@ -838,10 +831,12 @@
         }
         Rules rules = settings.rules();
         trim(w.coldSends, rules.overloadMicros());
+        double age = Math.max(0, now - w.coldSince) / (double) rules.warmAfterMicros();
+        double share = rules.coldShare() + (1 - rules.coldShare()) * age;
         int alike = readyByKind.getOrDefault(w.entry.kind(), 1);
         Fading served = servedByKind.get(w.entry.kind());
         double usual = served == null ? 0 : served.value(now) / RATE_SPAN * rules.overloadMicros() / alike;
-        double budget = rules.fallMultiple() * warmth(w) * usual;
+        double budget = rules.fallMultiple() * share * usual;
         double margin = COLD_MARGIN - COLD_CHANCE * Math.max(0, 1 - budget);
         long window = (now + phase) / Math.max(1, rules.overloadMicros());
         if (w.coldWindow != window) {
