--- a/src/test/java/waytrestle/ControlTest.java
+++ b/src/test/java/waytrestle/ControlTest.java
@@ -366,6 +366,44 @@
         assertEquals(home, one(bed.request(51, "f", 5_000_000, 300_000), Send.class).invoker());
     }
 
+    @Test
+    void anInvokerLetGoAfterItLeftTheListIsTakenUpAgain() {
+        Bed bed = new Bed().start(ready("a"));
+        bed.warm(1, "f");
+        bed.feed(new InvokerList(false, false, List.of(new Invoker("a", 0, 0, 0, State.GONE, 1, 0))));
+        bed.feed(new TimerFired("upkeep"));
+        assertTrue(bed.ordered("a", "f", 1).isEmpty(), "an order's late answer must not bring it back");
+        assertTrue(every(bed.request(2, "f"), Send.class).isEmpty());
+        bed.feed(new InvokerList(false, false, List.of(ready("a"))));
+        assertEquals("a", one(bed.request(3, "f"), Send.class).invoker());
+    }
+
+    @Test
+    void upkeepCostsByCopiesBelievedNotByFunctionsTimesInvokers() {
+        long few = quickestUpkeep(10);
+        long many = quickestUpkeep(100);
+        assertTrue(many < 4 * few, "ten times the invokers, the same copies: " + few + " and " + many + " ns");
+    }
+
+    private static long quickestUpkeep(int invokers) {
+        Bed bed = new Bed();
+        Invoker[] fleet = new Invoker[invokers];
+        for (int i = 0; i < invokers; i++) {
+            fleet[i] = ready("w" + i);
+        }
+        bed.start(fleet);
+        for (int i = 1; i <= 3_000; i++) {
+            bed.feed(new Request(i, 0, -1, "f" + i % 1_500, 3_000_000, 0, 300, 2, 0, false, false));
+        }
+        long quickest = Long.MAX_VALUE;
+        for (int i = 0; i < 300; i++) {
+            long start = System.nanoTime();
+            bed.feed(new TimerFired("upkeep"));
+            quickest = Math.min(quickest, System.nanoTime() - start);
+        }
+        return quickest;
+    }
+
     @Test
     void oneResetIsNoProofOfADeadProcess() {
         Bed bed = new Bed().start(ready("a"), ready("b"));
