--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -20,7 +20,7 @@
     private static final double COLD_TIE = 0.5;  // of a load time: cold invokers so close are level
     private static final double WARM_TIE = 0.15;  // of the aim: warm invokers so close are level
     private static final double LOAD_CROWD = 0.2;  // of a load time: delay by each load under way there
-    private static final double WORTH_FLOOR = 0.3;  // of the aim: what a worthless request waits in a jam
+    private static final double WORTH_FLOOR = 0.6;  // of the aim: what a worthless request waits in a jam
     private static final double JAM = 2;  // run times: a longer finish is the crowd's, not the function's
     private static final double WIDTH = 1.5;  // headroom over the share of the fleet that calls would fill
     private static final double QUICK = 0.3;  // of a usual run: what the quicker calls of a function need
