--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -20,9 +20,10 @@
     private static final double COLD_TIE = 0.5;  // of a load time: cold invokers so close are level
     private static final double WARM_TIE = 0.15;  // of the aim: warm invokers so close are level
     private static final double LOAD_CROWD = 0.2;  // of a load time: delay by each load under way there
+    private static final double WORTH_FLOOR = 0.6;  // of the aim: what a worthless request waits in a jam
     private static final double JAM = 2;  // run times: a longer finish is the crowd's, not the function's
     private static final double WIDTH = 1.5;  // headroom over the share of the fleet that calls would fill
-    private static final double QUICK = 0.3;  // of a usual run: what the quicker calls of a function need
+    private static final double QUICK = 0.1;  // of a usual run: what the quicker calls of a function need
     private static final long HOLD = 40_000;  // between looks at held requests: a fraction of any aim
     private static final long SUSPECT = 300_000;  // first pause after a failed connection; doubles
     private static final long SUSPECT_MOST = 4_000_000;  // longest such pause: about a restart
@@ -275,7 +276,7 @@
     /**
      * Guards against a jam, whatever filled it (burst, lost invokers, slow ones): when even the best
      * invoker would answer past the aim because of its crowd, serving late only makes the next late too.
-     * It can hurt where a crowd is about to pass.
+     * What is worth least gives way first. It can hurt where a crowd is about to pass.
      */
     private boolean jammed(Call call, Worker best) {
         Copy copy = copyAt(best, call.function);
@@ -283,7 +284,10 @@
             return false;
         }
         double crowded = waitAndRun(call.function, best);
-        boolean late = now - call.takenAt + crowded > call.kind.aimMicros();
+        double most = settings.classes().stream().mapToDouble(RequestClass::worth).max().orElse(0);
+        double worth = copy == null || most == 0 ? 1 : call.kind.worth() / most;
+        double share = WORTH_FLOOR + (1 - WORTH_FLOOR) * worth;
+        boolean late = now - call.takenAt + crowded > share * call.kind.aimMicros();
         return late && crowded > JAM * runTime(call.function);
     }
 
