--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -23,7 +23,7 @@
     private static final double WORTH_FLOOR = 0.6;  // of the aim: what a worthless request waits in a jam
     private static final double JAM = 2;  // run times: a longer finish is the crowd's, not the function's
     private static final double WIDTH = 1.5;  // headroom over the share of the fleet that calls would fill
-    private static final double QUICK = 0.1;  // of a usual run: what the quicker calls of a function need
+    private static final double QUICK = 0.3;  // of a usual run: what the quicker calls of a function need
     private static final long HOLD = 40_000;  // between looks at held requests: a fraction of any aim
     private static final long SUSPECT = 300_000;  // first pause after a failed connection; doubles
     private static final long SUSPECT_MOST = 4_000_000;  // longest such pause: about a restart
@@ -36,9 +36,9 @@
     private static final double RATE_SPAN = 4_000_000;  // over which rates and reports fade: beyond a burst
     private static final long UPKEEP = 250_000;  // between rounds of upkeep: fine against keep-alives
     private static final double RENEW_AT = 0.7;  // of the keep-alive: time is left for lost orders
-    private static final double RENEW_FOR = 2.5;  // keep-alives without a call: then it is let go
+    private static final double RENEW_FOR = 5;  // keep-alives without a call: then it is let go
     private static final double FORGET = 10;  // keep-alives without a call: its times are forgotten too
-    private static final int RENEW_CALLS = 2;  // before a function is worth keeping: one may be the only
+    private static final int RENEW_CALLS = 1;  // before a function is worth keeping: one may be the only
 
     // ---- What this controller remembers. ----
     private static final class Worker {
