--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -36,9 +36,9 @@
     private static final double RATE_SPAN = 4_000_000;  // over which rates and reports fade: beyond a burst
     private static final long UPKEEP = 250_000;  // between rounds of upkeep: fine against keep-alives
     private static final double RENEW_AT = 0.7;  // of the keep-alive: time is left for lost orders
-    private static final double RENEW_FOR = 5;  // keep-alives without a call: then it is let go
+    private static final double RENEW_FOR = 2.5;  // keep-alives without a call: then it is let go
     private static final double FORGET = 10;  // keep-alives without a call: its times are forgotten too
-    private static final int RENEW_CALLS = 1;  // before a function is worth keeping: one may be the only
+    private static final int RENEW_CALLS = 2;  // before a function is worth keeping: one may be the only
 
     // ---- What this controller remembers. ----
     private static final class Worker {
