--- /dev/null
+++ b/src/main/java/waytrestle/Main.java
@@ -0,0 +1,16 @@
+package waytrestle;
+
+import waytrestle.wire.WireHost;
+
+/** The program's entry. The bench's adapter is started without touching the command line's library. */
+public final class Main {
+    private Main() { }
+
+    public static void main(String[] args) {
+        if (args.length == 1 && args[0].equals("wirehost")) {
+            WireHost.main(args);
+        } else {
+            waytrestle.cli.Cli.main(args);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/calls/Desk.java
@@ -0,0 +1,314 @@
+package waytrestle.calls;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import waytrestle.ControlApi.Code;
+import waytrestle.ControlApi.Group;
+import waytrestle.ControlApi.Repeat;
+import waytrestle.ControlApi.RequestClass;
+import waytrestle.calls.End.Failed;
+import waytrestle.calls.End.Refused;
+import waytrestle.calls.End.Served;
+import waytrestle.calls.End.Why;
+
+/**
+ * What a client is owed: each waiter of each call gets one final answer before its own time is up, and nothing after.
+ * Fronts bring waiters, the controller brings what the module decided and how attempts ended. Free of I/O, clock and
+ * threads. Where calls run and whether they are refused is the module's; here is only who is told what, once.
+ */
+public final class Desk {
+    // ---- Tuned numbers. ----
+    private static final long BACKSTOP = 2;  // ticks before the end at which an unanswered call is failed here;
+                                             // the module's own end comes one tick before, so this is later
+
+    /** What happens at the desk. */
+    public sealed interface Event { }
+
+    /** A waiter with its call; key null: a call without an id, never joined or remembered. */
+    public record Arrived(long waiter, int requestClass, IdMemory.Arrival id, long timeLeftMicros) implements Event { }
+
+    /** The waiter's client went away. */
+    public record Left(long waiter) implements Event { }
+
+    /** The module let an attempt go out. */
+    public record Sent(long call, int attempt) implements Event { }
+
+    /** An attempt ended; the answer is set with OK alone. */
+    public record AttemptOver(long call, int attempt, Code code, Served answer) implements Event { }
+
+    public record ModuleRefused(long call, long comeBackAfterMicros) implements Event { }
+
+    public record ModuleFailed(long call) implements Event { }
+
+    /** A decision about this call threw. */
+    public record ModuleBroke(long call) implements Event { }
+
+    /** The time of an earlier Wake has come. */
+    public record Due(long waiter) implements Event { }
+
+    /** No more calls are taken. */
+    public record Stopping() implements Event { }
+
+    /** The grace of a stop is over: what is still open ends now. */
+    public record CloseAll() implements Event { }
+
+    /** What is to be done. */
+    public sealed interface Action { }
+
+    /** The one answer to a waiter. */
+    public record Answer(long waiter, End end) implements Action { }
+
+    /** A new call for the module. */
+    public record Begin(long call, long waiter, long timeLeftMicros) implements Action { }
+
+    /** Nobody waits for the call any more: tell the module. */
+    public record Abandon(long call) implements Action { }
+
+    /** Come back with Due. */
+    public record Wake(long waiter, long afterMicros) implements Action { }
+
+    /** Takes the actions in order. */
+    public interface Actions {
+        void add(Action action);
+    }
+
+    private static final class Waiter {
+        final long id, deadline;
+        final Call call;
+
+        Waiter(long id, long deadline, Call call) {
+            this.id = id;
+            this.deadline = deadline;
+            this.call = call;
+        }
+    }
+
+    private static final class Call {
+        final long id, deadline;
+        final RequestClass kind;
+        final List<Waiter> waiters = new ArrayList<>(1);
+        final List<Long> sentAt = new ArrayList<>(2);
+        final List<Boolean> out = new ArrayList<>(2);
+        long mayRunAt;            // first send not proved never to have run; 0 without one
+
+        Call(long id, long deadline, RequestClass kind) {
+            this.id = id;
+            this.deadline = deadline;
+            this.kind = kind;
+        }
+
+        /** The first send that ran, may have run or may still run. */
+        long mayRunAt() {
+            long first = mayRunAt;
+            for (int i = 0; i < out.size(); i++) {
+                if (out.get(i) && (first == 0 || sentAt.get(i) < first)) {
+                    first = sentAt.get(i);
+                }
+            }
+            return first;
+        }
+    }
+
+    private final List<RequestClass> classes;
+    private final int maxOpen;
+    private final long tick;
+    private final IdMemory memory;
+    private final Map<Long, Waiter> waiters = new HashMap<>();
+    private final Map<Long, Call> open = new HashMap<>();
+    private long calls;
+    private boolean stopping;
+    private long now;
+    private Actions actions;
+
+    public Desk(List<RequestClass> classes, int maxOpen, long tickMicros, IdMemory memory) {
+        this.classes = classes;
+        this.maxOpen = maxOpen;
+        this.tick = tickMicros;
+        this.memory = memory;
+    }
+
+    public int open() {
+        return open.size();
+    }
+
+    public int waiting() {
+        return waiters.size();
+    }
+
+    public IdMemory memory() {
+        return memory;
+    }
+
+    /** Takes one event; wall seconds serve the signing times alone. */
+    public void on(long nowMicros, long wallSeconds, Event event, Actions out) {
+        now = nowMicros;
+        actions = out;
+        if (event instanceof Arrived e) {
+            arrived(e, wallSeconds);
+        } else if (event instanceof Left e) {
+            left(e.waiter());
+        } else if (event instanceof Sent e) {
+            sent(e);
+        } else if (event instanceof AttemptOver e) {
+            attemptOver(e);
+        } else if (event instanceof ModuleRefused e) {
+            refused(open.get(e.call()), Why.NO_FINISH_IN_TIME, e.comeBackAfterMicros());
+        } else if (event instanceof ModuleFailed e) {
+            failed(open.get(e.call()), null);
+        } else if (event instanceof ModuleBroke e) {
+            failed(open.get(e.call()), Why.INTERNAL);
+        } else if (event instanceof Due e) {
+            due(waiters.get(e.waiter()));
+        } else if (event instanceof Stopping) {
+            stopping = true;
+        } else if (event instanceof CloseAll) {
+            for (Call call : List.copyOf(open.values())) {
+                actions.add(new Abandon(call.id));
+                refused(call, Why.STOPPING, 0);
+            }
+        }
+    }
+
+    private void arrived(Arrived e, long wallSeconds) {
+        long deadline = now + e.timeLeftMicros();
+        IdMemory.Verdict verdict = e.id() == null ? new IdMemory.Verdict.Fresh(0)
+                : memory.arrived(now, wallSeconds, e.id());
+        if (verdict instanceof IdMemory.Verdict.Again again) {
+            actions.add(new Answer(e.waiter(), again.end()));
+            return;
+        }
+        if (verdict instanceof IdMemory.Verdict.Join join && open.containsKey(join.call())) {
+            wait(e.waiter(), deadline, open.get(join.call()));
+            return;
+        }
+        if (stopping || open.size() >= maxOpen) {
+            actions.add(new Answer(e.waiter(), new Refused(stopping ? Why.STOPPING : Why.TOO_MANY_OPEN, 0)));
+            return;
+        }
+        long notAfter = ((IdMemory.Verdict.Fresh) verdict).notAfterMicros();
+        Call call = new Call(++calls, notAfter > 0 ? Math.min(deadline, notAfter) : deadline,
+                classes.get(e.requestClass()));
+        open.put(call.id, call);
+        if (e.id() != null) {
+            memory.begin(call.id, e.id());
+        }
+        wait(e.waiter(), deadline, call);
+        actions.add(new Begin(call.id, e.waiter(), call.deadline - now));
+    }
+
+    private void wait(long id, long deadline, Call call) {
+        Waiter waiter = new Waiter(id, deadline, call);
+        waiters.put(id, waiter);
+        call.waiters.add(waiter);
+        actions.add(new Wake(id, Math.max(0, deadline - now - (call.waiters.size() > 1 ? BACKSTOP * tick : tick / 2))));
+    }
+
+    /**
+     * A waiter's time is nearly up. A joined one may have less time than its call, which then goes on for the others.
+     * The first one is here only if the module has not ended the call in its own time: a backstop for whatever kept
+     * it from that (a failed decision, a stalled process).
+     */
+    private void due(Waiter waiter) {
+        if (waiter == null) {
+            return;
+        }
+        Call call = waiter.call;
+        if (call.waiters.size() > 1 || call.deadline - now > BACKSTOP * tick) {
+            forget(waiter);
+            actions.add(new Answer(waiter.id, new Failed(Why.STILL_OPEN, call.kind.repeat() != Repeat.SAFE)));
+            if (call.waiters.isEmpty()) {
+                abandon(call);
+            }
+            return;
+        }
+        actions.add(new Abandon(call.id));
+        failed(call, Why.TIME_UP);
+    }
+
+    private void left(long id) {
+        Waiter waiter = waiters.get(id);
+        if (waiter == null) {
+            return;
+        }
+        forget(waiter);
+        if (waiter.call.waiters.isEmpty()) {
+            abandon(waiter.call);
+        }
+    }
+
+    /** Nobody waits: for the module it is over; a repeat is judged by whether it may have run. */
+    private void abandon(Call call) {
+        open.remove(call.id);
+        memory.ended(now, call.id, new Failed(Why.ABANDONED, call.mayRunAt() != 0), call.mayRunAt());
+        actions.add(new Abandon(call.id));
+    }
+
+    private void forget(Waiter waiter) {
+        waiters.remove(waiter.id);
+        waiter.call.waiters.remove(waiter);
+    }
+
+    private void sent(Sent e) {
+        Call call = open.get(e.call());
+        if (call != null) {
+            while (call.out.size() <= e.attempt()) {
+                call.out.add(false);
+                call.sentAt.add(now);
+            }
+            call.out.set(e.attempt(), true);
+        }
+    }
+
+    private void attemptOver(AttemptOver e) {
+        Call call = open.get(e.call());
+        if (call == null || e.attempt() >= call.out.size() || !call.out.get(e.attempt())) {
+            return;
+        }
+        if (e.code() == Code.OK) {
+            end(call, e.answer(), call.mayRunAt());
+            return;
+        }
+        call.out.set(e.attempt(), false);
+        if (!proved(e.code()) && (call.mayRunAt == 0 || call.sentAt.get(e.attempt()) < call.mayRunAt)) {
+            call.mayRunAt = call.sentAt.get(e.attempt());
+        }
+    }
+
+    /** Whether an end proves that the attempt never ran. */
+    public static boolean proved(Code code) {
+        return code == Code.FULL || code == Code.CONNECT_FAILED || code == Code.MOOT || code == Code.MISS;
+    }
+
+    private void refused(Call call, Why why, long comeBackAfter) {
+        if (call == null) {
+            return;
+        }
+        // A refusal promises that coming again is harmless; where that is not proved the promise is not given.
+        boolean harmless = call.mayRunAt() == 0 || call.kind.repeat() == Repeat.SAFE
+                || (call.kind.repeat() == Repeat.KEYED && call.kind.group() == Group.ALL);
+        if (harmless) {
+            end(call, new Refused(why, comeBackAfter), call.mayRunAt());
+        } else {
+            failed(call, null);
+        }
+    }
+
+    private void failed(Call call, Why why) {
+        if (call != null) {
+            Why told = why != null ? why : call.deadline - now <= BACKSTOP * tick ? Why.TIME_UP : Why.BROKEN;
+            end(call, new Failed(told, call.mayRunAt() != 0 && call.kind.repeat() != Repeat.SAFE), call.mayRunAt());
+        }
+    }
+
+    private void end(Call call, End end, long mayRunAt) {
+        open.remove(call.id);
+        memory.ended(now, call.id, end, mayRunAt);
+        for (Waiter waiter : call.waiters) {
+            waiters.remove(waiter.id);
+            actions.add(new Answer(waiter.id, end));
+        }
+        call.waiters.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/calls/Intake.java
@@ -0,0 +1,24 @@
+package waytrestle.calls;
+
+/** What a front needs of the core: it brings a call and hears its end, once. */
+public interface Intake {
+    /** A call as a front has understood and admitted it; the id may be null, tenant -1. */
+    record Incoming(int requestClass, int tenant, String function, IdMemory.Arrival id, long timeLeftMicros,
+            String contentType, byte[] payload) { }
+
+    /** Hears the end, on the loop, possibly within {@link #accept}. */
+    interface Client {
+        void ended(End end);
+    }
+
+    /** Held by the front while the call is open. */
+    interface Ticket {
+        /** The client went away; no end is told after this. */
+        void left();
+    }
+
+    Ticket accept(Incoming call, Client client);
+
+    /** Wall time in whole seconds, by which signing times are judged. */
+    long wallSeconds();
+}
--- /dev/null
+++ b/src/main/java/waytrestle/cli/Cli.java
@@ -0,0 +1,47 @@
+package waytrestle.cli;
+
+import java.io.PrintWriter;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import waytrestle.config.ConfigError;
+
+/** The command line: its sub-commands and how each error ends (1 a verdict, 2 wrong use or settings, 3 a fault). */
+@Command(name = "waytrestle", mixinStandardHelpOptions = true, version = "waytrestle 0.2.0",
+        description = "A gateway that runs calls on invokers which load functions on demand.",
+        subcommands = {ServeCommand.class, CheckConfigCommand.class, PlayCommand.class, AuditCommand.class,
+            DemoCommand.class, Cli.WireHostCommand.class})
+public final class Cli implements Callable<Integer> {
+    /** Named here for the help alone; the program starts it before this command line is loaded. */
+    @Command(name = "wirehost", description = "Speak the bench's wire on standard input and output.")
+    static final class WireHostCommand implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            waytrestle.wire.WireHost.main(new String[] {"wirehost"});
+            return 0;
+        }
+    }
+
+    public static void main(String[] args) {
+        System.exit(run(args, new PrintWriter(System.out, true), new PrintWriter(System.err, true)));
+    }
+
+    static int run(String[] args, PrintWriter out, PrintWriter err) {
+        CommandLine line = new CommandLine(new Cli()).setOut(out).setErr(err);
+        line.setExecutionExceptionHandler((e, command, parsed) -> {
+            if (e instanceof ConfigError wrong) {
+                wrong.faults().forEach(err::println);
+                return 2;
+            }
+            err.println("waytrestle: " + (e.getMessage() == null ? e.toString() : e.getMessage()));
+            return 3;
+        });
+        return line.execute(args);
+    }
+
+    @Override
+    public Integer call() {
+        CommandLine.usage(this, System.out);
+        return 2;
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/cli/ServeCommand.java
@@ -0,0 +1,48 @@
+package waytrestle.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import waytrestle.Control;
+import waytrestle.config.GatewayConfig;
+import waytrestle.gateway.Controller;
+import waytrestle.gateway.Gateway;
+import waytrestle.play.RandomChoice;
+
+/** Runs a gateway until it is told to stop. */
+@Command(name = "serve", mixinStandardHelpOptions = true, description = "Run a gateway; TERM stops it gracefully.")
+final class ServeCommand implements Callable<Integer> {
+    enum Policy { finish, random }
+
+    @Option(names = "--config", required = true, paramLabel = "FILE", description = "The configuration, in TOML.")
+    private Path config;
+
+    @Option(names = "--log", defaultValue = "text", description = "Log lines as text or json; default ${DEFAULT-VALUE}.")
+    private String log;
+
+    @Option(names = "--level", defaultValue = "info", description = "Least level logged; default ${DEFAULT-VALUE}.")
+    private String level;
+
+    @Option(names = "--policy", defaultValue = "finish", hidden = true,
+            description = "random: the baseline of comparisons, never for service.")
+    private Policy policy;
+
+    @Override
+    public Integer call() throws Exception {
+        Logs.to(log.equals("json"), level);
+        GatewayConfig read = GatewayConfig.read(config);
+        Controller.ModuleMaker maker = policy == Policy.random ? RandomChoice::new : Control::new;
+        Gateway gateway = Gateway.start(read, maker);
+        Thread onTerm = new Thread(() -> {
+            gateway.stop();
+            try {
+                gateway.join(read.stopGraceMicros() / 1_000 + 5_000);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "stop");
+        Runtime.getRuntime().addShutdownHook(onTerm);
+        return gateway.join(0);
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/config/GatewayConfig.java
@@ -0,0 +1,320 @@
+package waytrestle.config;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import waytrestle.ControlApi.Discovery;
+import waytrestle.ControlApi.Group;
+import waytrestle.ControlApi.Invoker;
+import waytrestle.ControlApi.Limits;
+import waytrestle.ControlApi.Loading;
+import waytrestle.ControlApi.Prices;
+import waytrestle.ControlApi.Repeat;
+import waytrestle.ControlApi.Reports;
+import waytrestle.ControlApi.RequestClass;
+import waytrestle.ControlApi.Rules;
+import waytrestle.ControlApi.Settings;
+import waytrestle.ControlApi.State;
+import waytrestle.ControlApi.Tenant;
+import waytrestle.calls.IdMemory;
+import waytrestle.http.HttpLimits;
+
+/** The whole configuration of a gateway process, checked. Names and units are those of the annotated example. */
+public record GatewayConfig(Settings module, long seed, List<String> zones, List<String> kinds,
+        InetSocketAddress listen, InetSocketAddress admin, HttpLimits http, int maxConnections,
+        IdMemory.Bounds ids, List<Endpoint> endpoints, Map<String, Function> functions, Function unknownFunction,
+        InvokerLink invokers, Roster roster, Peers peers, long stopGraceMicros, Faults faults) {
+
+    /** Where signed calls come in; secrets are as given, with their prefix. */
+    public record Endpoint(String path, int tenant, int requestClass, String pointer, String fixedFunction,
+            List<String> secrets) { }
+
+    /** What a call tells the module of its function; 0 leaves it untold. */
+    public record Function(double memoryMb, int lanes, long loadMicros, long workMicros) { }
+
+    /** The connections to each invoker. */
+    public record InvokerLink(int maxConnections, long idleMicros, int answerBytes) { }
+
+    /** Where the list of invokers comes from: fixed entries, or a health API at an address. */
+    public record Roster(List<Invoker> fixed, InetSocketAddress at, String service, long waitMicros,
+            long retryMicros, long retryMostMicros) { }
+
+    /** Other controllers, by number; an empty list when there is no talk. */
+    public record Peers(InetSocketAddress listen, Map<Integer, InetSocketAddress> others) { }
+
+    /** When failed decisions end the process: more than so many within a span. */
+    public record Faults(int most, long spanMicros) { }
+
+    private static final double DAY = 86_400_000;  // ms: no time in a configuration is longer
+
+    public static GatewayConfig read(Path file) throws ConfigError {
+        return TomlFile.read(file, GatewayConfig::from);
+    }
+
+    public static GatewayConfig from(Section root) {
+        Section controller = root.sub("controller");
+        List<String> zones = named(controller, "zones");
+        List<Section> kindTables = root.each("kind");
+        List<String> kinds = new ArrayList<>();
+        List<Double> memory = new ArrayList<>();
+        for (Section kind : kindTables) {
+            unique(kind, kind.text("name"), kinds);
+            memory.add(kind.number("memory_mb", 0, 1e9));
+        }
+        if (kinds.isEmpty()) {
+            root.fault("kind", "at least one [[kind]] of invoker is needed");
+        }
+        List<RequestClass> classes = new ArrayList<>();
+        List<String> classNames = new ArrayList<>();
+        for (Section c : root.each("class")) {
+            classes.add(requestClass(c, classNames));
+        }
+        if (classes.isEmpty()) {
+            root.fault("class", "at least one [[class]] of calls is needed");
+        }
+        List<Tenant> tenants = new ArrayList<>();
+        List<String> tenantNames = new ArrayList<>();
+        for (Section t : root.each("tenant")) {
+            unique(t, t.text("name"), tenantNames);
+            tenants.add(new Tenant(tenantNames.get(tenantNames.size() - 1), t.number("share", 0, 1),
+                    t.number("quota_per_s", 0, 1e9)));
+        }
+        Section limits = root.sub("limits");
+        Limits moduleLimits = new Limits((int) limits.whole("max_attempts", 1, 100),
+                (int) limits.whole("max_open", 1, 1_000_000), limits.flag("cancel"), limits.flag("probes"),
+                limits.flag("peers"), limits.flag("overlap"), limits.flag("retry_after"),
+                limits.millis("max_retry_after_ms", 0, DAY), limits.millis("connect_timeout_ms", 1, 60_000));
+        Section rules = root.sub("rules");
+        Rules moduleRules = new Rules(rules.millis("answer_slack_ms", 0, 60_000),
+                rules.millis("drain_grace_ms", 0, DAY), rules.number("cold_share", 0, 1),
+                rules.millis("warm_after_ms", 0, DAY), rules.number("fall_multiple", 0, 1e6),
+                rules.millis("overload_ms", 1, DAY), rules.millis("ask_every_ms", 1, DAY));
+        Loading loading = loading(root.sub("loading"), memory);
+        Section p = root.sub("prices");
+        Prices prices = new Prices(price(p, "cross_zone"), price(p, "waste"), price(p, "probe"),
+                price(p, "late_fail"), price(p, "fetch"), price(p, "peer"), price(p, "connection"),
+                price(p, "handshake"), price(p, "list_lines"));
+        Section rosterTable = root.sub("roster");
+        Discovery discovery = rosterTable.choice("discovery", Discovery.class);
+        Section reports = root.sub("reports");
+        int count = (int) controller.whole("count", 1, 100_000);
+        Settings module = new Settings((int) controller.whole("number", 0, 99_999), count,
+                controller.among("zone", zones, "zone"), controller.millis("tick_ms", 0.1, 1_000), discovery,
+                reports.choice("how", Reports.class), controller.text("weight_kind"),
+                controller.number("over_share_worth", 0, 1), List.copyOf(classes), List.copyOf(tenants),
+                moduleLimits, moduleRules, loading, prices);
+        if (module.me() >= count) {
+            controller.fault("number", "must be below controller.count, which is " + count);
+        }
+        Section ids = root.sub("ids");
+        Section unknown = root.sub("unknown_function");
+        Map<String, Function> functions = new HashMap<>();
+        for (Section f : root.each("function")) {
+            String name = f.text("name");
+            if (functions.put(name, function(f)) != null) {
+                f.fault("name", "is given twice: \"" + name + "\"");
+            }
+        }
+        Section links = root.sub("invokers");
+        Section faults = root.sub("faults");
+        Section listen = root.sub("listen");
+        return new GatewayConfig(module, controller.whole("seed", Long.MIN_VALUE, Long.MAX_VALUE), zones, kinds,
+                address(listen, "address", null), address(listen, "admin", null), http(root.sub("http")),
+                (int) listen.whole("max_connections", 1, 1_000_000, 10_000),
+                new IdMemory.Bounds((int) ids.whole("entries", 1, 50_000_000, 200_000),
+                        ids.whole("bytes", 1_024, 1L << 40, 256L << 20), ids.whole("tolerance_s", 1, 86_400, 300)),
+                endpoints(root, tenantNames, classNames), functions,
+                unknown.flag("accept", true) ? function(unknown) : null,
+                new InvokerLink((int) links.whole("max_connections", 1, 100_000, 256),
+                        links.millis("idle_close_ms", 1, DAY, 15_000),
+                        (int) links.whole("answer_bytes", 1, 1 << 30, 8 << 20)),
+                roster(rosterTable, root, zones, kinds), peers(root, count),
+                root.sub("stop").millis("grace_ms", 0, DAY, 10_000),
+                new Faults((int) faults.whole("most", 0, 1_000_000, 10), faults.millis("within_ms", 1, DAY, 60_000)));
+    }
+
+    private static List<String> named(Section s, String key) {
+        List<String> names = s.texts(key);
+        if (names.isEmpty()) {
+            s.fault(key, "at least one name is needed");
+            return List.of("");
+        }
+        if (new HashSet<>(names).size() != names.size()) {
+            s.fault(key, "a name is given twice");
+        }
+        return names;
+    }
+
+    private static void unique(Section s, String name, List<String> names) {
+        if (names.contains(name)) {
+            s.fault("name", "is given twice: \"" + name + "\"");
+        }
+        names.add(name);
+    }
+
+    private static double price(Section s, String key) {
+        return s.number(key, 0, 1e6);
+    }
+
+    private static RequestClass requestClass(Section c, List<String> names) {
+        unique(c, c.text("name"), names);
+        Repeat repeat = c.choice("repeat", Repeat.class);
+        boolean keyed = repeat == Repeat.KEYED;
+        if (!keyed && (c.has("group") || c.has("window_ms"))) {
+            c.fault(c.has("group") ? "group" : "window_ms", "only a keyed class has one");
+        }
+        long aim = c.millis("aim_ms", 1, DAY);
+        long deadline = c.millis("deadline_ms", 1, DAY);
+        if (aim > deadline) {
+            c.fault("aim_ms", "must not be over deadline_ms");
+        }
+        Group group = keyed ? c.choice("group", Group.class) : Group.ALL;
+        long window = keyed ? c.millis("window_ms", 1, DAY) : 0;
+        return new RequestClass(names.get(names.size() - 1), repeat, group, window, aim,
+                c.number("aim_stretch", 0, 1e6), deadline, c.number("worth", 0, 1e9),
+                c.number("late_worth", 0, 1), false);
+    }
+
+    private static Loading loading(Section s, List<Double> memory) {
+        return new Loading(s.flag("miss_answers"), s.flag("orders"), s.flag("tells_start"),
+                s.flag("tells_company"), s.millis("keep_alive_ms", 1, DAY), s.millis("order_wait_ms", 1, DAY),
+                s.number("idle_memory_price", 0, 1e6), s.number("free_orders", 0, 1e9),
+                s.number("orders_per_call", 0, 1e6), s.millis("order_period_ms", 0, DAY), List.copyOf(memory));
+    }
+
+    private static Function function(Section f) {
+        return new Function(f.number("memory_mb", 0, 1e9, 0), (int) f.whole("lanes", 0, 100_000, 0),
+                f.millis("load_ms", 0, DAY, 0), f.millis("work_ms", 0, DAY, 0));
+    }
+
+    private static HttpLimits http(Section h) {
+        HttpLimits d = HttpLimits.DEFAULT;
+        return new HttpLimits((int) h.whole("start_line_bytes", 64, 1 << 20, d.startLineBytes()),
+                (int) h.whole("headers", 1, 10_000, d.headerCount()),
+                (int) h.whole("header_bytes", 256, 1 << 24, d.headerBytes()),
+                (int) h.whole("body_bytes", 0, 1 << 30, d.bodyBytes()),
+                h.millis("head_ms", 1, DAY, d.headMicros() / 1e3), h.millis("body_ms", 1, DAY, d.bodyMicros() / 1e3),
+                h.millis("idle_ms", 1, DAY, d.idleMicros() / 1e3),
+                h.millis("write_ms", 1, DAY, d.writeMicros() / 1e3));
+    }
+
+    private static List<Endpoint> endpoints(Section root, List<String> tenants, List<String> classes) {
+        List<Endpoint> all = new ArrayList<>();
+        Set<String> paths = new HashSet<>();
+        for (Section e : root.each("endpoint")) {
+            String path = e.text("path");
+            if (!path.isEmpty() && !path.startsWith("/")) {
+                e.fault("path", "must begin with /");
+            }
+            if (!paths.add(path)) {
+                e.fault("path", "is given twice: \"" + path + "\"");
+            }
+            int tenant = tenants.isEmpty() && !e.has("tenant") ? -1 : e.among("tenant", tenants, "tenant");
+            int kind = e.among("class", classes, "class");
+            String pointer = e.text("function_pointer", "");
+            String fixed = e.text("function", "");
+            if (pointer.isEmpty() == fixed.isEmpty()) {
+                e.fault("function_pointer", "give either function_pointer, a JSON pointer, or function, a name");
+            } else if (!pointer.isEmpty() && !pointer.startsWith("/")) {
+                e.fault("function_pointer", "must be a JSON pointer (RFC 6901), as in \"/data/function\"");
+            }
+            List<String> secrets = e.texts("secrets");
+            if (secrets.isEmpty()) {
+                e.fault("secrets", "at least one is needed");
+            }
+            for (String secret : secrets) {
+                String wrong = SecretForm.wrong(secret);
+                if (wrong != null) {
+                    e.fault("secrets", wrong);
+                }
+            }
+            all.add(new Endpoint(path, tenant, kind, pointer, fixed, secrets));
+        }
+        if (all.isEmpty()) {
+            root.fault("endpoint", "at least one [[endpoint]] is needed");
+        }
+        return all;
+    }
+
+    private static Roster roster(Section r, Section root, List<String> zones, List<String> kinds) {
+        List<Invoker> fixed = new ArrayList<>();
+        Set<String> ids = new HashSet<>();
+        for (Section i : root.each("invoker")) {
+            InetSocketAddress at = address(i, "address", null);
+            String id = at == null ? "" : id(at);
+            if (!ids.add(id)) {
+                i.fault("address", "is given twice: " + id);
+            }
+            fixed.add(new Invoker(id, i.among("zone", zones, "zone"), (int) i.whole("cell", 0, 1_000_000, 0),
+                    i.among("kind", kinds, "kind"), State.READY, i.number("weight", 0, 1e6, 1), 0));
+        }
+        InetSocketAddress at = r.has("address") ? address(r, "address", null) : null;
+        String service = r.text("service", "invokers");
+        if (at == null == fixed.isEmpty()) {
+            r.fault(at == null ? "" : "address", "give either roster.address, a health API, or [[invoker]] entries");
+        }
+        return new Roster(fixed, at, service, r.millis("wait_ms", 1, 600_000, 10_000),
+                r.millis("retry_ms", 1, DAY, 200), r.millis("retry_most_ms", 1, DAY, 5_000));
+    }
+
+    private static Peers peers(Section root, int count) {
+        Section p = root.sub("peers");
+        InetSocketAddress listen = p.has("listen") ? address(p, "listen", null) : null;
+        Map<Integer, InetSocketAddress> others = new HashMap<>();
+        for (Section o : p.each("peer")) {
+            int number = (int) o.whole("number", 0, Math.max(0, count - 1));
+            if (others.put(number, address(o, "address", null)) != null) {
+                o.fault("number", "is given twice: " + number);
+            }
+        }
+        if (listen == null && !others.isEmpty()) {
+            p.fault("listen", "is missing: peers answer to it");
+        }
+        return new Peers(listen, others);
+    }
+
+    /** An address and port in figures; names would need look-ups, which block. */
+    private static InetSocketAddress address(Section s, String key, InetSocketAddress otherwise) {
+        if (!s.has(key) && otherwise != null) {
+            return otherwise;
+        }
+        String text = s.text(key);
+        InetSocketAddress at = parse(text);
+        if (at == null && !text.isEmpty()) {
+            s.fault(key, "must be address:port in figures, as 127.0.0.1:8080 or [::1]:8080, not \"" + text + "\"");
+        }
+        return at;
+    }
+
+    /** Reads address:port in figures, without any look-up; null where it is not one. */
+    public static InetSocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0 || !text.substring(colon + 1).matches("\\d{1,5}")) {
+            return null;
+        }
+        int port = Integer.parseInt(text.substring(colon + 1));
+        String host = text.substring(0, colon);
+        boolean six = host.startsWith("[") && host.endsWith("]") && host.matches("\\[[0-9a-fA-F:.]+]");
+        if (port > 65_535 || !(six || host.matches("(\\d{1,3}\\.){3}\\d{1,3}"))) {
+            return null;
+        }
+        try {
+            return new InetSocketAddress(InetAddress.getByName(host), port);
+        } catch (UnknownHostException e) {
+            return null;
+        }
+    }
+
+    /** The id of an invoker: its address and port. */
+    public static String id(InetSocketAddress at) {
+        String host = at.getAddress().getHostAddress();
+        return (host.indexOf(':') >= 0 ? "[" + host + "]" : host) + ":" + at.getPort();
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/front/webhook/WebhookFront.java
@@ -0,0 +1,174 @@
+package waytrestle.front.webhook;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.filter.FilteringParserDelegate;
+import com.fasterxml.jackson.core.filter.JsonPointerBasedFilter;
+import com.fasterxml.jackson.core.filter.TokenFilter;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import waytrestle.ControlApi.RequestClass;
+import waytrestle.calls.End;
+import waytrestle.calls.IdMemory;
+import waytrestle.calls.Intake;
+import waytrestle.config.GatewayConfig.Endpoint;
+import waytrestle.http.HttpMessage;
+import waytrestle.http.HttpServer;
+import waytrestle.http.Problem;
+
+/**
+ * The front for signed webhooks: checks that a message is signed as the Standard Webhooks specification has it, reads
+ * the function's name from it and brings it to the core; the function's answer goes back in the response.
+ */
+public final class WebhookFront implements HttpServer.Handler {
+    private static final Pattern FUNCTION = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,127}");
+    private static final Pattern ID = Pattern.compile("[!-~]{1,256}");
+    private static final Pattern SECONDS = Pattern.compile("\\d{1,12}");
+    private static final Pattern WAIT = Pattern.compile("(?:^|,)\\s*wait\\s*=\\s*\"?(\\d{1,9})\"?\\s*(?:[,;]|$)",
+            Pattern.CASE_INSENSITIVE);
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private record Door(Endpoint endpoint, Signatures signatures, RequestClass kind) { }
+
+    private final Map<String, Door> doors = new HashMap<>();
+    private final long toleranceSeconds;
+    private final Intake intake;
+    private final Map<String, Long> turnedAway = new HashMap<>();
+
+    public WebhookFront(List<Endpoint> endpoints, List<RequestClass> classes, long toleranceSeconds, Intake intake) {
+        for (Endpoint e : endpoints) {
+            doors.put(e.path(), new Door(e, new Signatures(e.secrets()), classes.get(e.requestClass())));
+        }
+        this.toleranceSeconds = toleranceSeconds;
+        this.intake = intake;
+    }
+
+    /** Messages that never became calls, by reason. */
+    public Map<String, Long> turnedAway() {
+        return turnedAway;
+    }
+
+    @Override
+    public int headSeen(HttpMessage head) {
+        return doors.containsKey(head.path()) ? head.method().equals("POST") ? 0 : 405 : 404;
+    }
+
+    @Override
+    public void request(HttpServer.Exchange e) {
+        HttpMessage m = e.message();
+        Door door = doors.get(m.path());
+        if (door == null) {
+            turnAway(e, 404, "no-endpoint", "there is no endpoint at this path");
+            return;
+        }
+        if (!m.method().equals("POST")) {
+            turnAway(e, 405, "method", "an endpoint takes POST alone", "Allow", "POST");
+            return;
+        }
+        String id = m.header("webhook-id");
+        String timestamp = m.header("webhook-timestamp");
+        String signature = m.joined("webhook-signature");
+        if (id == null || timestamp == null || signature == null) {
+            turnAway(e, 400, "unsigned", "webhook-id, webhook-timestamp and webhook-signature are all needed");
+            return;
+        }
+        if (!ID.matcher(id).matches() || !SECONDS.matcher(timestamp).matches()) {
+            turnAway(e, 400, "unsigned", "webhook-id must be 1 to 256 visible characters, webhook-timestamp seconds");
+            return;
+        }
+        long signedAt = Long.parseLong(timestamp);
+        if (Math.abs(intake.wallSeconds() - signedAt) > toleranceSeconds) {
+            turnAway(e, 401, "timestamp", "webhook-timestamp is more than " + toleranceSeconds + " s away");
+            return;
+        }
+        if (!door.signatures().verify(id, timestamp, m.body(), signature)) {
+            turnAway(e, 401, "signature", "no signature is right for this endpoint's secrets");
+            return;
+        }
+        String function = door.endpoint().fixedFunction();
+        if (function.isEmpty()) {
+            function = at(door.endpoint().pointer(), m.body());
+        }
+        if (function == null || !FUNCTION.matcher(function).matches()) {
+            turnAway(e, 400, "function", "the payload names no function at " + door.endpoint().pointer()
+                    + ": 1 to 128 letters, figures, dots, dashes or underscores");
+            return;
+        }
+        IdMemory.Arrival arrival = new IdMemory.Arrival(door.endpoint().path() + " " + id, door.kind().repeat(),
+                door.kind().windowMicros(), signedAt, digest(m.body()));
+        String type = m.header("content-type");
+        Intake.Ticket ticket = intake.accept(new Intake.Incoming(door.endpoint().requestClass(),
+                door.endpoint().tenant(), function, arrival, timeLeft(m, door.kind()),
+                type == null ? "application/json" : type, m.body()), end -> answer(e, end));
+        if (e.open()) {
+            e.whenGone(ticket::left);
+        }
+    }
+
+    private long timeLeft(HttpMessage m, RequestClass kind) {
+        String prefer = m.joined("prefer");
+        Matcher wait = prefer == null ? null : WAIT.matcher(prefer);
+        return wait != null && wait.find() ? Math.min(kind.deadlineMicros(), Long.parseLong(wait.group(1)) * 1_000_000)
+                : kind.deadlineMicros();
+    }
+
+    private void turnAway(HttpServer.Exchange e, int status, String kind, String detail, String... headers) {
+        turnedAway.merge(kind, 1L, Long::sum);
+        e.answer(status, Problem.TYPE, Problem.of(status, kind, detail, true).bytes(), headers);
+    }
+
+    private static void answer(HttpServer.Exchange e, End end) {
+        if (!e.open()) {
+            return;
+        }
+        if (end instanceof End.Served served) {
+            e.answer(200, served.type(), served.body());
+        } else if (end instanceof End.Refused refused) {
+            long millis = Math.max(1, refused.comeBackAfterMicros() / 1_000);
+            int status = switch (refused.why()) {
+                case TOO_MANY_OPEN, MEMORY_FULL -> 429;
+                default -> 503;
+            };
+            e.answer(status, Problem.TYPE, new Problem(status, kind(refused.why()), refused.why().text(), true, millis)
+                    .bytes(), "Retry-After", Long.toString((millis + 999) / 1_000));
+        } else if (end instanceof End.Failed failed) {
+            int status = switch (failed.why()) {
+                case TIME_UP, STILL_OPEN -> 504;
+                case SIGNED_BEFORE_MEMORY, WINDOW_PASSED -> 409;
+                case ANSWER_LET_GO -> 410;
+                case OTHER_PAYLOAD -> 422;
+                case INTERNAL -> 500;
+                default -> 502;
+            };
+            e.answer(status, Problem.TYPE, Problem.of(status, kind(failed.why()), failed.why().text(),
+                    !failed.mayHaveRun()).bytes());
+        }
+    }
+
+    private static String kind(End.Why why) {
+        return why.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+    }
+
+    /** The text at a JSON pointer, read without building the payload's tree; null where there is none. */
+    static String at(String pointer, byte[] body) {
+        try (JsonParser json = new FilteringParserDelegate(JSON.createParser(body),
+                new JsonPointerBasedFilter(pointer), TokenFilter.Inclusion.ONLY_INCLUDE_ALL, false)) {
+            return json.nextToken() == JsonToken.VALUE_STRING ? json.getText() : null;
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    private static long digest(byte[] body) {
+        long h = 0xCBF29CE484222325L;
+        for (byte b : body) {
+            h = (h ^ (b & 0xFF)) * 0x100000001B3L;
+        }
+        return h ^ (h >>> 32);
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/gateway/Gateway.java
@@ -0,0 +1,213 @@
+package waytrestle.gateway;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import waytrestle.ControlApi.Discovery;
+import waytrestle.ControlApi.InvokerList;
+import waytrestle.config.GatewayConfig;
+import waytrestle.front.webhook.WebhookFront;
+import waytrestle.http.HttpServer;
+import waytrestle.http.Problem;
+import waytrestle.metrics.Metrics;
+import waytrestle.net.Loop;
+import waytrestle.roster.HealthApi;
+import waytrestle.roster.RosterBook;
+
+/** A running gateway: one loop with its controller, fronts, roster and pages. */
+public final class Gateway {
+    private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+    private static final long FLUSH = 100_000;  // micros at the end for last answers to leave
+    private static final long LOOK = 10_000;    // micros between looks at what is still open during a stop
+
+    private final GatewayConfig config;
+    private final Loop loop;
+    private final Metrics metrics = new Metrics();
+    private final AtomicInteger exit = new AtomicInteger();
+    private Controller controller;
+    private HttpServer server, admin;
+    private HealthApi roster;
+    private PeerLink peers;
+    private boolean stopping;
+
+    private Gateway(GatewayConfig config) throws IOException {
+        this.config = config;
+        this.loop = new Loop("controller-" + config.module().me(), e -> LOG.error("a handler failed", e));
+    }
+
+    public static Gateway start(GatewayConfig config, Controller.ModuleMaker maker) throws IOException {
+        return start(config, maker, System::currentTimeMillis);
+    }
+
+    /** Starts on ports as configured; the wall clock serves signing times and told starts alone. */
+    public static Gateway start(GatewayConfig config, Controller.ModuleMaker maker, LongSupplier wallMillis)
+            throws IOException {
+        Gateway made = new Gateway(config);
+        made.assemble(maker, wallMillis);
+        made.loop.start();
+        LOG.info("controller {} of {} takes calls on {}:{}, pages on port {}", config.module().me(),
+                config.module().controllers(), config.listen().getAddress().getHostAddress(), made.port(),
+                made.admin.port());
+        return made;
+    }
+
+    /** Before the loop runs, so nothing here races with it. */
+    private void assemble(Controller.ModuleMaker maker, LongSupplier wallMillis) throws IOException {
+        controller = new Controller(loop, config, maker, wallMillis, metrics, new Controller.Outside() {
+            @Override
+            public void subscribe(boolean on) {
+                if (roster != null) {
+                    roster.subscribe(on);
+                }
+            }
+
+            @Override
+            public void fetchList() {
+                if (roster != null) {
+                    roster.fetch();
+                } else {
+                    controller.invokers(new InvokerList(true, false, config.roster().fixed()));
+                }
+            }
+
+            @Override
+            public void tellPeer(int peer, byte[] message) {
+                if (peers != null) {
+                    peers.tell(peer, message);
+                }
+            }
+
+            @Override
+            public void broken(String why) {
+                LOG.error("stopping: {}", why);
+                exit.set(3);
+                stop();
+            }
+        });
+        try {
+            WebhookFront front = new WebhookFront(config.endpoints(), config.module().classes(),
+                    config.ids().toleranceSeconds(), controller);
+            server = new HttpServer(loop, config.listen(), config.http(), config.maxConnections(), front);
+            admin = new HttpServer(loop, config.admin(), config.http(), 64, this::page);
+            metrics.gauge("waytrestle_connections", "", server::connections);
+            if (config.peers().listen() != null) {
+                peers = new PeerLink(loop, config.module().me(), config.peers().listen(), config.peers().others(),
+                        controller::peerSaid);
+            }
+        } catch (IOException | RuntimeException e) {
+            loop.stop();
+            loop.run();
+            throw e;
+        }
+        loop.execute(() -> follow(wallMillis));
+    }
+
+    private void follow(LongSupplier wallMillis) {
+        if (config.roster().at() == null) {
+            controller.invokers(new InvokerList(true, false, config.roster().fixed()));
+            return;
+        }
+        boolean asked = config.module().discovery() == Discovery.ASKED;
+        RosterBook book = new RosterBook(config.roster().retryMicros(), config.roster().retryMostMicros(), asked,
+                config.seed());
+        metrics.gauge("waytrestle_roster_age_seconds", "", () -> book.age(Loop.now()) / 1e6);
+        roster = new HealthApi(loop, config, book, action -> {
+            if (action instanceof RosterBook.Tell tell) {
+                controller.invokers(tell.list());
+            } else {
+                controller.listFailed();
+            }
+        }, wallMillis);
+        if (asked) {  // the module subscribes once it has been told its list, empty as yet
+            controller.invokers(new InvokerList(true, true, java.util.List.of()));
+        } else {
+            roster.subscribe(true);
+        }
+    }
+
+    private void page(HttpServer.Exchange e) {
+        String path = e.message().path();
+        boolean get = e.message().method().equals("GET") || e.message().method().equals("HEAD");
+        if (!get) {
+            e.answer(405, Problem.TYPE, Problem.of(405, "method", "pages are only read", true).bytes(), "Allow", "GET");
+        } else if (path.equals("/metrics")) {
+            e.answer(200, Metrics.TYPE, metricsPage().getBytes(StandardCharsets.UTF_8));
+        } else if (path.equals("/health/live")) {
+            e.answer(200, "text/plain", "live\n".getBytes(StandardCharsets.US_ASCII));
+        } else if (path.equals("/health/ready")) {
+            boolean ready = !stopping && controller.readyInvokers() > 0;
+            e.answer(ready ? 200 : 503, "text/plain", (ready ? "ready\n" : stopping ? "stopping\n" : "no invokers\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+        } else {
+            e.answer(404, Problem.TYPE, Problem.of(404, "page", "pages: /metrics, /health/live, /health/ready", true)
+                    .bytes());
+        }
+    }
+
+    private String metricsPage() {
+        StringBuilder page = new StringBuilder(metrics.page());
+        page.append("# HELP waytrestle_turned_away_total Messages or connections that never became calls.\n"
+                + "# TYPE waytrestle_turned_away_total counter\n");
+        server.turnedAway().forEach((reason, n) -> page.append("waytrestle_turned_away_total{reason=\"")
+                .append(reason).append("\"} ").append(n).append('\n'));
+        return page.toString();
+    }
+
+    public int port() {
+        return server.port();
+    }
+
+    public int adminPort() {
+        return admin.port();
+    }
+
+    /** Takes no more calls, lets open ones end within the grace, answers what is left, then ends the loop. */
+    public void stop() {
+        loop.execute(() -> {
+            if (stopping) {
+                return;
+            }
+            stopping = true;
+            LOG.info("stopping: {} calls open", controller.open());
+            server.stopTaking();
+            controller.stopTaking();
+            await(Loop.now() + config.stopGraceMicros());
+        });
+    }
+
+    private void await(long until) {
+        if (controller.open() > 0 && Loop.now() < until) {
+            loop.after(LOOK, () -> await(until));
+            return;
+        }
+        controller.closeAll();
+        loop.after(FLUSH, () -> {
+            LOG.info("stopped");
+            admin.stopTaking();
+            loop.stop();
+        });
+    }
+
+    /** Drops everything at once, as a crash does. */
+    public void kill() {
+        loop.execute(() -> {
+            server.kill();
+            admin.kill();
+            loop.stop();
+        });
+    }
+
+    /** Waits for the end; the exit code is 0 after a stop, 3 after too many failed decisions. */
+    public int join(long millis) throws InterruptedException {
+        loop.join(millis);
+        return exit.get();
+    }
+
+    /** Runs a task on the gateway's loop; for tests that must act between its events. */
+    public void onLoop(Runnable task) {
+        loop.execute(task);
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/http/HttpClient.java
@@ -0,0 +1,233 @@
+package waytrestle.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import waytrestle.net.Connection;
+import waytrestle.net.Loop;
+import waytrestle.net.TimerHeap;
+
+/**
+ * Requests to one peer over a bounded pool of kept connections, one request at a time on each. It reports how an
+ * exchange ended in terms of what was on the wire; what that proves is for the caller to say.
+ */
+public final class HttpClient {
+    /** Where an exchange broke. */
+    public enum Break { NO_CONNECTION, BEFORE_FIRST_BYTE, AFTER_FIRST_BYTE, MALFORMED, TIMEOUT, CANCELLED, NO_ROOM }
+
+    /** Hears of one end, on the loop and never within the call that began the exchange. */
+    public interface Handler {
+        void answered(HttpMessage message);
+
+        void broken(Break how, String why);
+    }
+
+    private final Loop loop;
+    private final InetSocketAddress peer;
+    private final HttpLimits limits;
+    private final int maxConnections;
+    private final long connectMicros, idleMicros;
+    private final ArrayDeque<Link> idle = new ArrayDeque<>();
+    private int open;
+    private long strays;
+    private boolean closed;
+
+    public HttpClient(Loop loop, InetSocketAddress peer, HttpLimits limits, int maxConnections,
+            long connectMicros, long idleMicros) {
+        this.loop = loop;
+        this.peer = peer;
+        this.limits = limits;
+        this.maxConnections = maxConnections;
+        this.connectMicros = connectMicros;
+        this.idleMicros = idleMicros;
+    }
+
+    public int open() {
+        return open;
+    }
+
+    public int idle() {
+        return idle.size();
+    }
+
+    /** How often bytes came on a connection with no request out: a second answer, or part of one. */
+    public long strays() {
+        return strays;
+    }
+
+    public void closeIdle() {
+        while (!idle.isEmpty()) {
+            idle.poll().drop();
+        }
+    }
+
+    /** Closes idle connections now and every other one when its exchange ends. */
+    public void close() {
+        closed = true;
+        closeIdle();
+    }
+
+    /** A request under way. */
+    public final class Call {
+        private final ByteBuffer[] request;
+        private final Handler handler;
+        private Link link;
+        private TimerHeap.Timer timer;
+        private boolean over;
+
+        private Call(ByteBuffer[] request, Handler handler) {
+            this.request = request;
+            this.handler = handler;
+        }
+
+        /** Ends it as cancelled and closes its connection, which is how the peer learns of it. */
+        public void cancel() {
+            end(Break.CANCELLED, "cancelled");
+        }
+
+        private void end(Break how, String why) {
+            if (over) {
+                return;
+            }
+            over = true;
+            timer.cancel();
+            if (link != null) {
+                link.call = null;
+                link.reset();
+            }
+            loop.after(0, () -> handler.broken(how, why));
+        }
+
+        private void answered(HttpMessage message) {
+            over = true;
+            timer.cancel();
+            link = null;
+            handler.answered(message);
+        }
+    }
+
+    /** Sends a request; the head and body are handed over. */
+    public Call call(long withinMicros, Handler handler, ByteBuffer... request) {
+        Call call = new Call(request, handler);
+        call.timer = loop.after(withinMicros, () -> call.end(Break.TIMEOUT, "no answer in time"));
+        Link link = idle.pollLast();  // the last used is the least likely to have been closed by the peer
+        if (link == null && open >= maxConnections) {
+            call.end(Break.NO_ROOM, "all " + maxConnections + " connections to the invoker are in use");
+            return call;
+        }
+        if (link == null) {
+            link = new Link();
+            link.connection = Connection.open(loop, peer, limits.bodyBytes(), connectMicros, link);
+            open++;
+        } else {
+            link.idleTimer.cancel();
+        }
+        link.take(call);
+        return call;
+    }
+
+    private final class Link implements Connection.Handler {
+        private final HttpParser parser = HttpParser.responses(limits);
+        private Connection connection;
+        private Call call;
+        private TimerHeap.Timer idleTimer;
+        private boolean up, dropped;
+        private long writtenBefore;
+
+        private void take(Call next) {
+            call = next;
+            next.link = this;
+            if (up) {
+                write();
+            }
+        }
+
+        private void write() {
+            writtenBefore = connection.written();
+            connection.send(call.request);
+        }
+
+        @Override
+        public void connected() {
+            up = true;
+            if (call != null) {
+                write();
+            }
+        }
+
+        @Override
+        public void received(ByteBuffer in) {
+            try {
+                HttpMessage message = parser.next(in);
+                if (message == null) {
+                    return;
+                }
+                if (message.status() < 200) {
+                    received(in);
+                    return;
+                }
+                Call done = call;
+                if (done == null || in.hasRemaining()) {
+                    strays++;
+                    fail(Break.MALFORMED, "bytes came that nobody asked for");
+                    return;
+                }
+                call = null;
+                if (closed || !message.keepsAlive() || connection.pending() > 0) {
+                    drop();
+                } else {
+                    idleTimer = loop.after(idleMicros, this::drop);
+                    idle.add(this);
+                }
+                done.answered(message);
+            } catch (HttpError e) {
+                fail(Break.MALFORMED, e.getMessage());
+            }
+        }
+
+        private void fail(Break how, String why) {
+            Call broken = call;
+            if (broken != null) {
+                broken.end(how, why);
+            } else {
+                drop();
+            }
+        }
+
+        @Override
+        public void closed(IOException why) {
+            HttpMessage whole = parser.closed();
+            Call broken = call;
+            drop();
+            if (broken == null) {
+                return;
+            }
+            if (whole != null) {
+                call = null;
+                broken.answered(whole);
+                return;
+            }
+            Break how = !up ? Break.NO_CONNECTION
+                    : connection.written() == writtenBefore ? Break.BEFORE_FIRST_BYTE : Break.AFTER_FIRST_BYTE;
+            broken.end(how, why == null ? "the peer closed" : String.valueOf(why.getMessage()));
+        }
+
+        private void reset() {
+            connection.reset();
+            drop();
+        }
+
+        private void drop() {
+            if (!dropped) {
+                dropped = true;
+                open--;
+                idle.remove(this);
+                if (idleTimer != null) {
+                    idleTimer.cancel();
+                }
+                connection.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/http/HttpMessage.java
@@ -0,0 +1,103 @@
+package waytrestle.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** A whole request or response. Header names are kept in lower case, in order. */
+public final class HttpMessage {
+    public static final byte[] NO_BODY = new byte[0];
+    String method = "", target = "", reason = "";
+    int status;
+    boolean http10;
+    final List<String> names = new ArrayList<>(), values = new ArrayList<>();
+    byte[] body = NO_BODY;
+
+    public String method() {
+        return method;
+    }
+
+    public String target() {
+        return target;
+    }
+
+    /** The target's path, without the query. */
+    public String path() {
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
+    }
+
+    /** A query parameter as sent, or null. */
+    public String query(String name) {
+        int at = target.indexOf('?');
+        if (at >= 0) {
+            for (String each : target.substring(at + 1).split("&")) {
+                if (each.startsWith(name + "=")) {
+                    return each.substring(name.length() + 1);
+                }
+            }
+        }
+        return null;
+    }
+
+    public int status() {
+        return status;
+    }
+
+    public byte[] body() {
+        return body;
+    }
+
+    /** The first value under a lower-case name, or null. */
+    public String header(String name) {
+        int i = names.indexOf(name);
+        return i < 0 ? null : values.get(i);
+    }
+
+    public int count(String name) {
+        int n = 0;
+        for (String each : names) {
+            n += each.equals(name) ? 1 : 0;
+        }
+        return n;
+    }
+
+    /** All values under a name, joined by commas as RFC 9110 lets a recipient do. */
+    public String joined(String name) {
+        StringBuilder all = null;
+        for (int i = 0; i < names.size(); i++) {
+            if (names.get(i).equals(name)) {
+                all = all == null ? new StringBuilder(values.get(i)) : all.append(", ").append(values.get(i));
+            }
+        }
+        return all == null ? null : all.toString();
+    }
+
+    public boolean hasToken(String name, String token) {
+        String all = joined(name);
+        if (all != null) {
+            for (String each : all.split(",")) {
+                if (each.trim().toLowerCase(Locale.ROOT).equals(token)) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    public boolean keepsAlive() {
+        return http10 ? hasToken("connection", "keep-alive") : !hasToken("connection", "close");
+    }
+
+    public int headers() {
+        return names.size();
+    }
+
+    public String name(int i) {
+        return names.get(i);
+    }
+
+    public String value(int i) {
+        return values.get(i);
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/http/HttpServer.java
@@ -0,0 +1,284 @@
+package waytrestle.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import waytrestle.net.Connection;
+import waytrestle.net.Listener;
+import waytrestle.net.Loop;
+
+/**
+ * An HTTP/1.1 server on one loop. Requests of a connection are handled one after another, so pipelined answers
+ * come in order and a client cannot pile up work behind one connection; what it sends ahead stays in the
+ * connection's bounded buffer and then in the kernel's.
+ */
+public final class HttpServer {
+    /** Handles a request by answering its exchange once, now or later, on the loop. */
+    public interface Handler {
+        void request(Exchange exchange);
+
+        /** After the head of a request with a body: an answer status to turn it away by, or 0 to read on. */
+        default int headSeen(HttpMessage head) {
+            return 0;
+        }
+    }
+
+    private final Loop loop;
+    private final HttpLimits limits;
+    private final int maxConnections;
+    private final Handler handler;
+    private final Listener listener;
+    private final Set<Peer> peers = new LinkedHashSet<>();
+    private final Map<String, Long> turnedAway = new HashMap<>();
+    private boolean stopping;
+
+    public HttpServer(Loop loop, InetSocketAddress at, HttpLimits limits, int maxConnections, Handler handler)
+            throws IOException {
+        this.loop = loop;
+        this.limits = limits;
+        this.maxConnections = maxConnections;
+        this.handler = handler;
+        this.listener = new Listener(loop, at, 1024, this::accept);
+    }
+
+    public int port() {
+        return listener.port();
+    }
+
+    public int connections() {
+        return peers.size();
+    }
+
+    /** How many messages or connections were turned away, by reason. */
+    public Map<String, Long> turnedAway() {
+        return turnedAway;
+    }
+
+    /** Takes no new connections; open exchanges go on, idle connections close, others close after their answer. */
+    public void stopTaking() {
+        stopping = true;
+        listener.close();
+        for (Peer peer : Set.copyOf(peers)) {
+            if (peer.exchange == null && peer.parser.idle()) {
+                peer.end();
+            }
+        }
+    }
+
+    /** Closes everything at once, as a crash would. */
+    public void kill() {
+        listener.close();
+        for (Peer peer : Set.copyOf(peers)) {
+            peer.connection.reset();
+        }
+        peers.clear();
+    }
+
+    private void count(String reason) {
+        turnedAway.merge(reason, 1L, Long::sum);
+    }
+
+    private void accept(SocketChannel channel) {
+        try {
+            if (peers.size() >= maxConnections) {
+                count("connections");
+                channel.close();
+                return;
+            }
+            Connection.accepted(loop, channel, limits.headerBytes() + limits.startLineBytes(), connection -> {
+                Peer peer = new Peer(connection);
+                peers.add(peer);
+                return peer;
+            });
+        } catch (IOException e) {
+            count("accept");
+        }
+    }
+
+    /** One request and the one answer to it. */
+    public final class Exchange {
+        private final Peer peer;
+        private final HttpMessage message;
+        private Runnable gone;
+        private boolean answered;
+
+        private Exchange(Peer peer, HttpMessage message) {
+            this.peer = peer;
+            this.message = message;
+        }
+
+        public HttpMessage message() {
+            return message;
+        }
+
+        /** Runs if the client goes away before the answer. */
+        public void whenGone(Runnable task) {
+            gone = task;
+        }
+
+        public boolean open() {
+            return !answered && peer.connection.isOpen();
+        }
+
+        public String client() {
+            return peer.connection.peer();
+        }
+
+        public void answer(int status, String type, byte[] body, String... headers) {
+            if (answered) {
+                throw new IllegalStateException("a second answer to one request");
+            }
+            answered = true;
+            gone = null;
+            boolean last = stopping || !message.keepsAlive();
+            HttpWriter writer = HttpWriter.response(status);
+            for (int i = 0; i < headers.length; i += 2) {
+                writer.header(headers[i], headers[i + 1]);
+            }
+            if (!type.isEmpty()) {
+                writer.header("Content-Type", type);
+            }
+            if (last) {
+                writer.header("Connection", "close");
+            }
+            ByteBuffer head = writer.head(body.length);
+            if (message.method().equals("HEAD")) {
+                peer.connection.send(head);
+            } else {
+                peer.connection.send(head, ByteBuffer.wrap(body));
+            }
+            peer.answered(this, last);
+        }
+    }
+
+    private final class Peer implements Connection.Handler {
+        private final Connection connection;
+        private final HttpParser parser = HttpParser.requests(limits);
+        private Exchange exchange;
+        private long since = Loop.now();  // of the present wait: for a message, a head, a body, a writer
+        private boolean headSeen, closing;
+
+        private Peer(Connection connection) {
+            this.connection = connection;
+            watch();
+        }
+
+        /** One timer a connection, set again only when it fires: most waits end long before their bound. */
+        private void watch() {
+            long most = closing || connection.pending() > 0 ? limits.writeMicros()
+                    : parser.idle() ? limits.idleMicros()
+                    : parser.inBody() ? limits.bodyMicros() : limits.headMicros();
+            long base = connection.pending() > 0 ? connection.lastMove() : since;
+            long left = exchange != null && connection.pending() == 0 ? most : base + most - Loop.now();
+            if (left > 0) {
+                loop.after(left, this::watchAgain);
+                return;
+            }
+            if (parser.idle() || connection.pending() > 0 || closing) {
+                count(connection.pending() > 0 ? "slow_reader" : "idle");
+                end();
+            } else {
+                count(parser.inBody() ? "slow_body" : "slow_head");
+                refuse(new HttpError(408, "the request did not come in time"));
+                loop.after(limits.writeMicros(), this::end);
+            }
+        }
+
+        private void watchAgain() {
+            if (connection.isOpen()) {
+                watch();
+            }
+        }
+
+        @Override
+        public void received(ByteBuffer in) {
+            if (closing) {
+                in.position(in.limit());
+                return;
+            }
+            if (exchange != null) {
+                return;  // kept by the connection until the answer is out
+            }
+            try {
+                boolean was = parser.idle();
+                HttpMessage message = parser.next(in);
+                if (was) {
+                    since = Loop.now();
+                }
+                if (message == null) {
+                    head();
+                    return;
+                }
+                headSeen = false;
+                Exchange e = new Exchange(this, message);
+                exchange = e;
+                handler.request(e);
+            } catch (HttpError e) {
+                count("status_" + e.status());
+                in.position(in.limit());
+                refuse(e);
+            }
+        }
+
+        private void head() {
+            if (!parser.inBody() || headSeen) {
+                return;
+            }
+            headSeen = true;
+            since = Loop.now();
+            int status = handler.headSeen(parser.underWay());
+            if (status != 0) {
+                throw new HttpError(status, "turned away before the body");
+            }
+            if (parser.underWay().hasToken("expect", "100-continue")) {
+                connection.send(ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII)));
+            }
+        }
+
+        /** A message that cannot be read: where the next would begin is unknown, so the connection closes. */
+        private void refuse(HttpError e) {
+            closing = true;
+            byte[] body = Problem.of(e.status(), "request", e.getMessage(), true).bytes();
+            connection.send(HttpWriter.response(e.status()).header("Content-Type", Problem.TYPE)
+                    .header("Connection", "close").head(body.length), ByteBuffer.wrap(body));
+            // A short wait lets the client read the answer before the close: a reset would discard it.
+            loop.after(Math.min(limits.writeMicros(), 200_000), this::end);
+        }
+
+        private void answered(Exchange e, boolean last) {
+            if (exchange != e) {
+                return;
+            }
+            exchange = null;
+            since = Loop.now();
+            if (last) {
+                closing = true;
+                peers.remove(this);
+                connection.closeWhenSent();
+            } else {
+                loop.after(0, connection::offer);
+            }
+        }
+
+        private void end() {
+            peers.remove(this);
+            connection.close();
+        }
+
+        @Override
+        public void closed(IOException why) {
+            peers.remove(this);
+            Exchange e = exchange;
+            if (e != null && !e.answered && e.gone != null) {
+                exchange = null;
+                e.gone.run();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/http/Problem.java
@@ -0,0 +1,39 @@
+package waytrestle.http;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/**
+ * The body of every error (RFC 9457). {@code harmless} is this project's extension member: true only when coming
+ * again cannot make anything happen twice.
+ */
+public record Problem(int status, String kind, String detail, boolean harmless, long retryAfterMillis) {
+    public static final String TYPE = "application/problem+json";
+    private static final JsonFactory JSON = new JsonFactory();
+
+    public static Problem of(int status, String kind, String detail, boolean harmless) {
+        return new Problem(status, kind, detail, harmless, 0);
+    }
+
+    public byte[] bytes() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(160);
+        try (JsonGenerator json = JSON.createGenerator(out)) {
+            json.writeStartObject();
+            json.writeStringField("type", "urn:waytrestle:problem:" + kind);
+            json.writeStringField("title", HttpWriter.reason(status));
+            json.writeNumberField("status", status);
+            json.writeStringField("detail", detail);
+            json.writeBooleanField("harmless", harmless);
+            if (retryAfterMillis > 0) {
+                json.writeNumberField("retry_after_ms", retryAfterMillis);
+            }
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return out.toByteArray();
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/invoker/InferProtocol.java
@@ -0,0 +1,200 @@
+package waytrestle.invoker;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import waytrestle.calls.End.Served;
+import waytrestle.http.HttpMessage;
+import waytrestle.http.HttpWriter;
+
+/**
+ * The Open Inference Protocol (KServe v2) over HTTP as this gateway uses it: a payload is one BYTES tensor of the
+ * binary tensor extension, carried as it came; functions are loaded and unloaded by the model repository extension.
+ */
+public final class InferProtocol {
+    /** Headers by which an invoker and an audit tell controllers and attempts apart. */
+    public static final String CONTROLLER = "waytrestle-controller", ATTEMPT = "waytrestle-attempt";
+    static final String JSON_LENGTH = "Inference-Header-Content-Length";
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final ObjectMapper TREES = new ObjectMapper();
+
+    private final String host, controller;
+
+    public InferProtocol(String host, int controller) {
+        this.host = host;
+        this.controller = Integer.toString(controller);
+    }
+
+    private interface Body {
+        void write(JsonGenerator json) throws IOException;
+    }
+
+    private static byte[] json(Body body) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(256);
+        try (JsonGenerator json = JSON.createGenerator(out)) {
+            json.writeStartObject();
+            body.write(json);
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return out.toByteArray();
+    }
+
+    /** An infer request: head, JSON part with the tensor's length, and the payload by reference. */
+    public ByteBuffer[] infer(String function, String id, int attempt, String contentType, byte[] payload) {
+        byte[] json = json(g -> {
+            g.writeStringField("id", id);
+            g.writeArrayFieldStart("inputs");
+            g.writeStartObject();
+            g.writeStringField("name", "payload");
+            g.writeStringField("datatype", "BYTES");
+            g.writeArrayFieldStart("shape");
+            g.writeNumber(1);
+            g.writeEndArray();
+            g.writeObjectFieldStart("parameters");
+            g.writeNumberField("binary_data_size", payload.length + 4);
+            g.writeStringField("content_type", contentType);
+            g.writeEndObject();
+            g.writeEndObject();
+            g.writeEndArray();
+            g.writeObjectFieldStart("parameters");
+            g.writeBooleanField("binary_data_output", true);
+            g.writeEndObject();
+        });
+        ByteBuffer head = HttpWriter.request("POST", "/v2/models/" + function + "/infer", host)
+                .header("Content-Type", "application/octet-stream").header(JSON_LENGTH, json.length)
+                .header(CONTROLLER, controller).header(ATTEMPT, attempt).head(json.length + 4 + payload.length);
+        ByteBuffer middle = ByteBuffer.allocate(json.length + 4).order(ByteOrder.LITTLE_ENDIAN).put(json)
+                .putInt(payload.length).flip();
+        return new ByteBuffer[] {head, middle, ByteBuffer.wrap(payload)};
+    }
+
+    public ByteBuffer[] load(String function, int copies) {
+        return post("/v2/repository/models/" + function + "/load", json(g -> {
+            g.writeObjectFieldStart("parameters");
+            g.writeNumberField("copies", copies);
+            g.writeEndObject();
+        }));
+    }
+
+    public ByteBuffer[] unload(String function) {
+        return post("/v2/repository/models/" + function + "/unload", json(g -> { }));
+    }
+
+    public ByteBuffer[] index() {
+        return post("/v2/repository/index", json(g -> { }));
+    }
+
+    public ByteBuffer[] ready() {
+        return new ByteBuffer[] {HttpWriter.request("GET", "/v2/health/ready", host).header(CONTROLLER, controller)
+                .head(0)};
+    }
+
+    private ByteBuffer[] post(String path, byte[] body) {
+        return new ByteBuffer[] {HttpWriter.request("POST", path, host).header("Content-Type", "application/json")
+                .header(CONTROLLER, controller).head(body.length), ByteBuffer.wrap(body)};
+    }
+
+    /** The first output of an infer answer, or null where the answer is malformed. */
+    public static Served answer(HttpMessage m) {
+        byte[] body = m.body();
+        String given = m.header(JSON_LENGTH.toLowerCase(java.util.Locale.ROOT));
+        int jsonLength = body.length;
+        if (given != null) {
+            if (!given.matches("\\d{1,9}") || Integer.parseInt(given) > body.length) {
+                return null;
+            }
+            jsonLength = Integer.parseInt(given);
+        }
+        try (JsonParser json = JSON.createParser(body, 0, jsonLength)) {
+            return output(json, body, jsonLength);
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    private static Served output(JsonParser json, byte[] body, int jsonLength) throws IOException {
+        if (json.nextToken() != JsonToken.START_OBJECT) {
+            return null;
+        }
+        while (json.nextToken() == JsonToken.FIELD_NAME) {
+            boolean outputs = json.currentName().equals("outputs");
+            JsonToken value = json.nextToken();
+            if (!outputs || value != JsonToken.START_ARRAY) {
+                json.skipChildren();
+                continue;
+            }
+            if (json.nextToken() != JsonToken.START_OBJECT) {
+                return null;
+            }
+            return tensor(json, body, jsonLength);
+        }
+        return null;
+    }
+
+    private static Served tensor(JsonParser json, byte[] body, int jsonLength) throws IOException {
+        String type = "application/octet-stream";
+        long size = -1;
+        byte[] data = null;
+        while (json.nextToken() == JsonToken.FIELD_NAME) {
+            String name = json.currentName();
+            JsonToken value = json.nextToken();
+            if (name.equals("parameters") && value == JsonToken.START_OBJECT) {
+                while (json.nextToken() == JsonToken.FIELD_NAME) {
+                    String parameter = json.currentName();
+                    JsonToken token = json.nextToken();
+                    if (parameter.equals("binary_data_size") && token == JsonToken.VALUE_NUMBER_INT) {
+                        size = json.getLongValue();
+                    } else if (parameter.equals("content_type") && token == JsonToken.VALUE_STRING) {
+                        type = json.getText();
+                    } else {
+                        json.skipChildren();
+                    }
+                }
+            } else if (name.equals("data") && value == JsonToken.START_ARRAY) {
+                if (json.nextToken() == JsonToken.VALUE_STRING) {
+                    data = json.getText().getBytes(StandardCharsets.UTF_8);
+                    while (json.nextToken() != JsonToken.END_ARRAY) {
+                        json.skipChildren();
+                    }
+                }
+            } else {
+                json.skipChildren();
+            }
+        }
+        if (size < 0) {
+            return data == null ? null : new Served(type, data);
+        }
+        if (size < 4 || jsonLength + size > body.length) {
+            return null;
+        }
+        int length = ByteBuffer.wrap(body, jsonLength, 4).order(ByteOrder.LITTLE_ENDIAN).getInt();
+        return length != size - 4 ? null
+                : new Served(type, Arrays.copyOfRange(body, jsonLength + 4, jsonLength + 4 + length));
+    }
+
+    /** Copies standing of a function by a repository index; 0 where it is not listed as ready. */
+    public static int copies(HttpMessage m, String function) {
+        try {
+            for (JsonNode each : TREES.readTree(m.body())) {
+                if (each.path("name").asText().equals(function) && each.path("state").asText().equals("READY")) {
+                    return Math.max(1, each.path("copies").asInt(1));
+                }
+            }
+        } catch (IOException e) {
+            return 0;
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/play/Scenario.java
@@ -0,0 +1,87 @@
+package waytrestle.play;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import waytrestle.config.ConfigError;
+import waytrestle.config.Section;
+import waytrestle.config.TomlFile;
+
+/** A scripted day: fleet, functions, load, and troubles by time. Times are micros. */
+public record Scenario(long lengthMicros, long seed, int controllers, String gateway, List<Fleet> fleets, Store store,
+        List<Functions> functions, Load load, long rosterLagMicros, List<Trouble> troubles) {
+
+    public record Fleet(String kind, String zone, int cell, int count, int cores, int room, int loadsAtOnce,
+            boolean cancelStops, long reportEveryMicros) { }
+
+    public record Store(int atOnce, int refuseOver, double fetchShare) { }
+
+    /** Functions alike but for their name, NAME-0 and on; calls fall on them by rank to the power of -zipf. */
+    public record Functions(String name, int count, String requestClass, double memoryMb, int lanes, long loadMicros,
+            double workMs, double share, double zipf) { }
+
+    /** Calls a second over all controllers; shares of calls. */
+    public record Load(double ratePerSecond, double retryShare, long retryAfterMicros, double leaveShare) { }
+
+    /** The kinds of trouble that a scenario can inflict. */
+    public enum Kind {
+        DEPLOY, CRASH, CONTROLLER_CRASH, CONTROLLER_ROLL, STALE_ROSTER, SLOW_STORE, LATE_REPORTS, SCAN, HOT_FUNCTION,
+        AGEING, SLOW, ZONE_CUT, LOST_ANSWERS, GARBAGE, HANG, GIVE_UP, PREEMPT, THROTTLE, BURST
+    }
+
+    /** From a time, for a time, on a share of what it strikes, by a factor whose meaning is the kind's. */
+    public record Trouble(Kind kind, long atMicros, long forMicros, double share, double factor) { }
+
+    public static Scenario read(Path file) throws ConfigError {
+        return TomlFile.read(file, Scenario::from);
+    }
+
+    public static Scenario from(Section root) {
+        Section play = root.sub("play");
+        long length = play.millis("seconds", 0.1, 3_600) * 1_000;
+        List<Fleet> fleets = new ArrayList<>();
+        for (Section f : root.each("fleet")) {
+            fleets.add(new Fleet(f.text("kind"), f.text("zone"), (int) f.whole("cell", 0, 1_000, 0),
+                    (int) f.whole("count", 1, 500), (int) f.whole("cores", 1, 1_000), (int) f.whole("room", 1, 100_000),
+                    (int) f.whole("loads_at_once", 1, 1_000, 4), f.flag("cancel_stops", true),
+                    f.millis("report_every_ms", 0, 60_000, 200)));
+        }
+        if (fleets.isEmpty()) {
+            root.fault("fleet", "at least one [[fleet]] is needed");
+        }
+        Section s = root.sub("store");
+        Store store = new Store((int) s.whole("fetches_at_once", 1, 100_000), (int) s.whole("refuse_over", 1, 1_000_000),
+                s.number("fetch_share", 0, 1));
+        List<Functions> functions = new ArrayList<>();
+        for (Section f : root.each("functions")) {
+            functions.add(new Functions(f.text("name"), (int) f.whole("count", 1, 100_000), f.text("class"),
+                    f.number("memory_mb", 0, 1e9), (int) f.whole("lanes", 1, 10_000), f.millis("load_ms", 0, 600_000),
+                    f.number("work_ms", 0, 600_000), f.number("share", 0, 1e6), f.number("zipf", 0, 10, 1)));
+        }
+        if (functions.isEmpty()) {
+            root.fault("functions", "at least one [[functions]] is needed");
+        }
+        Section l = root.sub("load");
+        Load load = new Load(l.number("rate_per_s", 0.01, 100_000), l.number("retry_share", 0, 1, 0),
+                l.millis("retry_after_ms", 0, 600_000, 200), l.number("leave_share", 0, 1, 0));
+        List<Trouble> troubles = new ArrayList<>();
+        for (Section t : root.each("trouble")) {
+            troubles.add(new Trouble(t.choice("kind", Kind.class), t.millis("at_s", 0, 3_600) * 1_000,
+                    t.millis("for_s", 0, 3_600, 0) * 1_000, t.number("share", 0, 1, 1), t.number("factor", 0, 1e6, 1)));
+        }
+        return new Scenario(length, play.whole("seed", Long.MIN_VALUE, Long.MAX_VALUE),
+                (int) play.whole("controllers", 1, 64), root.raw("gateway"), fleets, store, functions, load,
+                root.sub("roster").millis("lag_ms", 0, 600_000, 0), troubles);
+    }
+
+    /** The same day with another seed. */
+    public Scenario withSeed(long other) {
+        return new Scenario(lengthMicros, other, controllers, gateway, fleets, store, functions, load, rosterLagMicros,
+                troubles);
+    }
+
+    static String word(Kind kind) {
+        return kind.name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/standin/InvokerStandIn.java
@@ -0,0 +1,252 @@
+package waytrestle.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.SplittableRandom;
+import waytrestle.ControlApi.Code;
+import waytrestle.http.HttpLimits;
+import waytrestle.http.HttpMessage;
+import waytrestle.http.HttpServer;
+import waytrestle.net.Loop;
+
+/** The invoker model behind the Open Inference Protocol on a loopback port. */
+public final class InvokerStandIn {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final HttpLimits LIMITS = new HttpLimits(8_192, 100, 32_768, 1 << 24, 600_000_000L, 600_000_000L,
+            600_000_000L, 600_000_000L);
+
+    private final Loop loop;
+    private final Env env;
+    private final Sightings sightings;
+    private final Map<String, InvokerModel.Function> functions;
+    private final java.util.function.Supplier<InvokerModel> maker;
+    private final String id;
+    private final int port;
+    private final SplittableRandom random;
+    private final Map<String, Long> keys;
+    private final long keyWindow;
+    private InvokerModel model;
+    private HttpServer server;
+    private double loseAnswers, garbage;
+    private java.util.function.IntPredicate cutOff = controller -> false;
+
+    /**
+     * Starts warm; a port of 0 lets the system choose one, kept over restarts. The keys that it drops repeats of, with
+     * the time until which it does, are shared by the invokers of one group.
+     */
+    public InvokerStandIn(Loop loop, Env env, int port, Map<String, InvokerModel.Function> functions,
+            java.util.function.Function<Boolean, InvokerModel> maker, Map<String, Long> keys, long keyWindow,
+            Sightings sightings, long seed) throws IOException {
+        this.keys = keys;
+        this.keyWindow = keyWindow;
+        this.loop = loop;
+        this.env = env;
+        this.functions = functions;
+        this.sightings = sightings;
+        this.random = new SplittableRandom(seed);
+        this.maker = () -> maker.apply(true);
+        this.model = maker.apply(false);
+        this.server = listen(port);
+        this.port = server.port();
+        this.id = "127.0.0.1:" + this.port;
+    }
+
+    private HttpServer listen(int at) throws IOException {
+        return new HttpServer(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), at), LIMITS, 10_000,
+                this::request);
+    }
+
+    public String id() {
+        return id;
+    }
+
+    public InvokerModel model() {
+        return model;
+    }
+
+    /** Of answers: lost after the work was done, or garbage in their place. */
+    public void spoil(double lost, double garbled) {
+        loseAnswers = lost;
+        garbage = garbled;
+    }
+
+    /** Calls of these controllers vanish, both ways. */
+    public void cutOff(java.util.function.IntPredicate controllers) {
+        cutOff = controllers;
+    }
+
+    public boolean up() {
+        return server != null;
+    }
+
+    public void crash() {
+        if (server != null) {
+            sightings.saw(id, "down");
+            model.stop();
+            server.kill();
+            server = null;
+        }
+    }
+
+    /** Comes back cold on the same port. */
+    public void restart() throws IOException {
+        if (server == null) {
+            model = maker.get();
+            spoil(0, 0);
+            server = listen(port);
+            sightings.saw(id, "up");
+        }
+    }
+
+    private void request(HttpServer.Exchange e) {
+        HttpMessage m = e.message();
+        String told = m.header("waytrestle-controller");
+        int controller = told == null ? -1 : Integer.parseInt(told);
+        if (cutOff.test(controller)) {
+            return;
+        }
+        String[] path = m.path().split("/");
+        if (m.path().equals("/v2/health/ready")) {
+            e.answer(200, "", HttpMessage.NO_BODY, "endpoint-load-metrics", metrics(model.report(), -1, -1, -1));
+        } else if (m.path().equals("/v2/repository/index")) {
+            index(e);
+        } else if (path.length == 6 && path[2].equals("repository") && path[5].equals("load")) {
+            load(e, path[4], controller);
+        } else if (path.length == 6 && path[2].equals("repository") && path[5].equals("unload")) {
+            model.unload(path[4]);
+            e.answer(200, "application/json", "{}".getBytes(StandardCharsets.US_ASCII));
+        } else if (path.length == 5 && path[2].equals("models") && path[4].equals("infer")) {
+            infer(e, path[3], controller);
+        } else {
+            e.answer(400, "application/json", "{\"error\":\"no such path\"}".getBytes(StandardCharsets.US_ASCII));
+        }
+    }
+
+    private void index(HttpServer.Exchange e) {
+        StringBuilder out = new StringBuilder("[");
+        model.index().forEach((name, n) -> out.append(out.length() > 1 ? "," : "").append("{\"name\":\"").append(name)
+                .append("\",\"state\":\"").append(n > 0 ? "READY" : "LOADING").append("\",\"copies\":").append(n)
+                .append('}'));
+        e.answer(200, "application/json", out.append(']').toString().getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private void load(HttpServer.Exchange e, String name, int controller) {
+        int copies = 1;
+        try {
+            copies = JSON.readTree(e.message().body()).path("parameters").path("copies").asInt(1);
+        } catch (IOException bad) {
+            e.answer(400, "", HttpMessage.NO_BODY);
+            return;
+        }
+        sightings.saw(id, "order", "controller", controller, "function", name, "copies", copies);
+        model.order(function(name), copies, standing -> {
+            if (e.open() && !model.hung()) {
+                e.answer(standing >= 0 ? 200 : 503, "", HttpMessage.NO_BODY, "endpoint-load-metrics",
+                        metrics(model.report(), -1, -1, Math.max(0, standing)));
+            }
+        });
+    }
+
+    private InvokerModel.Function function(String name) {
+        return functions.getOrDefault(name, new InvokerModel.Function(name, 256, 4, 800_000, false));
+    }
+
+    private void infer(HttpServer.Exchange e, String name, int controller) {
+        HttpMessage m = e.message();
+        JsonNode header;
+        byte[] payload;
+        long work;
+        try {
+            int jsonLength = Integer.parseInt(m.header("inference-header-content-length"));
+            header = JSON.readTree(m.body(), 0, jsonLength);
+            int size = ByteBuffer.wrap(m.body(), jsonLength, 4).order(ByteOrder.LITTLE_ENDIAN).getInt();
+            payload = java.util.Arrays.copyOfRange(m.body(), jsonLength + 4, jsonLength + 4 + size);
+            JsonNode asked = JSON.readTree(payload);
+            work = (long) (asked.path("work_ms").asDouble(10) * 1_000);
+        } catch (IOException | RuntimeException bad) {
+            e.answer(400, "application/json", "{\"error\":\"not an infer request\"}".getBytes(StandardCharsets.US_ASCII));
+            return;
+        }
+        String key = header.path("id").asText();
+        int attempt = Integer.parseInt(m.header("waytrestle-attempt"));
+        sightings.saw(id, "attempt", "controller", controller, "id", key, "attempt", attempt, "function", name,
+                "work", work);
+        if (keys.getOrDefault(key, 0L) > env.now()) {  // a repeat within its group and window: not run again
+            finish(e, key, controller, attempt, payload,
+                    new InvokerModel.Result(Code.OK, waytrestle.ControlApi.Start.WARM, 0, model.report()));
+            return;
+        }
+        boolean keyed = function(name).keyed();
+        InvokerModel.Visit visit = model.call(function(name), work, () -> {
+            sightings.saw(id, "ran", "controller", controller, "id", key, "attempt", attempt);
+        }, result -> finish(e, key, controller, attempt, payload, result));
+        if (keyed && visit != null) {
+            remember(key);
+        }
+        if (model.fallen()) {
+            sightings.saw(id, "fell");
+            crash();
+        } else if (visit != null && e.open()) {
+            e.whenGone(() -> {
+                sightings.saw(id, "closed", "controller", controller, "id", key, "attempt", attempt);
+                model.cancel(visit);
+            });
+        }
+    }
+
+    private static final int KEYS = 100_000;  // remembered keys: more than a day's play sends
+
+    private void remember(String key) {
+        if (keys.size() > KEYS) {
+            keys.values().removeIf(until -> until <= env.now());
+        }
+        keys.put(key, env.now() + keyWindow);
+    }
+
+    private void finish(HttpServer.Exchange e, String key, int controller, int attempt, byte[] payload,
+            InvokerModel.Result r) {
+        if (model.hung() || !e.open() || (r.code() == Code.OK && random.nextDouble() < loseAnswers)) {
+            return;
+        }
+        sightings.saw(id, "answered", "controller", controller, "id", key, "attempt", attempt, "code", r.code().name());
+        String metrics = metrics(r.report(), r.start().ordinal(), r.company(), -1);
+        if (r.code() == Code.OK && random.nextDouble() < garbage) {
+            e.answer(200, "application/json", "{\"outputs\":[{\"nam".getBytes(StandardCharsets.US_ASCII));
+            return;
+        }
+        if (r.code() != Code.OK) {
+            e.answer(r.code() == Code.MISS ? 404 : r.code() == Code.FULL ? 503 : 500, "application/json",
+                    "{\"error\":\"not run\"}".getBytes(StandardCharsets.US_ASCII), "endpoint-load-metrics", metrics);
+            return;
+        }
+        byte[] json = ("{\"model_name\":\"f\",\"id\":\"" + key.replace("\"", "") + "\",\"outputs\":[{\"name\":\"result\","
+                + "\"datatype\":\"BYTES\",\"shape\":[1],\"parameters\":{\"binary_data_size\":" + (payload.length + 4)
+                + ",\"content_type\":\"application/json\"}}]}").getBytes(StandardCharsets.UTF_8);
+        byte[] body = ByteBuffer.allocate(json.length + 4 + payload.length).order(ByteOrder.LITTLE_ENDIAN).put(json)
+                .putInt(payload.length).put(payload).array();
+        e.answer(200, "application/octet-stream", body, "Inference-Header-Content-Length",
+                Integer.toString(json.length), "endpoint-load-metrics", metrics);
+    }
+
+    private static String metrics(Map<String, Double> report, int start, int company, int copies) {
+        StringBuilder out = new StringBuilder("TEXT cpu_utilization=").append(report.getOrDefault("util", 0.0));
+        report.forEach((name, value) -> out.append(",named_metrics.").append(name).append('=').append(value));
+        if (start >= 0) {
+            out.append(",named_metrics.start=").append(start);
+        }
+        if (company >= 0) {
+            out.append(",named_metrics.company=").append(company);
+        }
+        if (copies >= 0) {
+            out.append(",named_metrics.copies=").append(copies);
+        }
+        return out.toString();
+    }
+}
