--- a/src/main/java/waytrestle/config/GatewayConfig.java
+++ b/src/main/java/waytrestle/config/GatewayConfig.java
@@ -96,6 +96,10 @@
                 rules.millis("drain_grace_ms", 0, DAY), rules.number("cold_share", 0, 1),
                 rules.millis("warm_after_ms", 0, DAY), rules.number("fall_multiple", 0, 1e6),
                 rules.millis("overload_ms", 1, DAY), rules.millis("ask_every_ms", 1, DAY));
+        if (moduleLimits.connectTimeoutMicros() >= moduleRules.drainGraceMicros()) {
+            limits.fault("connect_timeout_ms", "must be below rules.drain_grace_ms: a connection begun before an "
+                    + "invoker is told draining must not deliver after the grace");
+        }
         Loading loading = loading(root.sub("loading"), memory);
         Section p = root.sub("prices");
         Prices prices = new Prices(price(p, "cross_zone"), price(p, "waste"), price(p, "probe"),
--- a/src/main/java/waytrestle/front/webhook/WebhookFront.java
+++ b/src/main/java/waytrestle/front/webhook/WebhookFront.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import waytrestle.ControlApi.RequestClass;
@@ -38,13 +39,16 @@
     private final Map<String, Door> doors = new HashMap<>();
     private final long toleranceSeconds;
     private final Intake intake;
+    private final Predicate<String> known;
     private final Map<String, Long> turnedAway = new HashMap<>();
 
-    public WebhookFront(List<Endpoint> endpoints, List<RequestClass> classes, long toleranceSeconds, Intake intake) {
+    public WebhookFront(List<Endpoint> endpoints, List<RequestClass> classes, long toleranceSeconds,
+            Predicate<String> known, Intake intake) {
         for (Endpoint e : endpoints) {
             doors.put(e.path(), new Door(e, new Signatures(e.secrets()), classes.get(e.requestClass())));
         }
         this.toleranceSeconds = toleranceSeconds;
+        this.known = known;
         this.intake = intake;
     }
 
@@ -99,6 +103,10 @@
                     + ": 1 to 128 letters, figures, dots, dashes or underscores");
             return;
         }
+        if (!known.test(function)) {
+            turnAway(e, 404, "unknown-function", "no function of this name is configured: " + function);
+            return;
+        }
         IdMemory.Arrival arrival = new IdMemory.Arrival(door.endpoint().path() + " " + id, door.kind().repeat(),
                 door.kind().windowMicros(), signedAt, digest(m.body()));
         String type = m.header("content-type");
--- a/src/main/java/waytrestle/gateway/Gateway.java
+++ b/src/main/java/waytrestle/gateway/Gateway.java
@@ -1,6 +1,7 @@
 package waytrestle.gateway;
 
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
@@ -28,6 +29,7 @@
     private final Metrics metrics = new Metrics();
     private final AtomicInteger exit = new AtomicInteger();
     private Controller controller;
+    private WebhookFront front;
     private HttpServer server, admin;
     private HealthApi roster;
     private PeerLink peers;
@@ -88,11 +90,13 @@
             }
         });
         try {
-            WebhookFront front = new WebhookFront(config.endpoints(), config.module().classes(),
-                    config.ids().toleranceSeconds(), controller);
+            front = new WebhookFront(config.endpoints(), config.module().classes(),
+                    config.ids().toleranceSeconds(),
+                    name -> config.unknownFunction() != null || config.functions().containsKey(name), controller);
             server = new HttpServer(loop, config.listen(), config.http(), config.maxConnections(), front);
             admin = new HttpServer(loop, config.admin(), config.http(), 64, this::page);
             metrics.gauge("waytrestle_connections", "", server::connections);
+            process();
             if (config.peers().listen() != null) {
                 peers = new PeerLink(loop, config.module().me(), config.peers().listen(), config.peers().others(),
                         controller::peerSaid);
@@ -105,6 +109,19 @@
         loop.execute(() -> follow(wallMillis));
     }
 
+    /** What the process has used so far, for figures a call. */
+    private void process() {
+        metrics.help("waytrestle_process_cpu_seconds", "Processor time of the whole process since its start.");
+        metrics.help("waytrestle_loop_allocated_bytes", "Bytes that the loop's thread has allocated since its start.");
+        if (ManagementFactory.getOperatingSystemMXBean() instanceof com.sun.management.OperatingSystemMXBean os) {
+            metrics.gauge("waytrestle_process_cpu_seconds", "", () -> os.getProcessCpuTime() / 1e9);
+        }
+        if (ManagementFactory.getThreadMXBean() instanceof com.sun.management.ThreadMXBean threads) {
+            metrics.gauge("waytrestle_loop_allocated_bytes", "",
+                    () -> threads.getThreadAllocatedBytes(Thread.currentThread().getId()));
+        }
+    }
+
     private void follow(LongSupplier wallMillis) {
         if (config.roster().at() == null) {
             controller.invokers(new InvokerList(true, false, config.roster().fixed()));
@@ -151,7 +168,9 @@
         StringBuilder page = new StringBuilder(metrics.page());
         page.append("# HELP waytrestle_turned_away_total Messages or connections that never became calls.\n"
                 + "# TYPE waytrestle_turned_away_total counter\n");
-        server.turnedAway().forEach((reason, n) -> page.append("waytrestle_turned_away_total{reason=\"")
+        java.util.TreeMap<String, Long> all = new java.util.TreeMap<>(server.turnedAway());
+        front.turnedAway().forEach((reason, n) -> all.merge(reason, n, Long::sum));
+        all.forEach((reason, n) -> page.append("waytrestle_turned_away_total{reason=\"")
                 .append(reason).append("\"} ").append(n).append('\n'));
         return page.toString();
     }
@@ -203,7 +222,7 @@
     /** Waits for the end; the exit code is 0 after a stop, 3 after too many failed decisions. */
     public int join(long millis) throws InterruptedException {
         loop.join(millis);
-        return exit.get();
+        return loop.failed() ? 3 : exit.get();
     }
 
     /** Runs a task on the gateway's loop; for tests that must act between its events. */
--- a/src/main/java/waytrestle/http/HttpServer.java
+++ b/src/main/java/waytrestle/http/HttpServer.java
@@ -12,6 +12,7 @@
 import waytrestle.net.Connection;
 import waytrestle.net.Listener;
 import waytrestle.net.Loop;
+import waytrestle.net.TimerHeap;
 
 /**
  * An HTTP/1.1 server on one loop. Requests of a connection are handled one after another, so pipelined answers
@@ -88,7 +89,7 @@
         try {
             if (peers.size() >= maxConnections) {
                 count("connections");
-                channel.close();
+                turnAway(channel);
                 return;
             }
             Connection.accepted(loop, channel, limits.headerBytes() + limits.startLineBytes(), connection -> {
@@ -101,6 +102,15 @@
         }
     }
 
+    /** A word to a client that finds all connections taken, as far as its socket takes it at once. */
+    private static void turnAway(SocketChannel channel) throws IOException {
+        byte[] body = Problem.of(503, "connections", "all connections are taken", true).bytes();
+        channel.configureBlocking(false);
+        channel.write(new ByteBuffer[] {HttpWriter.response(503).header("Content-Type", Problem.TYPE)
+                .header("Retry-After", 1).header("Connection", "close").head(body.length), ByteBuffer.wrap(body)});
+        channel.close();
+    }
+
     /** One request and the one answer to it. */
     public final class Exchange {
         private final Peer peer;
@@ -163,6 +173,7 @@
         private Exchange exchange;
         private long since = Loop.now();  // of the present wait: for a message, a head, a body, a writer
         private boolean headSeen, closing;
+        private TimerHeap.Timer timer;
 
         private Peer(Connection connection) {
             this.connection = connection;
@@ -177,7 +188,7 @@
             long base = connection.pending() > 0 ? connection.lastMove() : since;
             long left = exchange != null && connection.pending() == 0 ? most : base + most - Loop.now();
             if (left > 0) {
-                loop.after(left, this::watchAgain);
+                timer = loop.after(left, this::watch);
                 return;
             }
             if (parser.idle() || connection.pending() > 0 || closing) {
@@ -190,12 +201,6 @@
             }
         }
 
-        private void watchAgain() {
-            if (connection.isOpen()) {
-                watch();
-            }
-        }
-
         @Override
         public void received(ByteBuffer in) {
             if (closing) {
@@ -208,10 +213,10 @@
             try {
                 boolean was = parser.idle();
                 HttpMessage message = parser.next(in);
-                if (was) {
-                    since = Loop.now();
-                }
                 if (message == null) {
+                    if (was) {
+                        begun();
+                    }
                     head();
                     return;
                 }
@@ -226,12 +231,19 @@
             }
         }
 
+        /** A head or a body did not come at once: from now its own bound counts. */
+        private void begun() {
+            since = Loop.now();
+            timer.cancel();
+            watch();
+        }
+
         private void head() {
             if (!parser.inBody() || headSeen) {
                 return;
             }
             headSeen = true;
-            since = Loop.now();
+            begun();
             int status = handler.headSeen(parser.underWay());
             if (status != 0) {
                 throw new HttpError(status, "turned away before the body");
@@ -261,18 +273,23 @@
                 closing = true;
                 peers.remove(this);
                 connection.closeWhenSent();
+                if (!connection.isOpen()) {
+                    timer.cancel();
+                }
             } else {
                 loop.after(0, connection::offer);
             }
         }
 
         private void end() {
+            timer.cancel();
             peers.remove(this);
             connection.close();
         }
 
         @Override
         public void closed(IOException why) {
+            timer.cancel();
             peers.remove(this);
             Exchange e = exchange;
             if (e != null && !e.answered && e.gone != null) {
--- a/src/main/java/waytrestle/net/Loop.java
+++ b/src/main/java/waytrestle/net/Loop.java
@@ -30,7 +30,7 @@
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER);
     private final Consumer<Throwable> broken;
     private final List<Runnable> atEnd = new ArrayList<>();
-    private volatile boolean running = true;
+    private volatile boolean running = true, ended, failed;
     private Thread thread;
 
     /** What a handler throws is given to {@code broken}; the loop itself goes on. */
@@ -55,14 +55,17 @@
         thread.join(millis);
     }
 
-    public boolean onLoop() {
-        return Thread.currentThread() == thread;
+    /** The loop ended by itself, not by {@link #stop}. */
+    public boolean failed() {
+        return failed;
     }
 
     /** Runs a task on the loop soon, from any thread. */
     public void execute(Runnable task) {
         handed.add(task);
-        selector.wakeup();
+        if (!ended) {
+            selector.wakeup();
+        }
     }
 
     /** Runs a task after the delay, on the loop; the returned timer can be cancelled there. */
@@ -91,7 +94,9 @@
 
     public void stop() {
         running = false;
-        selector.wakeup();
+        if (!ended) {
+            selector.wakeup();
+        }
     }
 
     @Override
@@ -101,9 +106,11 @@
             while (running) {
                 turn();
             }
-        } catch (IOException e) {
+        } catch (IOException | Error e) {
+            failed = true;
             broken.accept(e);
         } finally {
+            ended = true;
             atEnd.forEach(this::guarded);
             for (SelectionKey key : selector.keys()) {
                 try {
--- a/src/main/java/waytrestle/play/Play.java
+++ b/src/main/java/waytrestle/play/Play.java
@@ -46,6 +46,7 @@
         boolean alive();
     }
 
+    private static final long SETTLE = 1_100;  // ms: what is signed in the second of a start is refused
     private static final String SECRET = "whsec_" + Base64.getEncoder().encodeToString(new byte[32]).replace('A', 'p');
 
     private final Scenario scenario;
@@ -111,6 +112,7 @@
                 evidence.saw("play", "controller_up", "controller", i);
             }
             ready(ports);
+            Thread.sleep(SETTLE);
             load(ports);
             clientLoop.start();
             fleetLoop.execute(() -> scenario.troubles().forEach(t ->
--- /dev/null
+++ b/src/test/java/waytrestle/ArchTest.java
@@ -0,0 +1,81 @@
+package waytrestle;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import org.junit.jupiter.api.Test;
+
+/** The layers: decisions know no I/O and no clock, fronts no invokers, and only tools know stand-ins. */
+class ArchTest {
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("waytrestle");
+
+    private static ArchRule pure(String... names) {
+        return classes().that().haveNameMatching("waytrestle\\.(" + String.join("|", names) + ")(\\$.*)?")
+                .should().onlyDependOnClassesThat(com.tngtech.archunit.base.DescribedPredicate.describe(
+                        "are decisions or plain Java", c -> c.getPackageName().matches("java\\.(lang|util|util\\.function|util\\.stream)")
+                                || c.isPrimitive() || c.isArray() && c.getBaseComponentType().isPrimitive()
+                                || c.getName().matches("(\\[L)?waytrestle\\.(ControlApi|calls\\.[A-Za-z]+|roster\\.RosterBook"
+                                        + "|gateway\\.FaultRule|Control)(\\$.*)?;?")
+                                || c.isArray() && c.getPackageName().startsWith("java.")));
+    }
+
+    private static final String[] DECISIONS = {"Control", "calls\\.Desk", "calls\\.IdMemory", "calls\\.End",
+        "roster\\.RosterBook", "gateway\\.FaultRule"};
+
+    @Test
+    void decisionsKnowNoInputOutputAndNoLibraries() {
+        pure(DECISIONS).check(ALL);
+        assertThrows(AssertionError.class, () -> pure("gateway\\.Controller").check(ALL), "the rule catches a breach");
+    }
+
+    @Test
+    void decisionsReadNoClockAndStartNoThreads() {
+        noClasses().that().haveNameMatching("waytrestle\\.(" + String.join("|", DECISIONS) + ")(\\$.*)?")
+                .should().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+                .orShould().dependOnClassesThat().haveNameMatching("java\\.lang\\.Thread|java\\.util\\.Random"
+                        + "|java\\.util\\.concurrent\\..*|java\\.util\\.Timer").check(ALL);
+    }
+
+    @Test
+    void frontsKnowNoInvokersAndNoModule() {
+        noClasses().that().resideInAPackage("..front..").should().dependOnClassesThat()
+                .resideInAnyPackage("..invoker..", "..gateway..", "..roster..").check(ALL);
+    }
+
+    @Test
+    void theProtocolsLayersKnowNothingAboveThem() {
+        noClasses().that().resideInAPackage("waytrestle.net").should().dependOnClassesThat(
+                com.tngtech.archunit.core.domain.JavaClass.Predicates.resideOutsideOfPackages("waytrestle.net", "java.."))
+                .check(ALL);
+        noClasses().that().resideInAPackage("waytrestle.http").should().dependOnClassesThat()
+                .resideInAnyPackage("..gateway..", "..calls..", "..front..", "..invoker..", "..roster..", "..config..")
+                .check(ALL);
+    }
+
+    @Test
+    void onlyToolsKnowStandInsAndPlays() {
+        noClasses().that().resideOutsideOfPackages("..standin..", "..play..", "..cli..", "..audit..").should()
+                .dependOnClassesThat().resideInAnyPackage("..standin..", "..play..", "..audit..")
+                .check(ALL);
+    }
+
+    @Test
+    void theAuditKnowsNothingOfTheGatewayButItsConfiguration() {
+        noClasses().that().resideInAPackage("..audit..").should().dependOnClassesThat()
+                .resideInAnyPackage("..gateway..", "..calls..", "..front..", "..invoker..", "..net..", "..http..")
+                .check(ALL);
+    }
+
+    @Test
+    void theAdapterStaysLean() {
+        noClasses().that().resideInAPackage("waytrestle.wire").should().dependOnClassesThat()
+                .resideInAnyPackage("picocli..", "org.slf4j..", "ch.qos..", "org.tomlj..", "..databind..",
+                        "waytrestle.net..", "waytrestle.gateway..", "waytrestle.config..").check(ALL);
+    }
+}
--- /dev/null
+++ b/src/test/java/waytrestle/config/ConfigTest.java
@@ -0,0 +1,132 @@
+package waytrestle.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import waytrestle.ControlApi.Group;
+import waytrestle.ControlApi.Repeat;
+import waytrestle.play.Scenario;
+
+/** Configurations: the example loads as it says, and faults are told all at once with their lines. */
+class ConfigTest {
+    private static final Path EXAMPLE = Path.of("deploy/gateway.example.toml");
+
+    private static List<String> faults(String text) {
+        return assertThrows(ConfigError.class, () -> TomlFile.parse(text, "g.toml", GatewayConfig::from)).faults();
+    }
+
+    private static String example() throws Exception {
+        return Files.readString(EXAMPLE);
+    }
+
+    private static int lineOf(String text, String part) {
+        return (int) text.substring(0, text.indexOf(part)).lines().count() + (text.startsWith(part) ? 1 : 0);
+    }
+
+    @Test
+    void theAnnotatedExampleLoads() throws Exception {
+        GatewayConfig c = GatewayConfig.read(EXAMPLE);
+        assertEquals(3, c.module().classes().size());
+        assertEquals(Repeat.KEYED, c.module().classes().get(1).repeat());
+        assertEquals(Group.CELL, c.module().classes().get(1).group());
+        assertEquals(8_000_000, c.module().classes().get(1).windowMicros());
+        assertEquals(500_000, c.module().rules().drainGraceMicros());
+        assertEquals(8080, c.listen().getPort());
+        assertEquals(1_400_000, c.functions().get("charge").loadMicros());
+        assertEquals("/data/function", c.endpoints().get(0).pointer());
+    }
+
+    @Test
+    void theExampleShowsTheDefaultsOfItsBounds() throws Exception {
+        GatewayConfig given = GatewayConfig.read(EXAMPLE);
+        StringBuilder without = new StringBuilder();
+        String section = "";
+        for (String line : example().lines().toList()) {
+            section = line.startsWith("[") ? line : section;
+            boolean bounds = section.startsWith("[http]") || section.startsWith("[ids]") || section.startsWith("[invokers]")
+                    || section.startsWith("[stop]") || section.startsWith("[faults]");
+            if (!(bounds && line.contains("=") && !line.startsWith("[")) && !line.contains("# (bound)")) {
+                without.append(line).append('\n');
+            }
+        }
+        GatewayConfig left = TomlFile.parse(without.toString(), "g.toml", GatewayConfig::from);
+        assertEquals(given.http(), left.http());
+        assertEquals(given.ids(), left.ids());
+        assertEquals(given.invokers(), left.invokers());
+        assertEquals(given.roster(), left.roster());
+        assertEquals(given.stopGraceMicros(), left.stopGraceMicros());
+        assertEquals(given.faults(), left.faults());
+        assertEquals(given.maxConnections(), left.maxConnections());
+    }
+
+    @Test
+    void everyFaultIsToldAtOnceWithItsLineAndKey() throws Exception {
+        String text = example().replace("repeat = \"safe\"", "repeat = \"sometimes\"")
+                .replace("cold_share = 0.24", "cold_share = 24").replace("max_open = 20000", "max_opn = 20000")
+                .replace("address = \"127.0.0.1:8080\"", "address = \"localhost:8080\"")
+                .replace("class = \"seat-charge\"", "class = \"seat-chrg\"");
+        List<String> all = faults(text);
+        assertEquals(6, all.size(), all.toString());
+        assertTrue(all.get(0).startsWith("g.toml:" + lineOf(text, "address = \"localhost") + ": listen.address: "
+                + "must be address:port in figures"), all.get(0));
+        assertTrue(all.get(1).contains("class[0].repeat: must be one of [safe, keyed, unsafe], not \"sometimes\""));
+        assertTrue(all.get(2).contains("endpoint[1].class: names no class: \"seat-chrg\""));
+        assertTrue(all.stream().anyMatch(f -> f.contains("limits.max_open: is missing")));
+        assertTrue(all.stream().anyMatch(f -> f.startsWith("g.toml:" + lineOf(text, "max_opn")
+                + ": limits.max_opn: is unknown; known here: max_attempts, max_open")));
+        assertTrue(all.stream().anyMatch(f -> f.contains("rules.cold_share: must lie from 0 to 1, not 24")));
+    }
+
+    @Test
+    void secretsAreCheckedAndNeverRepeated() throws Exception {
+        String bad = "whsec_c2hvcnQ=";
+        List<String> all = faults(example().replace("whsec_MfKQ9r8GKYqrTwjUPD8ILPZIo2LaLaSw", bad));
+        assertTrue(all.get(0).contains("must hold 24 to 64 bytes, not 5"), all.get(0));
+        assertFalse(all.toString().contains(bad));
+        assertTrue(SecretForm.wrong("whpk_AAAA").contains("32 bytes"));
+        assertTrue(SecretForm.wrong("secret").contains("must begin with"));
+        assertTrue(SecretForm.wrong("whsec_*").contains("base64"));
+    }
+
+    @Test
+    void whatContradictsItselfIsRefused() throws Exception {
+        assertTrue(faults(example().replace("group = \"cell\"", "")).get(0).contains("class[1].group: is missing"));
+        assertTrue(faults(example().replace("repeat = \"keyed\"", "repeat = \"unsafe\"")).get(0)
+                .contains("only a keyed class has one"));
+        assertTrue(faults(example().replace("number = 0 ", "number = 2 ")).get(0).contains("must be below"));
+        assertTrue(faults(example().replace("address = \"127.0.0.1:8500\"", "")).get(0).contains("[[invoker]]"));
+        assertTrue(faults(example().replace("connect_timeout_ms = 250", "connect_timeout_ms = 500")).get(0)
+                .contains("rules.drain_grace_ms"));
+        assertTrue(faults("[controller").get(0).startsWith("g.toml:1: "));
+        assertTrue(faults("").size() > 10);
+    }
+
+    @Test
+    void addressesAreFiguresAlone() {
+        assertEquals("127.0.0.1:80", GatewayConfig.id(GatewayConfig.parse("127.0.0.1:80")));
+        assertEquals(443, GatewayConfig.parse("[::1]:443").getPort());
+        for (String bad : new String[] {"", "80", ":80", "host:80", "127.0.0.1:", "127.0.0.1:99999", "1.2.3:80",
+            "999.1.1.1:80", "[::1:80", "::1:80"}) {
+            assertNull(GatewayConfig.parse(bad), bad);
+        }
+    }
+
+    @Test
+    void theScenariosLoad() throws Exception {
+        for (Path each : Files.list(Path.of("deploy/scenarios")).sorted().toList()) {
+            Scenario s = Scenario.read(each);
+            assertTrue(s.lengthMicros() > 0 && !s.gateway().isEmpty(), each.toString());
+        }
+        List<String> all = assertThrows(ConfigError.class, () -> TomlFile.parse(
+                "[play]\nseconds = 0\nseed = 1\ncontrollers = 1\n[[trouble]]\nkind = \"flood\"\nat_s = 1\n", "s.toml",
+                Scenario::from)).faults();
+        assertTrue(all.stream().anyMatch(f -> f.startsWith("s.toml:6: trouble[0].kind: must be one of [deploy,")));
+    }
+}
--- /dev/null
+++ b/src/test/java/waytrestle/http/HttpServerTest.java
@@ -0,0 +1,174 @@
+package waytrestle.http;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import waytrestle.net.Loop;
+
+/** The server on its socket: an echo, spoken to by the JDK's client and by hand. */
+class HttpServerTest {
+    private final List<Throwable> broken = new ArrayList<>();
+    private final CountDownLatch gone = new CountDownLatch(1);
+    private Loop loop;
+    private HttpServer server;
+
+    @BeforeEach
+    void start() throws Exception {
+        loop = new Loop("test", broken::add);
+        HttpLimits limits = new HttpLimits(1_000, 20, 4_000, 100_000, 400_000, 400_000, 5_000_000, 5_000_000);
+        server = new HttpServer(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), limits, 3, e -> {
+            if (e.message().path().equals("/never")) {
+                e.whenGone(gone::countDown);
+                return;
+            }
+            e.answer(200, "application/octet-stream", e.message().body(), "X-Path", e.message().path());
+        });
+        loop.start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        loop.stop();
+        loop.join(5_000);
+        assertEquals(List.of(), broken);
+    }
+
+    private Socket socket() throws Exception {
+        Socket s = new Socket(InetAddress.getLoopbackAddress(), server.port());
+        s.setSoTimeout(5_000);
+        return s;
+    }
+
+    private static String all(Socket s) throws Exception {
+        return new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+
+    @Test
+    void agreesWithTheJdkClientOnValidMessages() throws Exception {
+        java.net.http.HttpClient client = java.net.http.HttpClient.newBuilder()
+                .version(java.net.http.HttpClient.Version.HTTP_1_1).build();
+        Random random = new Random(1);
+        for (int i = 0; i < 40; i++) {
+            byte[] body = new byte[random.nextInt(60_000)];
+            random.nextBytes(body);
+            HttpRequest.BodyPublisher fixed = HttpRequest.BodyPublishers.ofByteArray(body);
+            HttpRequest.BodyPublisher chunked = HttpRequest.BodyPublishers.fromPublisher(fixed);
+            HttpResponse<byte[]> answer = client.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
+                    + server.port() + "/echo/" + i)).expectContinue(i % 3 == 0)
+                    .POST(i % 2 == 0 ? fixed : chunked).build(), HttpResponse.BodyHandlers.ofByteArray());
+            assertEquals(200, answer.statusCode());
+            assertEquals("/echo/" + i, answer.headers().firstValue("x-path").orElse(""));
+            assertArrayEquals(body, answer.body());
+        }
+    }
+
+    @Test
+    void fiftyPipelinedCallsAreAnsweredInOrder() throws Exception {
+        try (Socket s = socket()) {
+            StringBuilder out = new StringBuilder();
+            for (int i = 0; i < 50; i++) {
+                out.append("POST /p").append(i).append(" HTTP/1.1\r\nHost: a\r\n")
+                        .append(i == 49 ? "Connection: close\r\n" : "").append("Content-Length: 5\r\n\r\nabc")
+                        .append(i % 10).append("x");
+            }
+            s.getOutputStream().write(out.toString().getBytes());
+            String got = all(s);
+            int at = -1;
+            for (int i = 0; i < 50; i++) {
+                int next = got.indexOf("X-Path: /p" + i + "\r\n");
+                assertTrue(next > at, "answer " + i + " is missing or early");
+                at = next;
+            }
+        }
+    }
+
+    @Test
+    void oneByteAtATimeIsAMessageToo() throws Exception {
+        try (Socket s = socket()) {
+            s.setTcpNoDelay(true);
+            for (byte b : "POST /slow HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok".getBytes()) {
+                s.getOutputStream().write(b);
+            }
+            assertTrue(all(s).endsWith("\r\n\r\nok"));
+        }
+    }
+
+    @Test
+    void aStalledHeadAndAStalledBodyAreAnsweredAndClosed() throws Exception {
+        for (String sent : new String[] {"POST /x HTT", "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc"}) {
+            try (Socket s = socket()) {
+                s.getOutputStream().write(sent.getBytes());
+                assertTrue(all(s).startsWith("HTTP/1.1 408 "), sent);
+            }
+        }
+    }
+
+    @Test
+    void aBrokenMessageIsAnsweredWithAProblemThatNamesIt() throws Exception {
+        try (Socket s = socket()) {
+            s.getOutputStream().write("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 999999\r\n\r\n".getBytes());
+            String got = all(s);
+            assertTrue(got.startsWith("HTTP/1.1 413 "), got);
+            assertTrue(got.contains("application/problem+json") && got.contains("\"harmless\":true")
+                    && got.contains("100000 bytes"), got);
+        }
+    }
+
+    @Test
+    void aConnectionTooManyIsTurnedAwayWithAWord() throws Exception {
+        List<Socket> held = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            Socket s = socket();
+            held.add(s);
+            s.getOutputStream().write("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n".getBytes());
+            assertEquals('H', s.getInputStream().read());
+        }
+        try (Socket s = socket()) {
+            assertTrue(all(s).startsWith("HTTP/1.1 503 "));
+        }
+        for (Socket s : held) {
+            s.close();
+        }
+    }
+
+    @Test
+    void aClientThatHangsUpIsToldOf() throws Exception {
+        try (Socket s = socket()) {
+            s.getOutputStream().write("GET /never HTTP/1.1\r\nHost: a\r\n\r\n".getBytes());
+            Thread.sleep(50);
+        }
+        assertTrue(gone.await(5, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void aBodyLargerThanASocketHoldsComesThroughWhole() throws Exception {
+        try (Socket s = socket()) {
+            byte[] body = new byte[100_000];
+            new Random(2).nextBytes(body);
+            OutputStream out = s.getOutputStream();
+            out.write(("POST /big HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 100000\r\n\r\n").getBytes());
+            out.write(body);
+            InputStream in = s.getInputStream();
+            byte[] got = in.readAllBytes();
+            assertArrayEquals(body, java.util.Arrays.copyOfRange(got, got.length - body.length, got.length));
+        }
+    }
+}
