--- a/src/main/java/waytrestle/audit/Audit.java
+++ b/src/main/java/waytrestle/audit/Audit.java
@@ -123,7 +123,7 @@
     private final Map<String, Long> toldAway = new HashMap<>();  // controller and invoker: since when
     private final Map<Integer, ArrayDeque<Long>> orders = new HashMap<>();
     private final Map<Integer, ArrayDeque<Long>> taken = new HashMap<>();
-    private final Map<Integer, Long> killedAt = new HashMap<>();
+    private final Map<Integer, List<Long>> kills = new HashMap<>();
     private final List<Break> breaks = new ArrayList<>();
     private final Map<Rule, Integer> counts = new TreeMap<>();
     private long attempts, orderCount;
@@ -205,7 +205,7 @@
                 }
             }));
             case "fell" -> broke(Rule.COLD_SPARED, s.t(), "invoker " + s.who() + " was pushed over while cold");
-            case "controller_killed", "controller_stopped" -> killedAt.put(controller, s.t());
+            case "controller_killed" -> kills.computeIfAbsent(controller, c -> new ArrayList<>()).add(s.t());
             default -> { }
         }
     }
@@ -348,8 +348,8 @@
     /** Rule 1. What a controller held when it was killed is the client's to retry. */
     private void oneAnswer(String id, Call call) {
         call.tries.forEach((number, t) -> {
-            Long killed = killedAt.get(t.controller);
-            boolean held = killed != null && killed >= t.sentAt - KILL_SPAN && killed <= t.deadline;
+            boolean held = kills.getOrDefault(t.controller, List.of()).stream()
+                    .anyMatch(k -> k >= t.sentAt - KILL_SPAN && k <= t.deadline);
             if (t.endedAt < 0 || t.how.equals("unanswered") || t.how.equals("cut")) {
                 if (!held) {
                     broke(Rule.ONE_ANSWER, t.sentAt, "call " + id + " got no answer (" + t.how + ")");
--- a/src/main/java/waytrestle/calls/Desk.java
+++ b/src/main/java/waytrestle/calls/Desk.java
@@ -179,10 +179,18 @@
             actions.add(new Answer(e.waiter(), again.end()));
             return;
         }
+        if (verdict instanceof IdMemory.Verdict.Join && e.timeLeftMicros() <= BACKSTOP * tick) {
+            actions.add(new Answer(e.waiter(), new Failed(Why.STILL_OPEN, e.id().repeat() != Repeat.SAFE)));
+            return;
+        }
         if (verdict instanceof IdMemory.Verdict.Join join && open.containsKey(join.call())) {
             wait(e.waiter(), deadline, open.get(join.call()));
             return;
         }
+        if (e.timeLeftMicros() <= BACKSTOP * tick) {
+            actions.add(new Answer(e.waiter(), new Refused(Why.NO_FINISH_IN_TIME, 0)));
+            return;
+        }
         if (stopping || open.size() >= maxOpen) {
             actions.add(new Answer(e.waiter(), new Refused(stopping ? Why.STOPPING : Why.TOO_MANY_OPEN, 0)));
             return;
--- a/src/main/java/waytrestle/config/GatewayConfig.java
+++ b/src/main/java/waytrestle/config/GatewayConfig.java
@@ -28,7 +28,7 @@
 
 /** The whole configuration of a gateway process, checked. Names and units are those of the annotated example. */
 public record GatewayConfig(Settings module, long seed, List<String> zones, List<String> kinds,
-        InetSocketAddress listen, InetSocketAddress admin, HttpLimits http, int maxConnections,
+        InetSocketAddress listen, InetSocketAddress admin, HttpLimits http, int maxConnections, long transitMicros,
         IdMemory.Bounds ids, List<Endpoint> endpoints, Map<String, Function> functions, Function unknownFunction,
         InvokerLink invokers, Roster roster, Peers peers, long stopGraceMicros, Faults faults) {
 
@@ -131,11 +131,11 @@
         Section listen = root.sub("listen");
         return new GatewayConfig(module, controller.whole("seed", Long.MIN_VALUE, Long.MAX_VALUE), zones, kinds,
                 address(listen, "address", null), address(listen, "admin", null), http(root.sub("http")),
-                (int) listen.whole("max_connections", 1, 1_000_000, 10_000),
+                (int) listen.whole("max_connections", 1, 1_000_000, 10_000), listen.millis("transit_ms", 0, 60_000, 5),
                 new IdMemory.Bounds((int) ids.whole("entries", 1, 50_000_000, 200_000),
                         ids.whole("bytes", 1_024, 1L << 40, 256L << 20), ids.whole("tolerance_s", 1, 86_400, 300)),
                 endpoints(root, tenantNames, classNames), functions,
-                unknown.flag("accept", true) ? function(unknown) : null,
+                unknownFunction(unknown),
                 new InvokerLink((int) links.whole("max_connections", 1, 100_000, 256),
                         links.millis("idle_close_ms", 1, DAY, 15_000),
                         (int) links.whole("answer_bytes", 1, 1 << 30, 8 << 20)),
@@ -198,6 +198,11 @@
                 f.millis("load_ms", 0, DAY, 0), f.millis("work_ms", 0, DAY, 0));
     }
 
+    private static Function unknownFunction(Section s) {
+        Function told = function(s);
+        return s.flag("accept", true) ? told : null;
+    }
+
     private static HttpLimits http(Section h) {
         HttpLimits d = HttpLimits.DEFAULT;
         return new HttpLimits((int) h.whole("start_line_bytes", 64, 1 << 20, d.startLineBytes()),
--- a/src/main/java/waytrestle/front/webhook/WebhookFront.java
+++ b/src/main/java/waytrestle/front/webhook/WebhookFront.java
@@ -21,6 +21,7 @@
 import waytrestle.http.HttpMessage;
 import waytrestle.http.HttpServer;
 import waytrestle.http.Problem;
+import waytrestle.net.Loop;
 
 /**
  * The front for signed webhooks: checks that a message is signed as the Standard Webhooks specification has it, reads
@@ -37,17 +38,18 @@
     private record Door(Endpoint endpoint, Signatures signatures, RequestClass kind) { }
 
     private final Map<String, Door> doors = new HashMap<>();
-    private final long toleranceSeconds;
+    private final long toleranceSeconds, transit;
     private final Intake intake;
     private final Predicate<String> known;
     private final Map<String, Long> turnedAway = new HashMap<>();
 
     public WebhookFront(List<Endpoint> endpoints, List<RequestClass> classes, long toleranceSeconds,
-            Predicate<String> known, Intake intake) {
+            long transitMicros, Predicate<String> known, Intake intake) {
         for (Endpoint e : endpoints) {
             doors.put(e.path(), new Door(e, new Signatures(e.secrets()), classes.get(e.requestClass())));
         }
         this.toleranceSeconds = toleranceSeconds;
+        this.transit = transitMicros;
         this.known = known;
         this.intake = intake;
     }
@@ -111,18 +113,20 @@
                 door.kind().windowMicros(), signedAt, digest(m.body()));
         String type = m.header("content-type");
         Intake.Ticket ticket = intake.accept(new Intake.Incoming(door.endpoint().requestClass(),
-                door.endpoint().tenant(), function, arrival, timeLeft(m, door.kind()),
+                door.endpoint().tenant(), function, arrival, timeLeft(e, door.kind()),
                 type == null ? "application/json" : type, m.body()), end -> answer(e, end));
         if (e.open()) {
             e.whenGone(ticket::left);
         }
     }
 
-    private long timeLeft(HttpMessage m, RequestClass kind) {
-        String prefer = m.joined("prefer");
+    /** The client's time began when it sent the first byte: what that may have waited here is taken off. */
+    private long timeLeft(HttpServer.Exchange e, RequestClass kind) {
+        String prefer = e.message().joined("prefer");
         Matcher wait = prefer == null ? null : WAIT.matcher(prefer);
-        return wait != null && wait.find() ? Math.min(kind.deadlineMicros(), Long.parseLong(wait.group(1)) * 1_000_000)
-                : kind.deadlineMicros();
+        long whole = wait != null && wait.find() ? Math.min(kind.deadlineMicros(),
+                Long.parseLong(wait.group(1)) * 1_000_000) : kind.deadlineMicros();
+        return whole - transit - (Loop.now() - e.since());
     }
 
     private void turnAway(HttpServer.Exchange e, int status, String kind, String detail, String... headers) {
--- a/src/main/java/waytrestle/gateway/Gateway.java
+++ b/src/main/java/waytrestle/gateway/Gateway.java
@@ -91,7 +91,7 @@
         });
         try {
             front = new WebhookFront(config.endpoints(), config.module().classes(),
-                    config.ids().toleranceSeconds(),
+                    config.ids().toleranceSeconds(), config.transitMicros(),
                     name -> config.unknownFunction() != null || config.functions().containsKey(name), controller);
             server = new HttpServer(loop, config.listen(), config.http(), config.maxConnections(), front);
             admin = new HttpServer(loop, config.admin(), config.http(), 64, this::page);
--- a/src/main/java/waytrestle/http/HttpServer.java
+++ b/src/main/java/waytrestle/http/HttpServer.java
@@ -115,10 +115,12 @@
     public final class Exchange {
         private final Peer peer;
         private final HttpMessage message;
+        private final long since;
         private Runnable gone;
         private boolean answered;
 
-        private Exchange(Peer peer, HttpMessage message) {
+        private Exchange(Peer peer, HttpMessage message, long since) {
+            this.since = since;
             this.peer = peer;
             this.message = message;
         }
@@ -127,6 +129,11 @@
             return message;
         }
 
+        /** The earliest time at which its client can have begun to send it, as far as can be known here. */
+        public long since() {
+            return since;
+        }
+
         /** Runs if the client goes away before the answer. */
         public void whenGone(Runnable task) {
             gone = task;
@@ -136,6 +143,14 @@
             return !answered && peer.connection.isOpen();
         }
 
+        /** Breaks the connection instead of answering. */
+        public void reset() {
+            answered = true;
+            gone = null;
+            peer.connection.reset();
+            peer.end();
+        }
+
         public String client() {
             return peer.connection.peer();
         }
@@ -172,6 +187,7 @@
         private final HttpParser parser = HttpParser.requests(limits);
         private Exchange exchange;
         private long since = Loop.now();  // of the present wait: for a message, a head, a body, a writer
+        private long messageSince;
         private boolean headSeen, closing;
         private TimerHeap.Timer timer;
 
@@ -212,6 +228,9 @@
             }
             try {
                 boolean was = parser.idle();
+                if (was) {
+                    messageSince = connection.offeredSince();
+                }
                 HttpMessage message = parser.next(in);
                 if (message == null) {
                     if (was) {
@@ -221,7 +240,7 @@
                     return;
                 }
                 headSeen = false;
-                Exchange e = new Exchange(this, message);
+                Exchange e = new Exchange(this, message, messageSince);
                 exchange = e;
                 handler.request(e);
             } catch (HttpError e) {
--- a/src/main/java/waytrestle/net/Connection.java
+++ b/src/main/java/waytrestle/net/Connection.java
@@ -37,7 +37,7 @@
     private SelectionKey key;
     private ByteBuffer kept = EMPTY;
     private TimerHeap.Timer connectTimer;
-    private long pending, written, lastMove;
+    private long pending, written, lastMove, offeredSince, keptSince, bornSince, bornTurn;
     private boolean closed, closeWhenSent, offering, connecting, ended;
 
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
@@ -48,6 +48,8 @@
         this.keep = keep;
         this.handler = handler;
         this.lastMove = Loop.now();
+        this.bornSince = loop.turnBefore();
+        this.bornTurn = loop.turnAt();
     }
 
     /** Takes over an accepted channel; the handler is made knowing its connection. */
@@ -123,6 +125,11 @@
         return lastMove;
     }
 
+    /** The earliest time at which the input now offered can have come. */
+    public long offeredSince() {
+        return offeredSince;
+    }
+
     public int kept() {
         return kept.remaining();
     }
@@ -184,12 +191,15 @@
             offer();
         } else {
             offering = true;
+            // What came with the connection, or right behind it, may have waited for as long as the connection itself.
+            offeredSince = loop.turnBefore() == bornTurn ? bornSince : loop.turnBefore();
             try {
                 handler.received(in);
             } finally {
                 offering = false;
             }
             if (in.hasRemaining() && !closed) {
+                keptSince = offeredSince;
                 kept = ByteBuffer.allocate(in.remaining()).put(in).flip();
             }
         }
@@ -202,6 +212,7 @@
             return;
         }
         offering = true;
+        offeredSince = keptSince;
         try {
             int before = -1;
             while (!closed && kept.hasRemaining() && kept.remaining() != before) {
--- a/src/main/java/waytrestle/net/Loop.java
+++ b/src/main/java/waytrestle/net/Loop.java
@@ -32,6 +32,7 @@
     private final List<Runnable> atEnd = new ArrayList<>();
     private volatile boolean running = true, ended, failed;
     private Thread thread;
+    private long turnAt = now(), turnBefore = turnAt;
 
     /** What a handler throws is given to {@code broken}; the loop itself goes on. */
     public Loop(String name, Consumer<Throwable> broken) throws IOException {
@@ -60,6 +61,19 @@
         return failed;
     }
 
+    /**
+     * When the selection before this turn's returned. What is found ready in this turn came after that, so it is the
+     * earliest that it can have waited: a loop that was slow, stalled or just started knows how long at most.
+     */
+    public long turnBefore() {
+        return turnBefore;
+    }
+
+    /** When this turn's selection returned. */
+    public long turnAt() {
+        return turnAt;
+    }
+
     /** Runs a task on the loop soon, from any thread. */
     public void execute(Runnable task) {
         handed.add(task);
@@ -84,7 +98,11 @@
 
     public SelectionKey register(SelectableChannel channel, int ops, Ready ready) throws IOException {
         channel.configureBlocking(false);
-        return channel.register(selector, ops, ready);
+        SelectionKey key = channel.register(selector, ops, ready);
+        if (Thread.currentThread() != thread) {
+            selector.wakeup();  // a selection under way would not see the new key
+        }
+        return key;
     }
 
     /** The loop's one read buffer, empty; its contents must be used up before the handler returns. */
@@ -139,6 +157,8 @@
         } else {
             selector.select(Math.max(1, (wait + 999) / 1_000));
         }
+        turnBefore = turnAt;
+        turnAt = now();
         for (Iterator<SelectionKey> keys = selector.selectedKeys().iterator(); keys.hasNext();) {
             SelectionKey key = keys.next();
             keys.remove();
--- a/src/main/java/waytrestle/play/Play.java
+++ b/src/main/java/waytrestle/play/Play.java
@@ -4,7 +4,8 @@
 import java.io.PrintWriter;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -58,6 +59,7 @@
     private final Env env;
     private final Random random;
     private final List<Path> configs = new ArrayList<>();
+    private final List<SocketChannel> heldPorts = new ArrayList<>();
     private final Map<Integer, Running> running = new HashMap<>();
     private final List<InvokerStandIn> invokers = new ArrayList<>();
     private final Map<String, Scenario.Fleet> fleetOf = new HashMap<>();
@@ -128,6 +130,9 @@
             running.values().forEach(Running::kill);
             fleetLoop.stop();
             clientLoop.stop();
+            for (SocketChannel held : heldPorts) {
+                held.close();
+            }
             evidence.close();
         }
         if (!broken.isEmpty()) {
@@ -154,20 +159,18 @@
         done.await(10, TimeUnit.SECONDS);
     }
 
-    /** Ports that the system chose, given back for the controllers to take. */
-    private static List<Integer> ports(int n) throws IOException {
-        List<ServerSocket> held = new ArrayList<>();
+    /**
+     * Ports that the system chose. They stay bound here, without listening, for as long as the play lasts: the
+     * controllers may listen on them, again and again, but no connection or stand-in is given one in between.
+     */
+    private List<Integer> ports(int n) throws IOException {
         List<Integer> all = new ArrayList<>();
-        try {
-            for (int i = 0; i < n; i++) {
-                ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                held.add(s);
-                all.add(s.getLocalPort());
-            }
-        } finally {
-            for (ServerSocket s : held) {
-                s.close();
-            }
+        for (int i = 0; i < n; i++) {
+            SocketChannel held = SocketChannel.open();
+            heldPorts.add(held);
+            held.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            held.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            all.add(((InetSocketAddress) held.getLocalAddress()).getPort());
         }
         return all;
     }
--- a/src/main/java/waytrestle/standin/RosterStandIn.java
+++ b/src/main/java/waytrestle/standin/RosterStandIn.java
@@ -68,11 +68,22 @@
     }
 
     /** Forgets its index, as a restarted server does. */
-    public void restart() throws IOException {
+    public void restart() {
         server.kill();
         pending.clear();
         index = 1;
-        server = listen(port);
+        again();
+    }
+
+    /** The kernel gives the port back only after the loop's next turn. */
+    private void again() {
+        loop.after(5_000, () -> {
+            try {
+                server = listen(port);
+            } catch (IOException e) {
+                again();
+            }
+        });
     }
 
     private void changed() {
--- a/src/test/java/waytrestle/calls/DeskTest.java
+++ b/src/test/java/waytrestle/calls/DeskTest.java
@@ -92,6 +92,15 @@
         assertEquals(null, endOf(2), "nothing after an answer");
     }
 
+    @Test
+    void whatComesWithItsTimeGoneIsRefusedUnsent() {
+        on(arrived(1, 2, "a", TICK));
+        assertEquals(new Refused(Why.NO_FINISH_IN_TIME, 0), endOf(1));
+        begin(2, 2, "a");
+        on(arrived(3, 2, "a", -5));
+        assertEquals(new Failed(Why.STILL_OPEN, true), endOf(3));
+    }
+
     @Test
     void theCallGoesOnUntilTheLastOfItsWaitersLeft() {
         long call = begin(1, 0, "a");
--- a/src/test/java/waytrestle/config/ConfigTest.java
+++ b/src/test/java/waytrestle/config/ConfigTest.java
@@ -27,7 +27,7 @@
     }
 
     private static int lineOf(String text, String part) {
-        return (int) text.substring(0, text.indexOf(part)).lines().count() + (text.startsWith(part) ? 1 : 0);
+        return 1 + (int) text.substring(0, text.indexOf(part)).chars().filter(c -> c == '\n').count();
     }
 
     @Test
--- a/src/test/java/waytrestle/http/HttpServerTest.java
+++ b/src/test/java/waytrestle/http/HttpServerTest.java
@@ -39,6 +39,14 @@
                 e.whenGone(gone::countDown);
                 return;
             }
+            if (e.message().path().equals("/waited")) {
+                e.answer(200, "", new byte[0], "X-Waited", Long.toString(Loop.now() - e.since()));
+                return;
+            }
+            if (e.message().path().equals("/later")) {
+                loop.after(150_000, () -> e.answer(200, "", new byte[0]));
+                return;
+            }
             e.answer(200, "application/octet-stream", e.message().body(), "X-Path", e.message().path());
         });
         loop.start();
@@ -100,6 +108,30 @@
         }
     }
 
+    /** What waits here costs its client time: a stalled loop and messages sent ahead are told as such. */
+    @Test
+    void aMessageTellsHowLongItMayHaveWaited() throws Exception {
+        CountDownLatch stalled = new CountDownLatch(1);
+        loop.execute(() -> {
+            stalled.countDown();
+            try {
+                Thread.sleep(300);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        stalled.await();
+        try (Socket s = socket()) {
+            s.getOutputStream().write(("GET /waited HTTP/1.1\r\nHost: a\r\n\r\nGET /later HTTP/1.1\r\nHost: a\r\n\r\n"
+                    + "GET /waited HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").getBytes());
+            String got = all(s);
+            long first = Long.parseLong(got.replaceAll("(?s).*?X-Waited: (\\d+).*", "$1"));
+            long second = Long.parseLong(got.replaceAll("(?s).*X-Waited: (\\d+).*", "$1"));
+            assertTrue(first >= 200_000, "the stall: " + first);
+            assertTrue(second >= 200_000 + 150_000, "the stall and the wait behind /later: " + second);
+        }
+    }
+
     @Test
     void oneByteAtATimeIsAMessageToo() throws Exception {
         try (Socket s = socket()) {
