--- a/src/main/java/waytrestle/net/Loop.java
+++ b/src/main/java/waytrestle/net/Loop.java
@@ -30,6 +30,7 @@
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER);
     private final Consumer<Throwable> broken;
     private final List<Runnable> atEnd = new ArrayList<>();
+    private boolean precise;
     private volatile boolean running = true, ended, failed;
     private Thread thread;
     private long turnAt = now(), turnBefore = turnAt;
@@ -46,6 +47,12 @@
         return System.nanoTime() / 1_000;
     }
 
+    /** Polls through waits under a millisecond instead of rounding them up; costs a core, for measuring alone. */
+    public Loop precise() {
+        precise = true;
+        return this;
+    }
+
     public Loop start() {
         thread = new Thread(this, name);
         thread.start();
@@ -150,7 +157,7 @@
         if (!handed.isEmpty()) {
             wait = 0;
         }
-        if (wait == 0) {
+        if (wait == 0 || precise && wait < 1_500) {
             selector.selectNow();
         } else if (wait == Long.MAX_VALUE) {
             selector.select();
--- a/src/main/java/waytrestle/play/Processes.java
+++ b/src/main/java/waytrestle/play/Processes.java
@@ -8,8 +8,15 @@
 public final class Processes implements Play.Starter {
     private final Path dir;
     private final String policy;
+    private final boolean quickStart;
 
     public Processes(Path dir, String policy) {
+        this(dir, policy, true);
+    }
+
+    /** A quick start compiles less well: right for plays, which restart controllers, wrong for measuring. */
+    public Processes(Path dir, String policy, boolean quickStart) {
+        this.quickStart = quickStart;
         this.dir = dir;
         this.policy = policy;
     }
@@ -17,7 +24,7 @@
     @Override
     public Play.Running start(int number, Path config) throws IOException {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        Process process = new ProcessBuilder(List.of(java, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx512m",
+        Process process = new ProcessBuilder(List.of(java, "-XX:+UseSerialGC", quickStart ? "-XX:TieredStopAtLevel=1" : "-XX:+TieredCompilation", "-Xmx512m",
                 "-cp", System.getProperty("java.class.path"), "waytrestle.Main", "serve", "--config",
                 config.toString(), "--policy", policy))
                 .redirectErrorStream(true)
