Bodies cross the gateway in segments: read once, cut, forwarded and answered by reference

Need: a large tensor must neither be copied as it grows nor hold up small calls on the same loop.

Change: Bytes keeps a body as it came off the socket; parser, desk, invoker protocol and answers share it. Writes stop after 256 KiB a turn. An infer request of a client can be passed on as it is.

--- a/src/main/java/waytrestle/calls/End.java
+++ b/src/main/java/waytrestle/calls/End.java
@@ -1,9 +1,15 @@
 package waytrestle.calls;
 
+import waytrestle.Bytes;
+
 /** How a call ends for whoever waits for it. */
 public sealed interface End {
-    /** The function's own answer. */
-    record Served(String type, byte[] body) implements End { }
+    /** The function's own answer; jsonBytes is the length of its JSON part where it is an infer answer, else -1. */
+    record Served(String type, Bytes body, int jsonBytes) implements End {
+        public Served(String type, byte[] body) {
+            this(type, Bytes.of(body), -1);
+        }
+    }
 
     /** Nothing happened that a repeat could double: coming again is harmless. */
     record Refused(Why why, long comeBackAfterMicros) implements End { }
--- a/src/main/java/waytrestle/calls/IdMemory.java
+++ b/src/main/java/waytrestle/calls/IdMemory.java
@@ -53,7 +53,7 @@
         }
 
         long answerBytes() {
-            return end instanceof Served served ? served.body().length : 0;
+            return end instanceof Served served ? served.body().size() : 0;
         }
     }
 
--- a/src/main/java/waytrestle/calls/Intake.java
+++ b/src/main/java/waytrestle/calls/Intake.java
@@ -1,10 +1,15 @@
 package waytrestle.calls;
 
+import waytrestle.Bytes;
+
 /** What a front needs of the core: it brings a call and hears its end, once. */
 public interface Intake {
-    /** A call as a front has understood and admitted it; the id may be null, tenant -1. */
+    /**
+     * A call as a front has understood and admitted it; the id may be null, tenant -1. With jsonBytes of 0 or more
+     * the payload is an infer request already, whose JSON part is so long, and its answer is wanted whole.
+     */
     record Incoming(int requestClass, int tenant, String function, IdMemory.Arrival id, long timeLeftMicros,
-            String contentType, byte[] payload) { }
+            String contentType, Bytes payload, int jsonBytes) { }
 
     /** Hears the end, on the loop, possibly within {@link #accept}. */
     interface Client {
--- a/src/main/java/waytrestle/front/webhook/WebhookFront.java
+++ b/src/main/java/waytrestle/front/webhook/WebhookFront.java
@@ -114,7 +114,7 @@
         String type = m.header("content-type");
         Intake.Ticket ticket = intake.accept(new Intake.Incoming(door.endpoint().requestClass(),
                 door.endpoint().tenant(), function, arrival, timeLeft(e, door.kind()),
-                type == null ? "application/json" : type, m.body()), end -> answer(e, end));
+                type == null ? "application/json" : type, m.content(), -1), end -> answer(e, end));
         if (e.open()) {
             e.whenGone(ticket::left);
         }
--- a/src/main/java/waytrestle/gateway/Controller.java
+++ b/src/main/java/waytrestle/gateway/Controller.java
@@ -320,7 +320,8 @@
         @Override
         public void answered(HttpMessage m) {
             Code code = Outcomes.ofStatus(m.status());
-            Served served = code == Code.OK ? InferProtocol.answer(m) : null;
+            Served served = code != Code.OK ? null
+                    : call.call.jsonBytes() >= 0 ? InferProtocol.whole(m) : InferProtocol.answer(m);
             if (code == Code.OK && served == null) {
                 code = Code.ERROR;
                 metrics.counter("waytrestle_malformed_answers_total", "").add();
@@ -374,8 +375,10 @@
         }
         desk.on(now, wallSeconds(), new Desk.Sent(call.id, attempt.number), this::carryOut);
         String id = call.call.id() != null ? call.call.id().key() : "c" + config.module().me() + "-" + call.id;
-        attempt.exchange = link.client().call(until - now, attempt, link.protocol().infer(call.call.function(), id,
-                attempt.number, call.call.contentType(), call.call.payload()));
+        Incoming in = call.call;
+        attempt.exchange = link.client().call(until - now, attempt, in.jsonBytes() >= 0
+                ? link.protocol().passed(in.function(), id, attempt.number, in.payload(), in.jsonBytes())
+                : link.protocol().infer(in.function(), id, attempt.number, in.contentType(), in.payload()));
     }
 
     private void cancel(ControlApi.Cancel a) {
--- a/src/main/java/waytrestle/http/HttpMessage.java
+++ b/src/main/java/waytrestle/http/HttpMessage.java
@@ -3,15 +3,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import waytrestle.Bytes;
 
 /** A whole request or response. Header names are kept in lower case, in order. */
 public final class HttpMessage {
     public static final byte[] NO_BODY = new byte[0];
+    Bytes content = Bytes.NONE;
     String method = "", target = "", reason = "";
     int status;
     boolean http10;
     final List<String> names = new ArrayList<>(), values = new ArrayList<>();
-    byte[] body = NO_BODY;
 
     public String method() {
         return method;
@@ -44,8 +45,14 @@
         return status;
     }
 
+    /** The body in one array; for a large one see {@link #content}. */
     public byte[] body() {
-        return body;
+        return content.array();
+    }
+
+    /** The body as it came. */
+    public Bytes content() {
+        return content;
     }
 
     /** The first value under a lower-case name, or null. */
--- a/src/main/java/waytrestle/http/HttpParser.java
+++ b/src/main/java/waytrestle/http/HttpParser.java
@@ -2,8 +2,11 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
+import waytrestle.Bytes;
 
 /**
  * An incremental parser of HTTP/1.1 messages (RFC 9112): any split of the bytes gives the same messages. Strict
@@ -13,7 +16,8 @@
 public final class HttpParser {
     private enum State { START, HEADER, FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER, UNTIL_CLOSE, DONE }
 
-    private static final int GROW = 16 * 1024;  // bytes first set aside for a body: a claim alone takes no memory
+    private static final int FIRST = 16 * 1024;  // bytes first set aside for a body: a claim alone takes no memory
+    private static final int SEGMENT = 64 * 1024;  // bytes of each further part: nothing is copied as a body grows
     private static final int CHUNK_LINE = 256;  // bytes of a chunk's size line, extensions included
     private static final int CHUNK_DIGITS = 8;
 
@@ -26,7 +30,8 @@
     private HttpMessage message;
     private int headerBytes, bodyLength, blankLines;
     private long left;
-    private byte[] body = HttpMessage.NO_BODY;
+    private List<byte[]> segments = new ArrayList<>(1);
+    private int filled;           // bytes of the last segment
 
     private HttpParser(boolean requests, HttpLimits limits) {
         this.requests = requests;
@@ -85,9 +90,9 @@
 
     private HttpMessage finish() {
         HttpMessage done = message;
-        done.body = bodyLength == 0 ? HttpMessage.NO_BODY
-                : body.length == bodyLength ? body : Arrays.copyOf(body, bodyLength);
-        body = HttpMessage.NO_BODY;
+        done.content = Bytes.of(segments, filled);
+        segments = new ArrayList<>(1);
+        filled = 0;
         bodyLength = headerBytes = blankLines = 0;
         message = null;
         state = State.START;
@@ -367,12 +372,19 @@
     }
 
     private void append(ByteBuffer in, int n) {
-        if (body.length - bodyLength < n) {
-            long want = state == State.FIXED ? Math.min(bodyLength + left, Math.max(GROW, 2L * (bodyLength + n)))
-                    : Math.max(GROW, 2L * (bodyLength + n));
-            body = Arrays.copyOf(body, (int) Math.min(Math.max(bodyLength + n, limits.bodyBytes()), want));
+        for (int rest = n; rest > 0;) {
+            byte[] last = segments.isEmpty() ? HttpMessage.NO_BODY : segments.get(segments.size() - 1);
+            if (filled == last.length) {
+                int size = segments.isEmpty() ? FIRST : SEGMENT;
+                last = new byte[state == State.FIXED ? (int) Math.min(size, left - (n - rest)) : size];
+                segments.add(last);
+                filled = 0;
+            }
+            int some = Math.min(rest, last.length - filled);
+            in.get(last, filled, some);
+            filled += some;
+            rest -= some;
         }
-        in.get(body, bodyLength, n);
         bodyLength += n;
         left -= n;
     }
--- a/src/main/java/waytrestle/http/HttpServer.java
+++ b/src/main/java/waytrestle/http/HttpServer.java
@@ -5,10 +5,13 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import waytrestle.Bytes;
 import waytrestle.net.Connection;
 import waytrestle.net.Listener;
 import waytrestle.net.Loop;
@@ -156,6 +159,10 @@
         }
 
         public void answer(int status, String type, byte[] body, String... headers) {
+            answer(status, type, Bytes.of(body), headers);
+        }
+
+        public void answer(int status, String type, Bytes body, String... headers) {
             if (answered) {
                 throw new IllegalStateException("a second answer to one request");
             }
@@ -172,12 +179,12 @@
             if (last) {
                 writer.header("Connection", "close");
             }
-            ByteBuffer head = writer.head(body.length);
-            if (message.method().equals("HEAD")) {
-                peer.connection.send(head);
-            } else {
-                peer.connection.send(head, ByteBuffer.wrap(body));
+            List<ByteBuffer> all = new ArrayList<>();
+            all.add(writer.head(Math.toIntExact(body.size())));
+            if (!message.method().equals("HEAD")) {
+                all.addAll(body.buffers());
             }
+            peer.connection.send(all.toArray(ByteBuffer[]::new));
             peer.answered(this, last);
         }
     }
--- a/src/main/java/waytrestle/invoker/InferProtocol.java
+++ b/src/main/java/waytrestle/invoker/InferProtocol.java
@@ -12,7 +12,9 @@
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
+import java.util.ArrayList;
+import java.util.List;
+import waytrestle.Bytes;
 import waytrestle.calls.End.Served;
 import waytrestle.http.HttpMessage;
 import waytrestle.http.HttpWriter;
@@ -23,7 +25,8 @@
  */
 public final class InferProtocol {
     /** Headers by which an invoker and an audit tell controllers and attempts apart. */
-    public static final String CONTROLLER = "waytrestle-controller", ATTEMPT = "waytrestle-attempt";
+    public static final String CONTROLLER = "waytrestle-controller", ATTEMPT = "waytrestle-attempt",
+            CALL = "waytrestle-call";
     static final String JSON_LENGTH = "Inference-Header-Content-Length";
     private static final JsonFactory JSON = new JsonFactory();
     private static final ObjectMapper TREES = new ObjectMapper();
@@ -51,8 +54,24 @@
         return out.toByteArray();
     }
 
+    /** An infer request that a client wrote, passed on as it is; the call's id travels in a header beside it. */
+    public ByteBuffer[] passed(String function, String id, int attempt, Bytes body, int jsonBytes) {
+        HttpWriter head = HttpWriter.request("POST", "/v2/models/" + function + "/infer", host)
+                .header(CONTROLLER, controller).header(ATTEMPT, attempt).header(CALL, id);
+        if (jsonBytes < body.size()) {
+            head.header("Content-Type", "application/octet-stream").header(JSON_LENGTH, jsonBytes);
+        } else {
+            head.header("Content-Type", "application/json");
+        }
+        List<ByteBuffer> all = new ArrayList<>();
+        all.add(head.head(Math.toIntExact(body.size())));
+        all.addAll(body.buffers());
+        return all.toArray(ByteBuffer[]::new);
+    }
+
     /** An infer request: head, JSON part with the tensor's length, and the payload by reference. */
-    public ByteBuffer[] infer(String function, String id, int attempt, String contentType, byte[] payload) {
+    public ByteBuffer[] infer(String function, String id, int attempt, String contentType, Bytes payload) {
+        int length = Math.toIntExact(payload.size());
         byte[] json = json(g -> {
             g.writeStringField("id", id);
             g.writeArrayFieldStart("inputs");
@@ -63,7 +82,7 @@
             g.writeNumber(1);
             g.writeEndArray();
             g.writeObjectFieldStart("parameters");
-            g.writeNumberField("binary_data_size", payload.length + 4);
+            g.writeNumberField("binary_data_size", length + 4);
             g.writeStringField("content_type", contentType);
             g.writeEndObject();
             g.writeEndObject();
@@ -74,10 +93,12 @@
         });
         ByteBuffer head = HttpWriter.request("POST", "/v2/models/" + function + "/infer", host)
                 .header("Content-Type", "application/octet-stream").header(JSON_LENGTH, json.length)
-                .header(CONTROLLER, controller).header(ATTEMPT, attempt).head(json.length + 4 + payload.length);
+                .header(CONTROLLER, controller).header(ATTEMPT, attempt).head(json.length + 4 + length);
         ByteBuffer middle = ByteBuffer.allocate(json.length + 4).order(ByteOrder.LITTLE_ENDIAN).put(json)
-                .putInt(payload.length).flip();
-        return new ByteBuffer[] {head, middle, ByteBuffer.wrap(payload)};
+                .putInt(length).flip();
+        List<ByteBuffer> all = new ArrayList<>(List.of(head, middle));
+        all.addAll(payload.buffers());
+        return all.toArray(ByteBuffer[]::new);
     }
 
     public ByteBuffer[] load(String function, int copies) {
@@ -108,23 +129,35 @@
 
     /** The first output of an infer answer, or null where the answer is malformed. */
     public static Served answer(HttpMessage m) {
-        byte[] body = m.body();
-        String given = m.header(JSON_LENGTH.toLowerCase(java.util.Locale.ROOT));
-        int jsonLength = body.length;
-        if (given != null) {
-            if (!given.matches("\\d{1,9}") || Integer.parseInt(given) > body.length) {
-                return null;
-            }
-            jsonLength = Integer.parseInt(given);
+        int jsonLength = jsonBytes(m);
+        if (jsonLength < 0) {
+            return null;
         }
-        try (JsonParser json = JSON.createParser(body, 0, jsonLength)) {
-            return output(json, body, jsonLength);
+        try (JsonParser json = JSON.createParser(m.content().slice(0, jsonLength).array())) {
+            return output(json, m.content(), jsonLength);
         } catch (IOException e) {
             return null;
         }
     }
 
-    private static Served output(JsonParser json, byte[] body, int jsonLength) throws IOException {
+    /** The whole of an infer answer, for a client that asked in this protocol; null where its form is broken. */
+    public static Served whole(HttpMessage m) {
+        int jsonLength = jsonBytes(m);
+        String type = m.header("content-type");
+        return jsonLength < 0 ? null : new Served(type == null ? "application/json" : type, m.content(),
+                jsonLength < m.content().size() ? jsonLength : -1);
+    }
+
+    /** The length of a message's JSON part, the whole where none is told; -1 where what is told cannot be. */
+    public static int jsonBytes(HttpMessage m) {
+        String given = m.header(JSON_LENGTH.toLowerCase(java.util.Locale.ROOT));
+        if (given == null) {
+            return Math.toIntExact(m.content().size());
+        }
+        return given.matches("\\d{1,9}") && Integer.parseInt(given) <= m.content().size() ? Integer.parseInt(given) : -1;
+    }
+
+    private static Served output(JsonParser json, Bytes body, int jsonLength) throws IOException {
         if (json.nextToken() != JsonToken.START_OBJECT) {
             return null;
         }
@@ -143,7 +176,7 @@
         return null;
     }
 
-    private static Served tensor(JsonParser json, byte[] body, int jsonLength) throws IOException {
+    private static Served tensor(JsonParser json, Bytes body, int jsonLength) throws IOException {
         String type = "application/octet-stream";
         long size = -1;
         byte[] data = null;
@@ -176,12 +209,11 @@
         if (size < 0) {
             return data == null ? null : new Served(type, data);
         }
-        if (size < 4 || jsonLength + size > body.length) {
+        if (size < 4 || jsonLength + size > body.size()) {
             return null;
         }
-        int length = ByteBuffer.wrap(body, jsonLength, 4).order(ByteOrder.LITTLE_ENDIAN).getInt();
-        return length != size - 4 ? null
-                : new Served(type, Arrays.copyOfRange(body, jsonLength + 4, jsonLength + 4 + length));
+        Bytes binary = body.slice(jsonLength, jsonLength + size);
+        return binary.cursor().littleEndian() != size - 4 ? null : new Served(type, binary.slice(4, size), -1);
     }
 
     /** Copies standing of a function by a repository index; 0 where it is not listed as ready. */
--- a/src/main/java/waytrestle/load/LoadRun.java
+++ b/src/main/java/waytrestle/load/LoadRun.java
@@ -212,7 +212,7 @@
                             .putInt(payload.length).flip(), ByteBuffer.wrap(payload)};
             }
             default -> {
-                return new InferProtocol(host, 0).infer(function, id, 0, "application/json", payload);
+                return new InferProtocol(host, 0).infer(function, id, 0, "application/json", waytrestle.Bytes.of(payload));
             }
         }
     }
--- a/src/main/java/waytrestle/net/Connection.java
+++ b/src/main/java/waytrestle/net/Connection.java
@@ -28,6 +28,7 @@
     }
 
     private static final int GATHER = 16;  // buffers a gathered write: more gain nothing on a socket
+    private static final long TURN = 256 * 1024;  // bytes a turn: a large answer must not hold up the small ones
 
     private final Loop loop;
     private final SocketChannel channel;
@@ -250,6 +251,7 @@
 
     private void flush() throws IOException {
         boolean had = pending > 0;
+        long turn = 0;
         while (!out.isEmpty()) {
             ByteBuffer[] some = new ByteBuffer[Math.min(GATHER, out.size())];
             int i = 0;
@@ -268,7 +270,8 @@
             while (!out.isEmpty() && !out.peek().hasRemaining()) {
                 out.poll();
             }
-            if (n == 0) {
+            turn += n;
+            if (n == 0 || turn >= TURN) {
                 break;
             }
         }
--- a/src/test/java/waytrestle/ArchTest.java
+++ b/src/test/java/waytrestle/ArchTest.java
@@ -20,7 +20,7 @@
                 .should().onlyDependOnClassesThat(com.tngtech.archunit.base.DescribedPredicate.describe(
                         "are decisions or plain Java", c -> c.getPackageName().matches("java\\.(lang|util|util\\.function|util\\.stream)")
                                 || c.isPrimitive() || c.isArray() && c.getBaseComponentType().isPrimitive()
-                                || c.getName().matches("(\\[L)?waytrestle\\.(ControlApi|calls\\.[A-Za-z]+|roster\\.RosterBook"
+                                || c.getName().matches("(\\[L)?waytrestle\\.(ControlApi|Bytes|calls\\.[A-Za-z]+|roster\\.RosterBook"
                                         + "|gateway\\.FaultRule|Control)(\\$.*)?;?")
                                 || c.isArray() && c.getPackageName().startsWith("java.")));
     }
--- a/src/test/java/waytrestle/invoker/InvokerProtocolTest.java
+++ b/src/test/java/waytrestle/invoker/InvokerProtocolTest.java
@@ -36,7 +36,7 @@
     @Test
     void aPayloadTravelsAsOneBytesTensorUnchanged() {
         byte[] payload = {0, 1, 2, (byte) 255, '"'};
-        ByteBuffer[] parts = new InferProtocol("h:1", 3).infer("f-1", "/p \"id\"", 2, "a/b", payload);
+        ByteBuffer[] parts = new InferProtocol("h:1", 3).infer("f-1", "/p \"id\"", 2, "a/b", waytrestle.Bytes.of(payload));
         ByteBuffer all = ByteBuffer.allocate(4_096);
         for (ByteBuffer part : parts) {
             all.put(part);
@@ -59,9 +59,9 @@
                 + "\"parameters\":{\"content_type\":\"x/y\",\"binary_data_size\":7}}]}";
         Served served = answer(binary, "\3\0\0\0abc", true);
         assertEquals("x/y", served.type());
-        assertArrayEquals("abc".getBytes(), served.body());
+        assertArrayEquals("abc".getBytes(), served.body().array());
         assertArrayEquals("text".getBytes(), answer("{\"outputs\":[{\"name\":\"r\",\"data\":[\"text\"],"
-                + "\"parameters\":{}}]}", "", false).body());
+                + "\"parameters\":{}}]}", "", false).body().array());
     }
 
     @Test
