--- a/src/main/java/waytrestle/Bytes.java
+++ b/src/main/java/waytrestle/Bytes.java
@@ -86,6 +86,15 @@
         return all;
     }
 
+    /** The segments as one stream. */
+    public java.io.InputStream stream() {
+        List<java.io.InputStream> all = new ArrayList<>(segments.size());
+        for (Segment s : segments) {
+            all.add(new java.io.ByteArrayInputStream(s.array(), s.from(), s.length()));
+        }
+        return all.size() == 1 ? all.get(0) : new java.io.SequenceInputStream(java.util.Collections.enumeration(all));
+    }
+
     /** Reads forward from the beginning. */
     public Cursor cursor() {
         return new Cursor();
--- a/src/main/java/waytrestle/calls/Desk.java
+++ b/src/main/java/waytrestle/calls/Desk.java
@@ -23,11 +23,15 @@
     private static final long BACKSTOP = 2;  // ticks before the end at which an unanswered call is failed here;
                                              // the module's own end comes one tick before, so this is later
 
+    private static final long GATE_PAUSE = 500_000;  // micros after which a call that a gate turned away may come again:
+                                                     // two steps of the limit, so that it finds another state
+
     /** What happens at the desk. */
     public sealed interface Event { }
 
     /** A waiter with its call; key null: a call without an id, never joined or remembered. */
-    public record Arrived(long waiter, int requestClass, IdMemory.Arrival id, long timeLeftMicros) implements Event { }
+    public record Arrived(long waiter, int requestClass, int tenant, long mark, IdMemory.Arrival id,
+            long timeLeftMicros) implements Event { }
 
     /** The waiter's client went away. */
     public record Left(long waiter) implements Event { }
@@ -88,12 +92,14 @@
     private static final class Call {
         final long id, deadline;
         final RequestClass kind;
+        final Arrived from;
         final List<Waiter> waiters = new ArrayList<>(1);
         final List<Long> sentAt = new ArrayList<>(2);
         final List<Boolean> out = new ArrayList<>(2);
         long mayRunAt;            // first send not proved never to have run; 0 without one
 
-        Call(long id, long deadline, RequestClass kind) {
+        Call(long id, long deadline, RequestClass kind, Arrived from) {
+            this.from = from;
             this.id = id;
             this.deadline = deadline;
             this.kind = kind;
@@ -115,6 +121,7 @@
     private final int maxOpen;
     private final long tick;
     private final IdMemory memory;
+    private final Gate gate;
     private final Map<Long, Waiter> waiters = new HashMap<>();
     private final Map<Long, Call> open = new HashMap<>();
     private long calls;
@@ -122,7 +129,9 @@
     private long now;
     private Actions actions;
 
-    public Desk(List<RequestClass> classes, int maxOpen, long tickMicros, IdMemory memory) {
+    public Desk(List<RequestClass> classes, int maxOpen, long tickMicros, IdMemory memory,
+            Gate gate) {
+        this.gate = gate;
         this.classes = classes;
         this.maxOpen = maxOpen;
         this.tick = tickMicros;
@@ -195,10 +204,16 @@
             actions.add(new Answer(e.waiter(), new Refused(stopping ? Why.STOPPING : Why.TOO_MANY_OPEN, 0)));
             return;
         }
+        Why offered = gate.refuse(now, e.tenant(), e.requestClass(), e.mark());
+        if (offered != null) {
+            actions.add(new Answer(e.waiter(), new Refused(offered, GATE_PAUSE)));
+            return;
+        }
         long notAfter = ((IdMemory.Verdict.Fresh) verdict).notAfterMicros();
         Call call = new Call(++calls, notAfter > 0 ? Math.min(deadline, notAfter) : deadline,
-                classes.get(e.requestClass()));
+                classes.get(e.requestClass()), e);
         open.put(call.id, call);
+        gate.began(now, e.tenant(), e.requestClass());
         if (e.id() != null) {
             memory.begin(call.id, e.id());
         }
@@ -249,6 +264,7 @@
     /** Nobody waits: for the module it is over; a repeat is judged by whether it may have run. */
     private void abandon(Call call) {
         open.remove(call.id);
+        gate.over(now, call.from.tenant(), call.from.requestClass(), call.from.mark(), false, false);
         memory.ended(now, call.id, new Failed(Why.ABANDONED, call.mayRunAt() != 0), call.mayRunAt());
         actions.add(new Abandon(call.id));
     }
@@ -312,6 +328,8 @@
 
     private void end(Call call, End end, long mayRunAt) {
         open.remove(call.id);
+        gate.over(now, call.from.tenant(), call.from.requestClass(), call.from.mark(), end instanceof Refused,
+                end instanceof Failed f && f.why() == Why.TIME_UP);
         memory.ended(now, call.id, end, mayRunAt);
         for (Waiter waiter : call.waiters) {
             waiters.remove(waiter.id);
--- a/src/main/java/waytrestle/cli/MeasureCommand.java
+++ b/src/main/java/waytrestle/cli/MeasureCommand.java
@@ -36,6 +36,9 @@
 final class MeasureCommand implements Callable<Integer> {
     private static final String SECRET = "whsec_MfKQ9r8GKYqrTwjUPD8ILPZIo2LaLaSw";
 
+    private static final String KEY = "measure-key-0123456789";
+    private static final String KEY_HASH = "017cea668b0af2f69d33f6ed96c2b0fedb6dc1d2fb7ff07932c6a2d979bfe324";
+
     @Spec
     private CommandSpec spec;
 
@@ -161,7 +164,8 @@
                 + port + "\"\nadmin = \"127.0.0.1:" + admin + "\"\n[http]\nbody_bytes = 134217728\n[invokers]\n"
                 + "answer_bytes = 134217728\n[roster]\ndiscovery = \"pushed\"\n"
                 + "[[endpoint]]\npath = \"/hooks/seat-check\"\nclass = \"seat-check\"\nfunction_pointer = \"/function\"\n"
-                + "secrets = [\"" + SECRET + "\"]\n");
+                + "secrets = [\"" + SECRET + "\"]\n[kserve]\nclass = \"seat-check\"\n[[kserve.key]]\nsha256 = \""
+                + KEY_HASH + "\"\n");
         out.append(text.substring(text.indexOf("[[gateway.kind]]")).replace("gateway.", ""));
         for (InetSocketAddress each : invokers) {
             out.append("\n[[invoker]]\naddress = \"").append(waytrestle.config.GatewayConfig.id(each))
@@ -204,7 +208,7 @@
         LoadPlan.Stream stream = new LoadPlan.Stream(gateway ? "gateway" : "direct", !gateway ? LoadPlan.Front.INVOKER
                 : kserve ? LoadPlan.Front.KSERVE : LoadPlan.Front.WEBHOOK, gateway ? List.of(new InetSocketAddress(
                         InetAddress.getLoopbackAddress(), port)) : invokers, "/hooks/seat-check",
-                kserve ? "measure-key-0123456789" : SECRET, "f", 40, 0.7, 1, payload, 1, 5_000_000, 0);
+                kserve ? KEY : SECRET, "f", 40, 0.7, 1, payload, 1, 5_000_000, 0);
         LoadRun run = new LoadRun(new LoadPlan(1, 4_000, List.of(new LoadPlan.Stage(rate, rate, length * 1_000_000L)),
                 List.of(stream)), loop);
         run.run();
--- a/src/main/java/waytrestle/config/GatewayConfig.java
+++ b/src/main/java/waytrestle/config/GatewayConfig.java
@@ -25,12 +25,15 @@
 import waytrestle.ControlApi.Tenant;
 import waytrestle.calls.IdMemory;
 import waytrestle.http.HttpLimits;
+import waytrestle.overload.Overload;
+import waytrestle.overload.TenantShares;
 
 /** The whole configuration of a gateway process, checked. Names and units are those of the annotated example. */
 public record GatewayConfig(Settings module, long seed, List<String> zones, List<String> kinds,
         InetSocketAddress listen, InetSocketAddress admin, HttpLimits http, int maxConnections, long transitMicros,
         IdMemory.Bounds ids, List<Endpoint> endpoints, Map<String, Function> functions, Function unknownFunction,
-        InvokerLink invokers, Roster roster, Peers peers, long stopGraceMicros, Faults faults) {
+        InvokerLink invokers, Roster roster, Peers peers, long stopGraceMicros, Faults faults,
+        Overload.Settings overload, List<TenantShares.Bound> bounds, Edge edge, Kserve kserve) {
 
     /** Where signed calls come in; secrets are as given, with their prefix. */
     public record Endpoint(String path, int tenant, int requestClass, String pointer, String fixedFunction,
@@ -49,6 +52,14 @@
     /** Other controllers, by number; an empty list when there is no talk. */
     public record Peers(InetSocketAddress listen, Map<Integer, InetSocketAddress> others) { }
 
+    /** What connections may hold: bytes of all bodies, connections of one network, address sets in CIDR form. */
+    public record Edge(long bodyBytes, int perNetwork, int v4Prefix, int v6Prefix, List<String> trusted,
+            List<String> barred) { }
+
+    /** The KServe front; keys by the SHA-256 of their text in hex. Without keys it is closed. */
+    public record Kserve(int requestClass, Map<String, Integer> tenantByKey, Map<String, Integer> classByModel,
+            int jsonBytes) { }
+
     /** When failed decisions end the process: more than so many within a span. */
     public record Faults(int most, long spanMicros) { }
 
@@ -81,10 +92,12 @@
         }
         List<Tenant> tenants = new ArrayList<>();
         List<String> tenantNames = new ArrayList<>();
+        List<TenantShares.Bound> bounds = new ArrayList<>();
         for (Section t : root.each("tenant")) {
             unique(t, t.text("name"), tenantNames);
             tenants.add(new Tenant(tenantNames.get(tenantNames.size() - 1), t.number("share", 0, 1),
                     t.number("quota_per_s", 0, 1e9)));
+            bounds.add(new TenantShares.Bound(t.number("max_per_s", 0, 1e9, 0), (int) t.whole("max_open", 0, 1_000_000, 0)));
         }
         Section limits = root.sub("limits");
         Limits moduleLimits = new Limits((int) limits.whole("max_attempts", 1, 100),
@@ -120,11 +133,15 @@
         Section ids = root.sub("ids");
         Section unknown = root.sub("unknown_function");
         Map<String, Function> functions = new HashMap<>();
+        Map<String, Integer> classByModel = new HashMap<>();
         for (Section f : root.each("function")) {
             String name = f.text("name");
             if (functions.put(name, function(f)) != null) {
                 f.fault("name", "is given twice: \"" + name + "\"");
             }
+            if (f.has("class")) {
+                classByModel.put(name, f.among("class", classNames, "class"));
+            }
         }
         Section links = root.sub("invokers");
         Section faults = root.sub("faults");
@@ -141,7 +158,9 @@
                         (int) links.whole("answer_bytes", 1, 1 << 30, 8 << 20)),
                 roster(rosterTable, root, zones, kinds), peers(root, count),
                 root.sub("stop").millis("grace_ms", 0, DAY, 10_000),
-                new Faults((int) faults.whole("most", 0, 1_000_000, 10), faults.millis("within_ms", 1, DAY, 60_000)));
+                new Faults((int) faults.whole("most", 0, 1_000_000, 10), faults.millis("within_ms", 1, DAY, 60_000)),
+                overload(root.sub("overload")), bounds, edge(root.sub("edge")),
+                kserve(root.sub("kserve"), tenantNames, classNames, classByModel));
     }
 
     private static List<String> named(Section s, String key) {
@@ -252,6 +271,41 @@
         return all;
     }
 
+    private static Overload.Settings overload(Section s) {
+        return new Overload.Settings(s.flag("on", true), (int) s.whole("least_open", 1, 1_000_000, 32),
+                s.number("retry_share", 0, 10, 0.2), s.number("retries_per_s", 0, 1e6, 10));
+    }
+
+    private static Edge edge(Section s) {
+        Edge edge = new Edge(s.whole("body_bytes", 1_024, 1L << 40, 256L << 20),
+                (int) s.whole("connections_per_network", 1, 1_000_000, 5_000), (int) s.whole("v4_prefix", 0, 32, 24),
+                (int) s.whole("v6_prefix", 0, 128, 64), s.texts("trusted"), s.texts("barred"));
+        for (String key : List.of("trusted", "barred")) {
+            for (String each : key.equals("trusted") ? edge.trusted() : edge.barred()) {
+                if (!Networks.valid(each)) {
+                    s.fault(key, "must hold networks as 10.0.0.0/8 or 2001:db8::/32, not \"" + each + "\"");
+                }
+            }
+        }
+        return edge;
+    }
+
+    private static Kserve kserve(Section s, List<String> tenants, List<String> classes, Map<String, Integer> byModel) {
+        Map<String, Integer> keys = new HashMap<>();
+        for (Section k : s.each("key")) {
+            int tenant = tenants.isEmpty() && !k.has("tenant") ? -1 : k.among("tenant", tenants, "tenant");
+            String hash = k.text("sha256");
+            if (!hash.isEmpty() && !hash.matches("[0-9a-f]{64}")) {
+                k.fault("sha256", "must be the SHA-256 of the bearer key, 64 hex figures in lower case");
+            }
+            if (keys.put(hash, tenant) != null) {
+                k.fault("sha256", "is given twice");
+            }
+        }
+        int kind = keys.isEmpty() && !s.has("class") ? 0 : s.among("class", classes, "class");
+        return new Kserve(kind, keys, byModel, (int) s.whole("json_bytes", 256, 1 << 30, 1 << 20));
+    }
+
     private static Roster roster(Section r, Section root, List<String> zones, List<String> kinds) {
         List<Invoker> fixed = new ArrayList<>();
         Set<String> ids = new HashSet<>();
--- a/src/main/java/waytrestle/front/webhook/WebhookFront.java
+++ b/src/main/java/waytrestle/front/webhook/WebhookFront.java
@@ -11,28 +11,25 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
-import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import waytrestle.ControlApi.RequestClass;
 import waytrestle.calls.End;
 import waytrestle.calls.IdMemory;
 import waytrestle.calls.Intake;
 import waytrestle.config.GatewayConfig.Endpoint;
+import waytrestle.front.Front;
+import waytrestle.front.Fronts;
 import waytrestle.http.HttpMessage;
 import waytrestle.http.HttpServer;
 import waytrestle.http.Problem;
-import waytrestle.net.Loop;
 
 /**
  * The front for signed webhooks: checks that a message is signed as the Standard Webhooks specification has it, reads
  * the function's name from it and brings it to the core; the function's answer goes back in the response.
  */
-public final class WebhookFront implements HttpServer.Handler {
-    private static final Pattern FUNCTION = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,127}");
+public final class WebhookFront implements Front {
     private static final Pattern ID = Pattern.compile("[!-~]{1,256}");
     private static final Pattern SECONDS = Pattern.compile("\\d{1,12}");
-    private static final Pattern WAIT = Pattern.compile("(?:^|,)\\s*wait\\s*=\\s*\"?(\\d{1,9})\"?\\s*(?:[,;]|$)",
-            Pattern.CASE_INSENSITIVE);
     private static final JsonFactory JSON = new JsonFactory();
 
     private record Door(Endpoint endpoint, Signatures signatures, RequestClass kind) { }
@@ -54,7 +51,12 @@
         this.intake = intake;
     }
 
-    /** Messages that never became calls, by reason. */
+    @Override
+    public boolean owns(String path) {
+        return doors.containsKey(path);
+    }
+
+    @Override
     public Map<String, Long> turnedAway() {
         return turnedAway;
     }
@@ -100,7 +102,7 @@
         if (function.isEmpty()) {
             function = at(door.endpoint().pointer(), m.body());
         }
-        if (function == null || !FUNCTION.matcher(function).matches()) {
+        if (!Fronts.isFunction(function)) {
             turnAway(e, 400, "function", "the payload names no function at " + door.endpoint().pointer()
                     + ": 1 to 128 letters, figures, dots, dashes or underscores");
             return;
@@ -110,25 +112,17 @@
             return;
         }
         IdMemory.Arrival arrival = new IdMemory.Arrival(door.endpoint().path() + " " + id, door.kind().repeat(),
-                door.kind().windowMicros(), signedAt, digest(m.body()));
+                door.kind().windowMicros(), signedAt, Fronts.digest(m.content()));
         String type = m.header("content-type");
         Intake.Ticket ticket = intake.accept(new Intake.Incoming(door.endpoint().requestClass(),
-                door.endpoint().tenant(), function, arrival, timeLeft(e, door.kind()),
+                door.endpoint().tenant(), function, arrival, arrival.key().hashCode() | 1L << 40,
+                Fronts.timeLeft(e, door.kind(), 0, transit),
                 type == null ? "application/json" : type, m.content(), -1), end -> answer(e, end));
         if (e.open()) {
             e.whenGone(ticket::left);
         }
     }
 
-    /** The client's time began when it sent the first byte: what that may have waited here is taken off. */
-    private long timeLeft(HttpServer.Exchange e, RequestClass kind) {
-        String prefer = e.message().joined("prefer");
-        Matcher wait = prefer == null ? null : WAIT.matcher(prefer);
-        long whole = wait != null && wait.find() ? Math.min(kind.deadlineMicros(),
-                Long.parseLong(wait.group(1)) * 1_000_000) : kind.deadlineMicros();
-        return whole - transit - (Loop.now() - e.since());
-    }
-
     private void turnAway(HttpServer.Exchange e, int status, String kind, String detail, String... headers) {
         turnedAway.merge(kind, 1L, Long::sum);
         e.answer(status, Problem.TYPE, Problem.of(status, kind, detail, true).bytes(), headers);
@@ -140,30 +134,16 @@
         }
         if (end instanceof End.Served served) {
             e.answer(200, served.type(), served.body());
-        } else if (end instanceof End.Refused refused) {
-            long millis = Math.max(1, refused.comeBackAfterMicros() / 1_000);
-            int status = switch (refused.why()) {
-                case TOO_MANY_OPEN, MEMORY_FULL -> 429;
-                default -> 503;
-            };
-            e.answer(status, Problem.TYPE, new Problem(status, kind(refused.why()), refused.why().text(), true, millis)
-                    .bytes(), "Retry-After", Long.toString((millis + 999) / 1_000));
-        } else if (end instanceof End.Failed failed) {
-            int status = switch (failed.why()) {
-                case TIME_UP, STILL_OPEN -> 504;
-                case SIGNED_BEFORE_MEMORY, WINDOW_PASSED -> 409;
-                case ANSWER_LET_GO -> 410;
-                case OTHER_PAYLOAD -> 422;
-                case INTERNAL -> 500;
-                default -> 502;
-            };
-            e.answer(status, Problem.TYPE, Problem.of(status, kind(failed.why()), failed.why().text(),
-                    !failed.mayHaveRun()).bytes());
+            return;
+        }
+        int status = Fronts.status(end);
+        long millis = Fronts.comeBackMillis(end);
+        Problem problem = new Problem(status, Fronts.kind(end), Fronts.why(end).text(), Fronts.harmless(end), millis);
+        if (millis > 0) {
+            e.answer(status, Problem.TYPE, problem.bytes(), "Retry-After", Long.toString((millis + 999) / 1_000));
+        } else {
+            e.answer(status, Problem.TYPE, problem.bytes());
         }
-    }
-
-    private static String kind(End.Why why) {
-        return why.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
     }
 
     /** The text at a JSON pointer, read without building the payload's tree; null where there is none. */
@@ -175,12 +155,4 @@
             return null;
         }
     }
-
-    private static long digest(byte[] body) {
-        long h = 0xCBF29CE484222325L;
-        for (byte b : body) {
-            h = (h ^ (b & 0xFF)) * 0x100000001B3L;
-        }
-        return h ^ (h >>> 32);
-    }
 }
--- a/src/main/java/waytrestle/gateway/Controller.java
+++ b/src/main/java/waytrestle/gateway/Controller.java
@@ -21,6 +21,7 @@
 import waytrestle.calls.Desk;
 import waytrestle.calls.End;
 import waytrestle.calls.End.Served;
+import waytrestle.calls.Gate;
 import waytrestle.calls.IdMemory;
 import waytrestle.calls.Intake;
 import waytrestle.config.GatewayConfig;
@@ -62,6 +63,7 @@
     private final GatewayConfig config;
     private final ControlApi module;
     private final Desk desk;
+    private final Gate gate;
     private final Outside outside;
     private final Metrics metrics;
     private final LongSupplier wallMillis;
@@ -96,7 +98,8 @@
     }
 
     Controller(Loop loop, GatewayConfig config, ModuleMaker maker, LongSupplier wallMillis, Metrics metrics,
-            Outside outside) {
+            Gate gate, Outside outside) {
+        this.gate = gate;
         this.loop = loop;
         this.config = config;
         this.wallMillis = wallMillis;
@@ -104,7 +107,7 @@
         this.outside = outside;
         this.module = maker.make(config.module(), config.seed());
         this.desk = new Desk(config.module().classes(), config.module().limits().maxOpen(),
-                config.module().tickMicros(), new IdMemory(config.ids(), wallSeconds()));
+                config.module().tickMicros(), new IdMemory(config.ids(), wallSeconds()), gate);
         this.faults = new FaultRule(config.faults().most(), config.faults().spanMicros());
         gauges();
     }
@@ -131,6 +134,11 @@
         return readyInvokers;
     }
 
+    @Override
+    public boolean ready() {
+        return readyInvokers > 0;
+    }
+
     @Override
     public long wallSeconds() {
         return Math.floorDiv(wallMillis.getAsLong(), 1_000);
@@ -141,7 +149,8 @@
     public Ticket accept(Incoming call, Client client) {
         long waiter = ++waiters;
         clients.put(waiter, new Waiting(client, call, Loop.now()));
-        atDesk(new Desk.Arrived(waiter, call.requestClass(), call.id(), call.timeLeftMicros()));
+        atDesk(new Desk.Arrived(waiter, call.requestClass(), call.tenant(), call.mark(), call.id(),
+                call.timeLeftMicros()));
         return () -> {
             if (clients.remove(waiter) != null) {
                 metrics.counter("waytrestle_calls_total", labels(call, "left")).add();
@@ -309,6 +318,7 @@
         final String invoker;
         final long sentAt = Loop.now();
         HttpClient.Call exchange;
+        Code code;
         boolean ended;
 
         Attempt(OpenCall call, int number, String invoker) {
@@ -341,6 +351,10 @@
             ended = true;
             call.out--;
             long took = Loop.now() - sentAt;
+            this.code = code;
+            if (code == Code.OK && (told.start() == ControlApi.Start.WARM || told.start() == ControlApi.Start.UNKNOWN)) {
+                gate.served(Loop.now(), call.call.function(), took);
+            }
             metrics.counter("waytrestle_attempts_total", "code=\"" + code + "\"").add();
             metrics.latency("waytrestle_attempt_seconds", "code=\"" + code + "\"", took);
             if (!call.over) {
@@ -368,7 +382,8 @@
         long now = Loop.now();
         long until = a.giveUpAtMicros() > 0 ? Math.min(a.giveUpAtMicros(), call.deadline) : call.deadline;
         Link link = links.get(a.invoker());
-        boolean moot = call.over || now >= until || attempt.number >= config.module().limits().maxAttempts();
+        boolean moot = call.over || now >= until || attempt.number >= config.module().limits().maxAttempts()
+                || attempt.number > 0 && call.attempts.get(attempt.number - 1).code != Code.MISS && !gate.again(now);
         if (moot || link == null) {
             loop.after(0, () -> attempt.end(moot ? Code.MOOT : Code.CONNECT_FAILED, null, LoadMetrics.read(null)));
             return;
--- /dev/null
+++ b/src/main/java/waytrestle/gateway/Door.java
@@ -0,0 +1,75 @@
+package waytrestle.gateway;
+
+import java.net.InetAddress;
+import java.util.function.LongConsumer;
+import waytrestle.config.GatewayConfig;
+import waytrestle.config.Networks;
+import waytrestle.http.Doorkeeper;
+import waytrestle.overload.ByteBudget;
+import waytrestle.overload.ConnectionGate;
+import waytrestle.overload.ConnectionGate.Standing;
+
+/** Puts connections and bodies before the modules that bound them. */
+final class Door implements Doorkeeper {
+    private final GatewayConfig.Edge edge;
+    private final ConnectionGate gate;
+    private final ByteBudget budget;
+    private final Networks trusted, barred;
+
+    Door(GatewayConfig config) {
+        edge = config.edge();
+        gate = new ConnectionGate(config.maxConnections(), edge.perNetwork());
+        budget = new ByteBudget(edge.bodyBytes());
+        trusted = new Networks(edge.trusted());
+        barred = new Networks(edge.barred());
+    }
+
+    private String network(InetAddress from) {
+        return Networks.network(from, edge.v4Prefix(), edge.v6Prefix());
+    }
+
+    @Override
+    public String take(InetAddress from) {
+        Standing standing = barred.contains(from) ? Standing.BARRED
+                : trusted.contains(from) ? Standing.TRUSTED : Standing.ORDINARY;
+        ConnectionGate.Reason reason = gate.take(network(from), standing);
+        return reason == null ? null : switch (reason) {
+            case TOTAL -> "connections";
+            case NETWORK -> "connections_of_network";
+            case BARRED -> "barred";
+        };
+    }
+
+    @Override
+    public void closed(InetAddress from) {
+        gate.closed(network(from));
+    }
+
+    @Override
+    public boolean possible(long bytes) {
+        return budget.possible(bytes);
+    }
+
+    @Override
+    public boolean ask(long connection, long bytes) {
+        return budget.ask(connection, bytes);
+    }
+
+    @Override
+    public void add(long connection, long bytes) {
+        budget.add(connection, bytes);
+    }
+
+    @Override
+    public void release(long connection, LongConsumer granted) {
+        budget.release(connection, granted);
+    }
+
+    long bytes() {
+        return budget.used();
+    }
+
+    int waiting() {
+        return budget.waiting();
+    }
+}
--- a/src/main/java/waytrestle/gateway/Gateway.java
+++ b/src/main/java/waytrestle/gateway/Gateway.java
@@ -10,7 +10,15 @@
 import waytrestle.ControlApi.Discovery;
 import waytrestle.ControlApi.InvokerList;
 import waytrestle.config.GatewayConfig;
+import waytrestle.front.Front;
+import waytrestle.front.Router;
+import waytrestle.front.kserve.KserveFront;
 import waytrestle.front.webhook.WebhookFront;
+import waytrestle.overload.Overload;
+import waytrestle.calls.Gate;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
 import waytrestle.http.HttpServer;
 import waytrestle.http.Problem;
 import waytrestle.metrics.Metrics;
@@ -29,7 +37,7 @@
     private final Metrics metrics = new Metrics();
     private final AtomicInteger exit = new AtomicInteger();
     private Controller controller;
-    private WebhookFront front;
+    private Router router;
     private HttpServer server, admin;
     private HealthApi roster;
     private PeerLink peers;
@@ -58,7 +66,10 @@
 
     /** Before the loop runs, so nothing here races with it. */
     private void assemble(Controller.ModuleMaker maker, LongSupplier wallMillis) throws IOException {
-        controller = new Controller(loop, config, maker, wallMillis, metrics, new Controller.Outside() {
+        Overload overload = new Overload(config.overload(), config.module().limits().maxOpen(),
+                config.module().tenants(), config.bounds(), config.module().classes());
+        Gate gate = config.overload().on() ? overload : Gate.OPEN;
+        controller = new Controller(loop, config, maker, wallMillis, metrics, gate, new Controller.Outside() {
             @Override
             public void subscribe(boolean on) {
                 if (roster != null) {
@@ -90,10 +101,20 @@
             }
         });
         try {
-            front = new WebhookFront(config.endpoints(), config.module().classes(),
-                    config.ids().toleranceSeconds(), config.transitMicros(),
-                    name -> config.unknownFunction() != null || config.functions().containsKey(name), controller);
-            server = new HttpServer(loop, config.listen(), config.http(), config.maxConnections(), front);
+            Predicate<String> known = name -> config.unknownFunction() != null || config.functions().containsKey(name);
+            List<Front> fronts = new ArrayList<>();
+            fronts.add(new WebhookFront(config.endpoints(), config.module().classes(),
+                    config.ids().toleranceSeconds(), config.transitMicros(), known, controller));
+            if (!config.kserve().tenantByKey().isEmpty()) {
+                fronts.add(new KserveFront(config.kserve(), config.module().classes(), config.functions().keySet(),
+                        config.transitMicros(), known, controller));
+            }
+            router = new Router(fronts);
+            Door door = new Door(config);
+            server = new HttpServer(loop, config.listen(), config.http(), door, router);
+            metrics.gauge("waytrestle_body_bytes", "", door::bytes);
+            metrics.gauge("waytrestle_bodies_waiting", "", door::waiting);
+            metrics.gauge("waytrestle_concurrency_limit", "", overload::limit);
             admin = new HttpServer(loop, config.admin(), config.http(), 64, this::page);
             metrics.gauge("waytrestle_connections", "", server::connections);
             process();
@@ -139,7 +160,7 @@
             }
         }, wallMillis);
         if (asked) {  // the module subscribes once it has been told its list, empty as yet
-            controller.invokers(new InvokerList(true, true, java.util.List.of()));
+            controller.invokers(new InvokerList(true, true, List.of()));
         } else {
             roster.subscribe(true);
         }
@@ -169,7 +190,7 @@
         page.append("# HELP waytrestle_turned_away_total Messages or connections that never became calls.\n"
                 + "# TYPE waytrestle_turned_away_total counter\n");
         java.util.TreeMap<String, Long> all = new java.util.TreeMap<>(server.turnedAway());
-        front.turnedAway().forEach((reason, n) -> all.merge(reason, n, Long::sum));
+        router.turnedAway().forEach((reason, n) -> all.merge(reason, n, Long::sum));
         all.forEach((reason, n) -> page.append("waytrestle_turned_away_total{reason=\"")
                 .append(reason).append("\"} ").append(n).append('\n'));
         return page.toString();
--- a/src/main/java/waytrestle/http/HttpParser.java
+++ b/src/main/java/waytrestle/http/HttpParser.java
@@ -22,6 +22,7 @@
     private static final int CHUNK_DIGITS = 8;
 
     private final boolean requests;
+    private boolean stopAtBody;
     private final HttpLimits limits;
     private byte[] line = new byte[256];
     private int lineLength;
@@ -46,6 +47,17 @@
         return new HttpParser(false, limits);
     }
 
+    /** Makes {@link #next} return once after each head that a body follows, with the body unread. */
+    public HttpParser stopAtBody() {
+        stopAtBody = true;
+        return this;
+    }
+
+    /** Bytes of the body that the head under way announces; -1 where chunks will tell. */
+    public long announced() {
+        return state == State.FIXED ? left : -1;
+    }
+
     /** True between messages, with nothing of the next one read. */
     public boolean idle() {
         return state == State.START && lineLength == 0 && !cr;
@@ -74,8 +86,12 @@
                     append(in, (int) left);
                 }
                 default -> {
+                    boolean head = state == State.HEADER;
                     if (line(in)) {
                         endOfLine();
+                        if (stopAtBody && head && inBody()) {
+                            return null;
+                        }
                     }
                 }
             }
--- a/src/main/java/waytrestle/http/HttpServer.java
+++ b/src/main/java/waytrestle/http/HttpServer.java
@@ -1,16 +1,16 @@
 package waytrestle.http;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import waytrestle.Bytes;
 import waytrestle.net.Connection;
 import waytrestle.net.Listener;
@@ -35,18 +35,24 @@
 
     private final Loop loop;
     private final HttpLimits limits;
-    private final int maxConnections;
+    private final Doorkeeper door;
     private final Handler handler;
     private final Listener listener;
-    private final Set<Peer> peers = new LinkedHashSet<>();
+    private final Map<Long, Peer> peers = new LinkedHashMap<>();
+    private long accepted;
     private final Map<String, Long> turnedAway = new HashMap<>();
     private boolean stopping;
 
     public HttpServer(Loop loop, InetSocketAddress at, HttpLimits limits, int maxConnections, Handler handler)
             throws IOException {
+        this(loop, at, limits, Doorkeeper.upTo(maxConnections), handler);
+    }
+
+    public HttpServer(Loop loop, InetSocketAddress at, HttpLimits limits, Doorkeeper door, Handler handler)
+            throws IOException {
         this.loop = loop;
         this.limits = limits;
-        this.maxConnections = maxConnections;
+        this.door = door;
         this.handler = handler;
         this.listener = new Listener(loop, at, 1024, this::accept);
     }
@@ -68,7 +74,7 @@
     public void stopTaking() {
         stopping = true;
         listener.close();
-        for (Peer peer : Set.copyOf(peers)) {
+        for (Peer peer : List.copyOf(peers.values())) {
             if (peer.exchange == null && peer.parser.idle()) {
                 peer.end();
             }
@@ -78,10 +84,10 @@
     /** Closes everything at once, as a crash would. */
     public void kill() {
         listener.close();
-        for (Peer peer : Set.copyOf(peers)) {
+        for (Peer peer : List.copyOf(peers.values())) {
             peer.connection.reset();
+            peer.end();
         }
-        peers.clear();
     }
 
     private void count(String reason) {
@@ -90,14 +96,16 @@
 
     private void accept(SocketChannel channel) {
         try {
-            if (peers.size() >= maxConnections) {
-                count("connections");
+            InetAddress from = ((InetSocketAddress) channel.getRemoteAddress()).getAddress();
+            String reason = door.take(from);
+            if (reason != null) {
+                count(reason);
                 turnAway(channel);
                 return;
             }
             Connection.accepted(loop, channel, limits.headerBytes() + limits.startLineBytes(), connection -> {
-                Peer peer = new Peer(connection);
-                peers.add(peer);
+                Peer peer = new Peer(connection, from, ++accepted);
+                peers.put(peer.id, peer);
                 return peer;
             });
         } catch (IOException e) {
@@ -191,14 +199,18 @@
 
     private final class Peer implements Connection.Handler {
         private final Connection connection;
-        private final HttpParser parser = HttpParser.requests(limits);
+        private final HttpParser parser = HttpParser.requests(limits).stopAtBody();
+        private final InetAddress from;
+        private final long id;
         private Exchange exchange;
         private long since = Loop.now();  // of the present wait: for a message, a head, a body, a writer
         private long messageSince;
-        private boolean headSeen, closing;
+        private boolean headSeen, closing, waiting, gone;
         private TimerHeap.Timer timer;
 
-        private Peer(Connection connection) {
+        private Peer(Connection connection, InetAddress from, long id) {
+            this.from = from;
+            this.id = id;
             this.connection = connection;
             watch();
         }
@@ -209,7 +221,7 @@
                     : parser.idle() ? limits.idleMicros()
                     : parser.inBody() ? limits.bodyMicros() : limits.headMicros();
             long base = connection.pending() > 0 ? connection.lastMove() : since;
-            long left = exchange != null && connection.pending() == 0 ? most : base + most - Loop.now();
+            long left = (exchange != null || waiting) && connection.pending() == 0 ? most : base + most - Loop.now();
             if (left > 0) {
                 timer = loop.after(left, this::watch);
                 return;
@@ -230,7 +242,7 @@
                 in.position(in.limit());
                 return;
             }
-            if (exchange != null) {
+            if (exchange != null || waiting) {
                 return;  // kept by the connection until the answer is out
             }
             try {
@@ -239,13 +251,21 @@
                     messageSince = connection.offeredSince();
                 }
                 HttpMessage message = parser.next(in);
+                if (message == null && parser.inBody() && !headSeen) {
+                    head();
+                    if (waiting) {
+                        return;
+                    }
+                    message = parser.next(in);
+                }
                 if (message == null) {
-                    if (was) {
+                    if (was || parser.inBody() && phase != 2) {
+                        phase = parser.inBody() ? 2 : 1;
                         begun();
                     }
-                    head();
                     return;
                 }
+                phase = 0;
                 headSeen = false;
                 Exchange e = new Exchange(this, message, messageSince);
                 exchange = e;
@@ -257,6 +277,8 @@
             }
         }
 
+        private int phase;  // 0 between messages, 1 in a head, 2 in a body
+
         /** A head or a body did not come at once: from now its own bound counts. */
         private void begun() {
             since = Loop.now();
@@ -265,20 +287,54 @@
         }
 
         private void head() {
-            if (!parser.inBody() || headSeen) {
-                return;
-            }
             headSeen = true;
-            begun();
             int status = handler.headSeen(parser.underWay());
             if (status != 0) {
                 throw new HttpError(status, "turned away before the body");
             }
+            long bytes = parser.announced() < 0 ? limits.bodyBytes() : parser.announced();
+            if (!door.possible(bytes)) {
+                throw new HttpError(413, "a body of " + bytes + " bytes is more than all bodies may hold together");
+            }
+            if (!door.ask(id, bytes)) {
+                count("bodies_waited");
+                waiting = true;
+                connection.pause(true);
+                return;
+            }
+            goAhead();
+        }
+
+        private void goAhead() {
             if (parser.underWay().hasToken("expect", "100-continue")) {
                 connection.send(ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII)));
             }
         }
 
+        private void granted() {
+            if (waiting && connection.isOpen()) {
+                waiting = false;
+                goAhead();
+                connection.pause(false);
+                begun();
+                loop.after(0, connection::offer);
+            }
+        }
+
+        @Override
+        public void drained() {
+            release();
+        }
+
+        private void release() {
+            door.release(id, other -> {
+                Peer let = peers.get(other);
+                if (let != null) {
+                    let.granted();
+                }
+            });
+        }
+
         /** A message that cannot be read: where the next would begin is unknown, so the connection closes. */
         private void refuse(HttpError e) {
             closing = true;
@@ -295,12 +351,15 @@
             }
             exchange = null;
             since = Loop.now();
+            release();
+            if (connection.pending() > 0) {
+                door.add(id, connection.pending());
+            }
             if (last) {
                 closing = true;
-                peers.remove(this);
                 connection.closeWhenSent();
                 if (!connection.isOpen()) {
-                    timer.cancel();
+                    end();
                 }
             } else {
                 loop.after(0, connection::offer);
@@ -308,15 +367,23 @@
         }
 
         private void end() {
-            timer.cancel();
-            peers.remove(this);
+            leave();
             connection.close();
         }
 
+        private void leave() {
+            timer.cancel();
+            peers.remove(id);
+            if (!gone) {
+                gone = true;
+                release();
+                door.closed(from);
+            }
+        }
+
         @Override
         public void closed(IOException why) {
-            timer.cancel();
-            peers.remove(this);
+            leave();
             Exchange e = exchange;
             if (e != null && !e.answered && e.gone != null) {
                 exchange = null;
--- a/src/main/java/waytrestle/net/Connection.java
+++ b/src/main/java/waytrestle/net/Connection.java
@@ -39,7 +39,7 @@
     private ByteBuffer kept = EMPTY;
     private TimerHeap.Timer connectTimer;
     private long pending, written, lastMove, offeredSince, keptSince, bornSince, bornTurn;
-    private boolean closed, closeWhenSent, offering, connecting, ended;
+    private boolean closed, closeWhenSent, offering, connecting, ended, paused;
 
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
@@ -135,6 +135,14 @@
         return kept.remaining();
     }
 
+    public java.net.InetAddress address() {
+        try {
+            return channel.getRemoteAddress() instanceof InetSocketAddress at ? at.getAddress() : null;
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
     public String peer() {
         try {
             return String.valueOf(channel.getRemoteAddress());
@@ -207,6 +215,12 @@
         interest();
     }
 
+    /** Stops reading, so that the peer's sending stops too; {@link #offer} after resuming goes on. */
+    public void pause(boolean on) {
+        paused = on;
+        interest();
+    }
+
     /** Offers kept input again, after the handler became able to take more. */
     public void offer() {
         if (offering || closed) {
@@ -279,6 +293,7 @@
         if (had && pending == 0) {
             if (closeWhenSent) {
                 close();
+                handler.closed(null);
             } else {
                 handler.drained();
             }
@@ -289,7 +304,7 @@
         if (closed || connecting || key == null || !key.isValid()) {
             return;
         }
-        int ops = (kept.remaining() < keep ? SelectionKey.OP_READ : 0) | (out.isEmpty() ? 0 : SelectionKey.OP_WRITE);
+        int ops = (kept.remaining() < keep && !paused ? SelectionKey.OP_READ : 0) | (out.isEmpty() ? 0 : SelectionKey.OP_WRITE);
         if (key.interestOps() != ops) {
             key.interestOps(ops);
         }
--- a/src/main/java/waytrestle/play/Clients.java
+++ b/src/main/java/waytrestle/play/Clients.java
@@ -29,6 +29,8 @@
     /** What a call of a function carries. */
     record Target(String function, int requestClass, double workMs) { }
 
+    /** The KServe clients' bearer key in every play. */
+    static final String BEARER = "play-key-0123456789abcdef";
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final long LATE = 1_000_000;  // micros past the deadline for which a late answer is still looked for
     private static final HttpLimits LIMITS = HttpLimits.DEFAULT;
@@ -145,6 +147,7 @@
         final RequestClass kind;
         final String id = run + ++sequence;
         final byte[] payload;
+        final boolean kserve;
         int tries, controller, unreached;
         long leaveAfter;
 
@@ -152,6 +155,7 @@
             this.target = target;
             this.kind = classes.get(target.requestClass());
             double work = target.workMs() * (0.5 + random.nextDouble());
+            this.kserve = random.nextDouble() < load.kserveShare();
             this.payload = ("{\"function\":\"" + target.function() + "\",\"work_ms\":"
                     + String.format(java.util.Locale.ROOT, "%.2f", work) + "}").getBytes(StandardCharsets.US_ASCII);
             boolean leaves = random.nextDouble() < leaveShare;
@@ -164,10 +168,8 @@
             open++;
             String path = paths.get(target.requestClass());
             String at = Long.toString(System.currentTimeMillis() / 1_000);
-            ByteBuffer head = HttpWriter.request("POST", path, hosts.get(controller))
-                    .header("Content-Type", "application/json").header("webhook-id", id).header("webhook-timestamp", at)
-                    .header("webhook-signature", Signatures.sign(secret, id, at, payload)).head(payload.length);
-            sightings.saw("client", "sent", "id", path + " " + id, "try", now, "controller", controller, "class",
+            ByteBuffer[] request = kserve ? infer() : webhook(path, at);
+            sightings.saw("client", "sent", "id", seenId(), "try", now, "controller", controller, "class",
                     target.requestClass(), "deadline", kind.deadlineMicros());
             controllers.get(controller).call(leaveAfter > 0 ? leaveAfter : kind.deadlineMicros() + LATE,
                     new HttpClient.Handler() {
@@ -182,11 +184,32 @@
                             open--;
                             broke(now, how);
                         }
-                    }, head, ByteBuffer.wrap(payload));
+                    }, request);
+        }
+
+        /** The call's id as an invoker is told it. */
+        private String seenId() {
+            return kserve ? "kserve -1 " + target.function() + " " + id : paths.get(target.requestClass()) + " " + id;
+        }
+
+        private ByteBuffer[] infer() {
+            byte[] json = ("{\"inputs\":[{\"name\":\"payload\",\"shape\":[1],\"datatype\":\"BYTES\",\"data\":["
+                    + JSON.getNodeFactory().textNode(new String(payload, StandardCharsets.US_ASCII)) + "]}]}")
+                    .getBytes(StandardCharsets.US_ASCII);
+            return new ByteBuffer[] {HttpWriter.request("POST", "/v2/models/" + target.function() + "/infer",
+                    hosts.get(controller)).header("Content-Type", "application/json").header("Idempotency-Key", id)
+                    .header("Authorization", "Bearer " + BEARER).head(json.length), ByteBuffer.wrap(json)};
+        }
+
+        private ByteBuffer[] webhook(String path, String at) {
+            return new ByteBuffer[] {HttpWriter.request("POST", path, hosts.get(controller))
+                    .header("Content-Type", "application/json").header("webhook-id", id).header("webhook-timestamp", at)
+                    .header("webhook-signature", Signatures.sign(secret, id, at, payload)).head(payload.length),
+                ByteBuffer.wrap(payload)};
         }
 
         void saw(String what, int tryNumber, int status, boolean harmless) {
-            sightings.saw("client", what, "id", paths.get(target.requestClass()) + " " + id, "try", tryNumber,
+            sightings.saw("client", what, "id", seenId(), "try", tryNumber,
                     "controller", controller, "status", status, "harmless", harmless ? 1 : 0);
         }
 
@@ -196,7 +219,7 @@
             if (m.status() != 200) {
                 try {
                     JsonNode problem = JSON.readTree(m.body());
-                    harmless = problem.path("harmless").asBoolean(false);
+                    harmless = problem.path("harmless").asBoolean("true".equals(m.header("waytrestle-harmless")));
                     wait = Math.max(wait, problem.path("retry_after_ms").asLong(0) * 1_000);
                 } catch (JsonProcessingException e) {
                     harmless = false;
--- a/src/main/java/waytrestle/play/Play.java
+++ b/src/main/java/waytrestle/play/Play.java
@@ -214,9 +214,13 @@
             out.append("[[endpoint]]\npath = \"/hooks/").append(each).append("\"\nclass = \"").append(each)
                     .append("\"\nfunction_pointer = \"/function\"\nsecrets = [\"").append(SECRET).append("\"]\n\n");
         }
+        if (scenario.load().kserveShare() > 0) {
+            out.append("[kserve]\nclass = \"").append(classNames.get(0)).append("\"\n[[kserve.key]]\nsha256 = \"")
+                    .append(sha256(Clients.BEARER)).append("\"\n\n");
+        }
         for (Scenario.Functions f : scenario.functions()) {
             for (int i = 0; i < f.count(); i++) {
-                out.append("[[function]]\nname = \"").append(f.name()).append('-').append(i).append("\"\nmemory_mb = ")
+                out.append("[[function]]\nclass = \"").append(f.requestClass()).append("\"\nname = \"").append(f.name()).append('-').append(i).append("\"\nmemory_mb = ")
                         .append(f.memoryMb()).append("\nlanes = ").append(f.lanes()).append("\nload_ms = ")
                         .append(f.loadMicros() / 1e3).append("\n\n");
             }
@@ -226,6 +230,15 @@
         return file;
     }
 
+    private static String sha256(String text) {
+        try {
+            return java.util.HexFormat.of().formatHex(java.security.MessageDigest.getInstance("SHA-256")
+                    .digest(text.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+        } catch (java.security.NoSuchAlgorithmException e) {
+            throw new IllegalStateException("this Java lacks SHA-256", e);
+        }
+    }
+
     private void fleet() throws IOException {
         Settings s = config.module();
         for (Scenario.Functions f : scenario.functions()) {
--- a/src/main/java/waytrestle/play/Scenario.java
+++ b/src/main/java/waytrestle/play/Scenario.java
@@ -22,7 +22,8 @@
             double workMs, double share, double zipf) { }
 
     /** Calls a second over all controllers; shares of calls. */
-    public record Load(double ratePerSecond, double retryShare, long retryAfterMicros, double leaveShare) { }
+    public record Load(double ratePerSecond, double retryShare, long retryAfterMicros, double leaveShare,
+            double kserveShare) { }
 
     /** The kinds of trouble that a scenario can inflict. */
     public enum Kind {
@@ -64,7 +65,8 @@
         }
         Section l = root.sub("load");
         Load load = new Load(l.number("rate_per_s", 0.01, 100_000), l.number("retry_share", 0, 1, 0),
-                l.millis("retry_after_ms", 0, 600_000, 200), l.number("leave_share", 0, 1, 0));
+                l.millis("retry_after_ms", 0, 600_000, 200), l.number("leave_share", 0, 1, 0),
+                l.number("kserve_share", 0, 1, 0));
         List<Trouble> troubles = new ArrayList<>();
         for (Section t : root.each("trouble")) {
             troubles.add(new Trouble(t.choice("kind", Kind.class), t.millis("at_s", 0, 3_600) * 1_000,
--- a/src/main/java/waytrestle/standin/InvokerStandIn.java
+++ b/src/main/java/waytrestle/standin/InvokerStandIn.java
@@ -164,17 +164,23 @@
         byte[] payload;
         long work;
         try {
-            int jsonLength = Integer.parseInt(m.header("inference-header-content-length"));
-            header = JSON.readTree(m.body(), 0, jsonLength);
-            int size = ByteBuffer.wrap(m.body(), jsonLength, 4).order(ByteOrder.LITTLE_ENDIAN).getInt();
-            payload = java.util.Arrays.copyOfRange(m.body(), jsonLength + 4, jsonLength + 4 + size);
-            JsonNode asked = JSON.readTree(payload);
-            work = (long) (asked.path("work_ms").asDouble(10) * 1_000);
+            String length = m.header("inference-header-content-length");
+            byte[] body = m.body();
+            int jsonLength = length == null ? body.length : Integer.parseInt(length);
+            header = JSON.readTree(body, 0, jsonLength);
+            JsonNode input = header.path("inputs").path(0);
+            boolean bytes = input.path("datatype").asText().equals("BYTES");
+            payload = !bytes ? String.valueOf(body.length).getBytes(StandardCharsets.US_ASCII)
+                    : jsonLength == body.length ? input.path("data").path(0).asText().getBytes(StandardCharsets.UTF_8)
+                    : java.util.Arrays.copyOfRange(body, jsonLength + 4, jsonLength + 4
+                            + ByteBuffer.wrap(body, jsonLength, 4).order(ByteOrder.LITTLE_ENDIAN).getInt());
+            work = bytes && payload.length > 0 && payload[0] == '{'
+                    ? (long) (JSON.readTree(payload).path("work_ms").asDouble(10) * 1_000) : 1_000;
         } catch (IOException | RuntimeException bad) {
             e.answer(400, "application/json", "{\"error\":\"not an infer request\"}".getBytes(StandardCharsets.US_ASCII));
             return;
         }
-        String key = header.path("id").asText();
+        String key = m.header("waytrestle-call") != null ? m.header("waytrestle-call") : header.path("id").asText();
         int attempt = Integer.parseInt(m.header("waytrestle-attempt"));
         sightings.saw(id, "attempt", "controller", controller, "id", key, "attempt", attempt, "function", name,
                 "work", work);
--- a/src/test/java/waytrestle/ArchTest.java
+++ b/src/test/java/waytrestle/ArchTest.java
@@ -20,13 +20,13 @@
                 .should().onlyDependOnClassesThat(com.tngtech.archunit.base.DescribedPredicate.describe(
                         "are decisions or plain Java", c -> c.getPackageName().matches("java\\.(lang|util|util\\.function|util\\.stream)")
                                 || c.isPrimitive() || c.isArray() && c.getBaseComponentType().isPrimitive()
-                                || c.getName().matches("(\\[L)?waytrestle\\.(ControlApi|Bytes|calls\\.[A-Za-z]+|roster\\.RosterBook"
+                                || c.getName().matches("(\\[L)?waytrestle\\.(ControlApi|Bytes|calls\\.[A-Za-z]+|overload\\.[A-Za-z]+|roster\\.RosterBook"
                                         + "|gateway\\.FaultRule|Control)(\\$.*)?;?")
                                 || c.isArray() && c.getPackageName().startsWith("java.")));
     }
 
     private static final String[] DECISIONS = {"Control", "calls\\.Desk", "calls\\.IdMemory", "calls\\.End",
-        "roster\\.RosterBook", "gateway\\.FaultRule"};
+        "roster\\.RosterBook", "gateway\\.FaultRule", "calls\\.Gate", "overload\\.[A-Za-z]+"};
 
     @Test
     void decisionsKnowNoInputOutputAndNoLibraries() {
--- a/src/test/java/waytrestle/calls/DeskTest.java
+++ b/src/test/java/waytrestle/calls/DeskTest.java
@@ -32,7 +32,8 @@
     }
 
     private final Desk desk = new Desk(List.of(kind(Repeat.SAFE, Group.ALL), kind(Repeat.KEYED, Group.CELL),
-            kind(Repeat.UNSAFE, Group.ALL)), 3, TICK, new IdMemory(new IdMemory.Bounds(1_000, 1 << 20, 300), 0));
+            kind(Repeat.UNSAFE, Group.ALL)), 3, TICK, new IdMemory(new IdMemory.Bounds(1_000, 1 << 20, 300), 0),
+            Gate.OPEN);
     private final List<Desk.Action> last = new ArrayList<>();
     private long now = 5 * SECOND;
 
@@ -44,7 +45,7 @@
 
     private Desk.Arrived arrived(long waiter, int kind, String id, long left) {
         Repeat repeat = Repeat.values()[kind];
-        return new Desk.Arrived(waiter, kind, id == null ? null : new IdMemory.Arrival(id, repeat, 2 * SECOND, 1_000, 7),
+        return new Desk.Arrived(waiter, kind, -1, 0, id == null ? null : new IdMemory.Arrival(id, repeat, 2 * SECOND, 1_000, 7),
                 left);
     }
 
--- a/src/test/java/waytrestle/config/ConfigTest.java
+++ b/src/test/java/waytrestle/config/ConfigTest.java
@@ -51,6 +51,7 @@
         for (String line : example().lines().toList()) {
             section = line.startsWith("[") ? line : section;
             boolean bounds = section.startsWith("[http]") || section.startsWith("[ids]") || section.startsWith("[invokers]")
+                    || section.startsWith("[edge]") || section.startsWith("[overload]")
                     || section.startsWith("[stop]") || section.startsWith("[faults]");
             if (!(bounds && line.contains("=") && !line.startsWith("[")) && !line.contains("# (bound)")) {
                 without.append(line).append('\n');
@@ -63,6 +64,9 @@
         assertEquals(given.roster(), left.roster());
         assertEquals(given.stopGraceMicros(), left.stopGraceMicros());
         assertEquals(given.faults(), left.faults());
+        assertEquals(given.edge(), left.edge());
+        assertEquals(given.overload(), left.overload());
+        assertEquals(given.bounds(), left.bounds());
         assertEquals(given.maxConnections(), left.maxConnections());
     }
 
@@ -108,6 +112,23 @@
         assertTrue(faults("").size() > 10);
     }
 
+    @Test
+    void networksAndKeysAreChecked() throws Exception {
+        assertTrue(faults(example().replace("barred = []", "barred = [\"10.0.0.0/33\", \"host\"]")).get(0)
+                .contains("edge.barred: must hold networks"));
+        assertTrue(faults(example().replace("sha256 = \"8f", "sha256 = \"XX")).get(0)
+                .contains("kserve.key[0].sha256: must be the SHA-256"));
+        Networks set = new Networks(List.of("10.1.0.0/16", "2001:db8::/32", "192.0.2.7"));
+        for (String in : new String[] {"10.1.2.3", "2001:db8::5", "192.0.2.7", "::ffff:10.1.9.9"}) {
+            assertTrue(set.contains(java.net.InetAddress.getByName(in)), in);
+        }
+        for (String out : new String[] {"10.2.0.1", "2001:db9::1", "192.0.2.8"}) {
+            assertFalse(set.contains(java.net.InetAddress.getByName(out)), out);
+        }
+        assertEquals("10.1.2.0/24", Networks.network(java.net.InetAddress.getByName("10.1.2.3"), 24, 64));
+        assertEquals("2001:db8::/64", Networks.network(java.net.InetAddress.getByName("2001:db8::5"), 24, 64));
+    }
+
     @Test
     void addressesAreFiguresAlone() {
         assertEquals("127.0.0.1:80", GatewayConfig.id(GatewayConfig.parse("127.0.0.1:80")));
--- /dev/null
+++ b/src/test/java/waytrestle/overload/OverloadTest.java
@@ -0,0 +1,248 @@
+package waytrestle.overload;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import waytrestle.ControlApi.Group;
+import waytrestle.ControlApi.Repeat;
+import waytrestle.ControlApi.RequestClass;
+import waytrestle.ControlApi.Tenant;
+import waytrestle.calls.End.Why;
+
+/** The overload modules: each by itself, and together against a fleet of servers in simulated time. */
+class OverloadTest {
+    private static final long SECOND = 1_000_000;
+    private static final List<RequestClass> CLASSES = List.of(
+            new RequestClass("cheap", Repeat.SAFE, Group.ALL, 0, SECOND, 0, 3 * SECOND, 1, 0.3, false),
+            new RequestClass("dear", Repeat.SAFE, Group.ALL, 0, SECOND, 0, 3 * SECOND, 3, 0.3, false));
+    private static final List<Tenant> TENANTS = List.of(new Tenant("a", 0.5, 0), new Tenant("b", 0.5, 0));
+
+    /** Servers with one line before them; what is offered passes the gate. A day in simulated micros. */
+    private static final class Fleet {
+        final Overload gate;
+        final Random random = new Random(1);
+        final PriorityQueue<long[]> events = new PriorityQueue<>((x, y) -> Long.compare(x[0], y[0]));
+        final java.util.ArrayDeque<long[]> line = new java.util.ArrayDeque<>();
+        final long[] offered = new long[2], good = new long[2];
+        final List<long[]> limits = new ArrayList<>();
+        int servers, busy;
+        long now = SECOND;
+
+        Fleet(int servers, Overload gate) {
+            this.servers = servers;
+            this.gate = gate;
+        }
+
+        void offer(int tenant, int kind, long until, double perSecond) {
+            for (double t = now; t < until; t += -Math.log(1 - random.nextDouble()) / perSecond * SECOND) {
+                events.add(new long[] {(long) t, 0, tenant, kind});
+            }
+        }
+
+        void run(long until) {
+            while (!events.isEmpty() && events.peek()[0] <= until) {
+                long[] e = events.poll();
+                now = e[0];
+                int tenant = (int) e[2];
+                if (e[1] == 0) {
+                    offered[tenant]++;
+                    if (gate.refuse(now, tenant, (int) e[3], 0) == null) {
+                        gate.began(now, tenant, (int) e[3]);
+                        line.add(new long[] {now, tenant, e[3]});
+                    }
+                } else {
+                    busy--;
+                    long took = now - e[4];
+                    gate.served(now, "f", took);
+                    gate.over(now, tenant, (int) e[3], 0, false, took > 3 * SECOND);
+                    good[tenant] += took <= SECOND ? 1 : 0;
+                }
+                while (busy < servers && !line.isEmpty()) {
+                    long[] next = line.poll();
+                    busy++;
+                    long work = (long) (80_000 * (0.5 + random.nextDouble()));
+                    events.add(new long[] {now + work, 1, next[1], next[2], next[0]});
+                }
+                if (limits.isEmpty() || now - limits.get(limits.size() - 1)[0] > 100_000) {
+                    limits.add(new long[] {now, gate.limit()});
+                }
+            }
+            now = until;
+        }
+
+        long limitAt(long when) {
+            return limits.stream().filter(l -> l[0] <= when).reduce((x, y) -> y).orElseThrow()[1];
+        }
+    }
+
+    private static Overload gate() {
+        return new Overload(new Overload.Settings(true, 16, 0.2, 10), 20_000, TENANTS, List.of(), CLASSES);
+    }
+
+    @Test
+    void oneTenantsFloodCostsTheOtherLittle() {
+        double[] share = new double[2];
+        for (int flooded = 0; flooded < 2; flooded++) {
+            Fleet fleet = new Fleet(40, gate());  // 500 calls a second
+            fleet.offer(0, 0, 60 * SECOND, flooded == 1 ? 5_000 : 150);
+            fleet.offer(1, 0, 60 * SECOND, 150);
+            fleet.run(64 * SECOND);
+            share[flooded] = fleet.good[1] / (double) fleet.offered[1];
+            assertTrue(fleet.good[0] + fleet.good[1] > (flooded == 1 ? 0.9 * 500 * 59 : 0.95 * 300 * 59),
+                    "goodput " + (fleet.good[0] + fleet.good[1]));
+        }
+        assertTrue(share[1] > 0.95 * share[0], "b was served " + share[1] + " under the flood, " + share[0] + " without");
+    }
+
+    @Test
+    void theLimitFollowsACapacityThatHalvesAndComesBack() {
+        Fleet fleet = new Fleet(40, gate());
+        fleet.offer(0, 0, 60 * SECOND, 450);
+        fleet.run(20 * SECOND);
+        long before = fleet.limitAt(20 * SECOND);
+        fleet.servers = 20;
+        fleet.run(40 * SECOND);
+        long within = fleet.limits.stream().filter(l -> l[0] > 20 * SECOND && l[0] < 23 * SECOND).mapToLong(l -> l[1]).min()
+                .orElseThrow();
+        long settled = fleet.limitAt(40 * SECOND);
+        assertTrue(within < 0.75 * Math.max(before, 100), "before " + before + ", within three seconds " + within);
+        fleet.servers = 40;
+        fleet.run(64 * SECOND);
+        long good = fleet.good[0];
+        fleet.offer(0, 0, 70 * SECOND, 450);
+        fleet.run(74 * SECOND);
+        assertTrue(fleet.good[0] - good > 0.9 * 450 * 6, "after its return all are served: " + (fleet.good[0] - good)
+                + ", limit " + settled + " then " + fleet.limitAt(70 * SECOND));
+    }
+
+    @Test
+    void whatIsWorthLeastGivesWayFirstAndATenantBelowItsShareNever() {
+        TenantShares shares = new TenantShares(TENANTS, List.of(), CLASSES);
+        for (int i = 0; i < 60; i++) {
+            shares.began(0);
+        }
+        assertFalse(shares.room(0, 0, 60, 100), "the cheap one, beyond its share");
+        assertTrue(shares.room(0, 1, 60, 100), "the dear one still borrows");
+        assertFalse(shares.room(0, 1, 80, 100));
+        assertTrue(shares.room(1, 0, 120, 100), "the other is below its share");
+        for (int i = 0; i < 50; i++) {
+            shares.began(1);
+        }
+        assertFalse(shares.room(1, 0, 120, 100));
+        shares.over(1);
+        assertTrue(shares.room(1, 0, 120, 100));
+    }
+
+    @Test
+    void aTenantsOwnBoundsAreKept() {
+        TenantShares shares = new TenantShares(TENANTS, List.of(new TenantShares.Bound(10, 0), new TenantShares.Bound(0, 2)),
+                CLASSES);
+        int passed = 0;
+        for (long now = SECOND; now < 11 * SECOND; now += 10_000) {
+            passed += shares.overBound(now, 0) ? 0 : 1;
+        }
+        assertTrue(passed >= 100 && passed <= 115, "ten a second for ten seconds: " + passed);
+        shares.began(1);
+        shares.began(1);
+        assertTrue(shares.overBound(SECOND, 1));
+        shares.over(1);
+        assertFalse(shares.overBound(SECOND, 1));
+    }
+
+    @Test
+    void repeatsAddTheirShareAndNoMore() {
+        RetryBudget budget = new RetryBudget(0.2, 10);
+        long now = SECOND;
+        int taken = 0;
+        for (int i = 0; i < 60_000; i++, now += 1_000) {  // a minute of 1,000 first calls a second, each wants a repeat
+            budget.paid(now);
+            taken += budget.take(now) ? 1 : 0;
+        }
+        assertTrue(taken <= 0.2 * 60_000 + 10 * 60 + 100 && taken >= 0.19 * 60_000, "repeats: " + taken);
+        now += 30 * SECOND;
+        int quiet = 0;
+        while (budget.take(now)) {
+            quiet++;
+        }
+        assertTrue(quiet >= 90 && quiet <= 110, "what is always there, ten seconds of it: " + quiet);
+    }
+
+    @Test
+    void aRefusedCallThatComesAgainIsRecognisedForAWhile() {
+        RetryBudget budget = new RetryBudget(0.2, 10);
+        budget.refused(SECOND, 77);
+        assertTrue(budget.recognised(2 * SECOND, 77));
+        assertFalse(budget.recognised(2 * SECOND, 78));
+        assertFalse(budget.recognised(2 * SECOND, 0));
+        assertFalse(budget.recognised(60 * SECOND, 77));
+        for (int i = 100; i < 100_100; i++) {
+            budget.refused(2 * SECOND, i);
+        }
+        assertFalse(budget.recognised(2 * SECOND, 100), "bounded");
+    }
+
+    /** After an outage every client comes again: repeats stay within their budget and the fleet recovers. */
+    @Test
+    void aStormOfRepeatsIsCutToItsBudget() {
+        Overload gate = new Overload(new Overload.Settings(true, 16, 0.2, 10), 20_000, TENANTS, List.of(), CLASSES);
+        long now = SECOND;
+        for (long mark = 1; mark <= 5_000; mark++) {  // ten seconds of refusals
+            gate.began(now, 0, 0);
+            gate.over(now, 0, 0, mark, true, false);
+            now += 2_000;
+        }
+        int passed = 0;
+        for (long mark = 1; mark <= 5_000; mark++) {  // all come again within a second
+            passed += gate.refuse(now, 0, 0, mark) == null ? 1 : 0;
+            now += 200;
+        }
+        assertTrue(passed > 0 && passed <= 120, "repeats let through: " + passed);
+        assertEquals(Why.OVER_RETRIES, gate.refuse(now, 0, 0, 5));
+        assertNull(gate.refuse(now, 1, 0, 900_000), "first calls are not repeats");
+    }
+
+    @Test
+    void bodiesWaitTheirTurnAndNoneIsDropped() {
+        ByteBudget budget = new ByteBudget(1_000_000);
+        assertTrue(budget.ask(1, 800_000));
+        assertFalse(budget.ask(2, 200_000), "a tenth is kept for small ones");
+        assertFalse(budget.ask(3, 100_000), "in turn");
+        assertTrue(budget.ask(4, 16_000), "a small one passes");
+        assertFalse(budget.possible(950_000));
+        List<Long> let = new ArrayList<>();
+        budget.release(1, let::add);
+        assertEquals(List.of(2L, 3L), let);
+        budget.ask(5, 800_000);
+        budget.release(5, let::add);
+        assertEquals(2, let.size(), "one that left while waiting lets nobody in");
+        budget.add(2, 500_000);
+        for (long id = 2; id <= 4; id++) {
+            budget.release(id, let::add);
+        }
+        assertEquals(0, budget.used());
+        assertEquals(0, budget.waiting());
+    }
+
+    @Test
+    void connectionsAreBoundedInAllAndByNetwork() {
+        ConnectionGate gate = new ConnectionGate(5, 2);
+        assertNull(gate.take("a", ConnectionGate.Standing.ORDINARY));
+        assertNull(gate.take("a", ConnectionGate.Standing.ORDINARY));
+        assertEquals(ConnectionGate.Reason.NETWORK, gate.take("a", ConnectionGate.Standing.ORDINARY));
+        assertNull(gate.take("a", ConnectionGate.Standing.TRUSTED));
+        assertEquals(ConnectionGate.Reason.BARRED, gate.take("b", ConnectionGate.Standing.BARRED));
+        assertNull(gate.take("b", ConnectionGate.Standing.ORDINARY));
+        assertNull(gate.take("c", ConnectionGate.Standing.ORDINARY));
+        assertEquals(ConnectionGate.Reason.TOTAL, gate.take("d", ConnectionGate.Standing.TRUSTED));
+        gate.closed("a");
+        assertNull(gate.take("d", ConnectionGate.Standing.ORDINARY));
+        assertEquals(5, gate.open());
+    }
+}
