Stop without cutting calls on their way; measure and goodput on one rig

And the first measurement refused calls at 4,000 a second because pauses of a process passed for queueing.

Change: a stop takes what the kernel accepted, tells kept connections to close by their next answer for a second, then closes idle ones. Functions quicker than 25 ms count as that quick in the concurrency limit, whose clip has a floor. The audit takes a closed attempt's earliest possible time.

--- a/src/main/java/waytrestle/audit/Audit.java
+++ b/src/main/java/waytrestle/audit/Audit.java
@@ -176,7 +176,7 @@
             case "ran" -> visit(s).ranAt = s.t();
             case "answered", "closed" -> {
                 Visit v = visit(s);
-                v.to = Math.min(v.to, s.t());
+                v.to = Math.min(v.to, s.t() - Math.max(0, s.number("lag")));  // the earliest it can have closed
             }
             case "order" -> order(s, controller);
             case "told" -> {
--- a/src/main/java/waytrestle/gateway/Gateway.java
+++ b/src/main/java/waytrestle/gateway/Gateway.java
@@ -30,6 +30,8 @@
 public final class Gateway {
     private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
     private static final long FLUSH = 100_000;  // micros at the end for last answers to leave
+    private static final long LINGER = 1_000_000;  // micros of a stop in which kept connections are told to close by
+                                                   // their next answer: clients that call often are not cut
     private static final long LOOK = 10_000;    // micros between looks at what is still open during a stop
 
     private final GatewayConfig config;
@@ -214,19 +216,22 @@
             LOG.info("stopping: {} calls open", controller.open());
             server.stopTaking();
             controller.stopTaking();
-            await(Loop.now() + config.stopGraceMicros());
+            await(Loop.now() + LINGER, Loop.now() + config.stopGraceMicros());
         });
     }
 
-    private void await(long until) {
-        if (controller.open() > 0 && Loop.now() < until) {
-            loop.after(LOOK, () -> await(until));
+    private void await(long linger, long until) {
+        boolean lingering = server.connections() > 0 && Loop.now() < linger;
+        if ((lingering || controller.open() > 0) && Loop.now() < until) {
+            loop.after(LOOK, () -> await(linger, until));
             return;
         }
+        server.closeIdle();
         controller.closeAll();
         loop.after(FLUSH, () -> {
             LOG.info("stopped");
             admin.stopTaking();
+            admin.closeIdle();
             loop.stop();
         });
     }
--- a/src/main/java/waytrestle/http/HttpServer.java
+++ b/src/main/java/waytrestle/http/HttpServer.java
@@ -70,10 +70,17 @@
         return turnedAway;
     }
 
-    /** Takes no new connections; open exchanges go on, idle connections close, others close after their answer. */
+    /**
+     * Takes no new connections. Those open stay until their next answer, which tells them to close: a call that is on
+     * its way while its idle connection closes would be cut. See {@link #closeIdle} for those that send nothing more.
+     */
     public void stopTaking() {
         stopping = true;
-        listener.close();
+        listener.takeAndClose();
+    }
+
+    /** Closes the connections that have nothing under way. */
+    public void closeIdle() {
         for (Peer peer : List.copyOf(peers.values())) {
             if (peer.exchange == null && peer.parser.idle()) {
                 peer.end();
--- a/src/main/java/waytrestle/load/LoadPlan.java
+++ b/src/main/java/waytrestle/load/LoadPlan.java
@@ -21,7 +21,7 @@
     /** Calls alike: where to, as whom, for which functions (NAME-0 and on, by rank to the power of -zipf). */
     public record Stream(String name, Front front, List<InetSocketAddress> at, String path, String credential,
             String function, int functions, double zipf, double share, int payloadBytes, double workMs,
-            long deadlineMicros, double retryShare) { }
+            long aimMicros, long deadlineMicros, double retryShare) { }
 
     public static LoadPlan read(Path file) throws ConfigError {
         return TomlFile.read(file, LoadPlan::from);
@@ -59,7 +59,8 @@
             streams.add(new Stream(s.text("name"), front, at, s.text("path", ""), credential, s.text("function"),
                     (int) s.whole("functions", 1, 1_000_000, 1), s.number("zipf", 0, 10, 1),
                     s.number("share", 0, 1e6, 1), (int) s.whole("payload_bytes", 0, 1 << 28, 256),
-                    s.number("work_ms", 0, 600_000, 1), s.millis("deadline_ms", 1, 600_000, 5_000),
+                    s.number("work_ms", 0, 600_000, 1), s.millis("aim_ms", 1, 600_000, 800),
+                    s.millis("deadline_ms", 1, 600_000, 5_000),
                     s.number("retry_share", 0, 1, 0)));
         }
         if (streams.isEmpty()) {
--- a/src/main/java/waytrestle/load/LoadReport.java
+++ b/src/main/java/waytrestle/load/LoadReport.java
@@ -39,11 +39,17 @@
         chart(dir.resolve("calls.png"), "Calls", "a second", at, List.of("offered", "served", "not served"), calls);
     }
 
-    /** One line chart as a PNG. */
+    /** One line chart over seconds as a PNG. */
     public static void chart(Path file, String title, String unit, List<Double> at, List<String> names,
             List<List<Double>> values) throws IOException {
+        chart(file, title, "s", unit, at, names, values);
+    }
+
+    /** One line chart as a PNG. */
+    public static void chart(Path file, String title, String across, String unit, List<Double> at, List<String> names,
+            List<List<Double>> values) throws IOException {
         System.setProperty("java.awt.headless", "true");
-        XYChart chart = new XYChartBuilder().width(900).height(480).title(title).xAxisTitle("s").yAxisTitle(unit).build();
+        XYChart chart = new XYChartBuilder().width(900).height(480).title(title).xAxisTitle(across).yAxisTitle(unit).build();
         for (int i = 0; i < names.size(); i++) {
             chart.addSeries(names.get(i), at, values.get(i)).setMarker(SeriesMarkers.NONE);
         }
@@ -51,9 +57,9 @@
     }
 
     public static String summary(Map<String, LoadRun.Tally> tallies) {
-        StringBuilder out = new StringBuilder("stream,offered,served,p50_ms,p90_ms,p99_ms,p999_ms,max_ms,ends\n");
+        StringBuilder out = new StringBuilder("stream,offered,served,in_time,p50_ms,p90_ms,p99_ms,p999_ms,max_ms,ends\n");
         tallies.forEach((name, t) -> {
-            out.append(name).append(',').append(t.offered).append(',').append(t.served);
+            out.append(name).append(',').append(t.offered).append(',').append(t.served).append(',').append(t.inTime);
             for (double q : QUANTILES) {
                 out.append(String.format(Locale.ROOT, ",%.3f", t.latency.getValueAtPercentile(q) / 1e3));
             }
--- a/src/main/java/waytrestle/load/LoadRun.java
+++ b/src/main/java/waytrestle/load/LoadRun.java
@@ -178,6 +178,7 @@
         if (served) {
             long took = Math.min(HIGHEST, Loop.now() - at);
             tally.served++;
+            tally.inTime += took <= s.aimMicros() ? 1 : 0;
             tally.latency.recordValue(took);
             slice.served++;
             slice.latency.recordValue(took);
--- a/src/main/java/waytrestle/net/Listener.java
+++ b/src/main/java/waytrestle/net/Listener.java
@@ -13,6 +13,7 @@
 
     private final ServerSocketChannel server;
     private final SelectionKey key;
+    private final Consumer<SocketChannel> acceptor;
 
     public Listener(Loop loop, InetSocketAddress at, int backlog, Consumer<SocketChannel> acceptor)
             throws IOException {
@@ -25,15 +26,28 @@
             throw new IOException("cannot listen on " + at.getAddress().getHostAddress() + ":" + at.getPort() + ": "
                     + e.getMessage(), e);
         }
-        key = loop.register(server, SelectionKey.OP_ACCEPT, k -> {
-            for (int i = 0; i < BATCH && server.isOpen(); i++) {
-                SocketChannel channel = server.accept();
-                if (channel == null) {
-                    break;
-                }
-                acceptor.accept(channel);
+        this.acceptor = acceptor;
+        key = loop.register(server, SelectionKey.OP_ACCEPT, k -> take(BATCH));
+    }
+
+    private void take(int most) throws IOException {
+        for (int i = 0; i < most && server.isOpen(); i++) {
+            SocketChannel channel = server.accept();
+            if (channel == null) {
+                return;
             }
-        });
+            acceptor.accept(channel);
+        }
+    }
+
+    /** Takes what the kernel has accepted already, which a close would reset, then closes. */
+    public void takeAndClose() {
+        try {
+            take(Integer.MAX_VALUE);
+        } catch (IOException ignored) {
+            // it closes all the same
+        }
+        close();
     }
 
     public int port() {
--- a/src/main/java/waytrestle/overload/ConcurrencyLimit.java
+++ b/src/main/java/waytrestle/overload/ConcurrencyLimit.java
@@ -22,6 +22,8 @@
     private static final double START = 8;          // times the least: the limit doubles from there, step by step, until
                                                     // it first meets queueing; a flood at the start builds no backlog
     private static final double HEADROOM = 2.0;     // times the most that was open: the limit stays near its use
+    private static final double FLOOR = 25_000;     // micros: quicker functions count as this quick. What holds them up
+                                                    // for a few milliseconds is a pause of some process, not a queue
     private static final double FALL = 0.1;         // of the gap: a quicker answer's correction of the quickest time
     private static final double RISE = 0.02;        // a second: its growth while answers are slower. By time, not by
                                                     // answers: a backlog must not pass for usual within seconds
@@ -72,7 +74,7 @@
             usual.micros *= 1 + RISE * Math.min(1, (now - usual.at) / 1e6);
         }
         usual.at = now;
-        ratios += tookMicros / Math.max(1, usual.micros);
+        ratios += tookMicros / Math.max(FLOOR, usual.micros);
         samples++;
         if (unhindered.size() > FUNCTIONS) {
             Iterator<String> oldest = unhindered.keySet().iterator();
@@ -91,7 +93,7 @@
         }
         double queueing = (ratios + timeouts * 2 * TOLERANCE) / (samples + timeouts);
         double gradient = Math.max(STEEPEST, Math.min(1, TOLERANCE / queueing));
-        double base = Math.min(limit, HEADROOM * Math.max(peak, least));
+        double base = Math.min(limit, HEADROOM * Math.max(peak, START * least));
         starting &= gradient >= 1;
         double wanted = base * gradient + (gradient >= 1 ? Math.sqrt(base) : 0);
         double next = starting ? peak > limit / 2 ? 2 * limit : limit : base + SMOOTH * (wanted - base);
--- a/src/main/java/waytrestle/play/Processes.java
+++ b/src/main/java/waytrestle/play/Processes.java
@@ -24,7 +24,7 @@
     @Override
     public Play.Running start(int number, Path config) throws IOException {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        Process process = new ProcessBuilder(List.of(java, "-XX:+UseSerialGC", quickStart ? "-XX:TieredStopAtLevel=1" : "-XX:+TieredCompilation", "-Xmx512m",
+        Process process = new ProcessBuilder(List.of(java, "-XX:+UseSerialGC", quickStart ? "-XX:TieredStopAtLevel=1" : "-Xmn600m", quickStart ? "-Xmx512m" : "-Xmx1g",
                 "-cp", System.getProperty("java.class.path"), "waytrestle.Main", "serve", "--config",
                 config.toString(), "--policy", policy))
                 .redirectErrorStream(true)
--- a/src/main/java/waytrestle/standin/InvokerStandIn.java
+++ b/src/main/java/waytrestle/standin/InvokerStandIn.java
@@ -201,7 +201,8 @@
             crash();
         } else if (visit != null && e.open()) {
             e.whenGone(() -> {
-                sightings.saw(id, "closed", "controller", controller, "id", key, "attempt", attempt);
+                sightings.saw(id, "closed", "controller", controller, "id", key, "attempt", attempt, "lag",
+                        Loop.now() - loop.turnBefore());
                 model.cancel(visit);
             });
         }
