--- a/src/main/java/waytrestle/front/webhook/WebhookFront.java
+++ b/src/main/java/waytrestle/front/webhook/WebhookFront.java
@@ -1,12 +1,5 @@
 package waytrestle.front.webhook;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.core.filter.FilteringParserDelegate;
-import com.fasterxml.jackson.core.filter.JsonPointerBasedFilter;
-import com.fasterxml.jackson.core.filter.TokenFilter;
-import java.io.IOException;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,7 +23,6 @@
 public final class WebhookFront implements Front {
     private static final Pattern ID = Pattern.compile("[!-~]{1,256}");
     private static final Pattern SECONDS = Pattern.compile("\\d{1,12}");
-    private static final JsonFactory JSON = new JsonFactory();
 
     private record Door(Endpoint endpoint, Signatures signatures, RequestClass kind) { }
 
@@ -100,7 +92,7 @@
         }
         String function = door.endpoint().fixedFunction();
         if (function.isEmpty()) {
-            function = at(door.endpoint().pointer(), m.body());
+            function = FunctionPointer.at(door.endpoint().pointer(), m.body());
         }
         if (!Fronts.isFunction(function)) {
             turnAway(e, 400, "function", "the payload names no function at " + door.endpoint().pointer()
@@ -145,14 +137,4 @@
             e.answer(status, Problem.TYPE, problem.bytes());
         }
     }
-
-    /** The text at a JSON pointer, read without building the payload's tree; null where there is none. */
-    static String at(String pointer, byte[] body) {
-        try (JsonParser json = new FilteringParserDelegate(JSON.createParser(body),
-                new JsonPointerBasedFilter(pointer), TokenFilter.Inclusion.ONLY_INCLUDE_ALL, false)) {
-            return json.nextToken() == JsonToken.VALUE_STRING ? json.getText() : null;
-        } catch (IOException e) {
-            return null;
-        }
-    }
 }
--- a/src/test/java/waytrestle/front/webhook/SignaturesTest.java
+++ b/src/test/java/waytrestle/front/webhook/SignaturesTest.java
@@ -82,11 +82,11 @@
     @Test
     void theFunctionIsReadAtItsPointer() {
         byte[] body = "{\"a\":{\"b\":[{\"x/y\":\"one\"},7]},\"c\":\"two\"}".getBytes();
-        assertEquals("one", WebhookFront.at("/a/b/0/x~1y", body));
-        assertEquals("two", WebhookFront.at("/c", body));
-        assertNull(WebhookFront.at("/a/b/1", body), "a number is no name");
-        assertNull(WebhookFront.at("/d", body));
-        assertNull(WebhookFront.at("/c", "{\"c\":".getBytes()));
-        assertNull(WebhookFront.at("/c", new byte[0]));
+        assertEquals("one", FunctionPointer.at("/a/b/0/x~1y", body));
+        assertEquals("two", FunctionPointer.at("/c", body));
+        assertNull(FunctionPointer.at("/a/b/1", body), "a number is no name");
+        assertNull(FunctionPointer.at("/d", body));
+        assertNull(FunctionPointer.at("/c", "{\"c\":".getBytes()));
+        assertNull(FunctionPointer.at("/c", new byte[0]));
     }
 }
