--- a/src/main/java/waytrestle/cli/Cli.java
+++ b/src/main/java/waytrestle/cli/Cli.java
@@ -10,7 +10,7 @@
 @Command(name = "waytrestle", mixinStandardHelpOptions = true, version = "waytrestle 0.2.0",
         description = "A gateway that runs calls on invokers which load functions on demand.",
         subcommands = {ServeCommand.class, CheckConfigCommand.class, PlayCommand.class, AuditCommand.class,
-            DemoCommand.class, LoadCommand.class, MeasureCommand.class, GoodputCommand.class,
+            DemoCommand.class, LoadCommand.class, MeasureCommand.class, GoodputCommand.class, EmulateCommand.class,
             Cli.WireHostCommand.class})
 public final class Cli implements Callable<Integer> {
     /** Named here for the help alone; the program starts it before this command line is loaded. */
--- /dev/null
+++ b/src/main/java/waytrestle/emulator/Emulation.java
@@ -0,0 +1,356 @@
+package waytrestle.emulator;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.SplittableRandom;
+import waytrestle.Bytes;
+import waytrestle.ControlApi.Invoker;
+import waytrestle.ControlApi.RequestClass;
+import waytrestle.ControlApi.Settings;
+import waytrestle.ControlApi.State;
+import waytrestle.calls.Gate;
+import waytrestle.calls.IdMemory;
+import waytrestle.calls.Intake;
+import waytrestle.config.ConfigError;
+import waytrestle.config.GatewayConfig;
+import waytrestle.front.Fronts;
+import waytrestle.gateway.Controller;
+import waytrestle.http.HttpClient.Break;
+import waytrestle.metrics.Metrics;
+import waytrestle.overload.Overload;
+import waytrestle.play.Cast;
+import waytrestle.play.Clients;
+import waytrestle.play.Evidence;
+import waytrestle.play.Scenario;
+import waytrestle.play.Troubles;
+import waytrestle.roster.RosterBook;
+import waytrestle.standin.InvokerBody;
+import waytrestle.standin.InvokerModel;
+import waytrestle.standin.StoreModel;
+
+/**
+ * Runs a scenario in simulated time, on one thread and reproducible by its seed. Controllers, desk, memory, overload
+ * modules and the decisions are those of service; invokers, store and clients are those of a play; the network and the
+ * roster's feed are models here. The evidence is of the same form and judged by the same audit.
+ */
+public final class Emulation implements Troubles.Stage {
+    // ---- The network, micros; set by the calibration in docs/measurements.md. ----
+    private static final long NEAR = 150;         // one way within a zone, sockets and loops included
+    private static final long FAR = 1_000;        // between zones
+    private static final long START_UP = 400_000; // a controller's process until it takes calls
+
+    private final Scenario scenario;
+    private final Path dir;
+    private final Controller.ModuleMaker maker;
+    private final boolean overload;
+    private final SimClock clock = new SimClock();
+    private final Random random;
+    private final SplittableRandom jitter;
+    private final Evidence evidence;
+    private final GatewayConfig[] configs;
+    private final SimController[] controllers;
+    private final Map<String, InvokerBody> invokers = new LinkedHashMap<>();
+    private final Map<String, Scenario.Fleet> fleetOf = new HashMap<>();
+    private final Map<String, RosterBook.Listed> listed = new LinkedHashMap<>();
+    private final Map<String, InvokerModel.Function> functions = new HashMap<>();
+    private final StoreModel store;
+    private Clients clients;
+    private long index = 1;
+    private Exception broken;
+
+    public Emulation(Scenario scenario, Path dir, Controller.ModuleMaker maker, boolean overload)
+            throws IOException, ConfigError {
+        this.scenario = scenario;
+        this.dir = Files.createDirectories(dir);
+        this.maker = maker;
+        this.overload = overload;
+        this.random = new Random(scenario.seed());
+        this.jitter = new SplittableRandom(scenario.seed() + 1);
+        this.evidence = new Evidence(dir, clock::now);
+        this.configs = new GatewayConfig[scenario.controllers()];
+        this.controllers = new SimController[scenario.controllers()];
+        this.store = new StoreModel(clock, scenario.store().atOnce(), scenario.store().refuseOver());
+        for (int i = 0; i < configs.length; i++) {
+            Path file = dir.resolve("gateway-" + i + ".toml");
+            Files.writeString(file, Cast.config(scenario, i, 0, 0, 1));
+            configs[i] = GatewayConfig.read(file);
+        }
+    }
+
+    /** The work of a call as its payload tells it, in micros. */
+    static long workOf(Intake.Incoming call) {
+        String text = new String(call.payload().array(), StandardCharsets.US_ASCII);
+        int at = text.indexOf("\"work_ms\":");
+        return at < 0 ? 10_000 : (long) (Double.parseDouble(text.substring(at + 10, text.indexOf('}', at))) * 1_000);
+    }
+
+    private long delay(boolean far) {
+        long base = far ? FAR : NEAR;
+        return base / 2 + jitter.nextLong(base);
+    }
+
+    private boolean far(int controller, String invoker) {
+        Scenario.Fleet f = fleetOf.get(invoker);
+        return f != null && !f.zone().equals(configs[controller].zones().get(configs[controller].module().zone()));
+    }
+
+    /** Runs the whole day; the wall time that it took is in the answer. */
+    public long run(PrintWriter progress) throws IOException {
+        long began = System.nanoTime();
+        Settings s = configs[0].module();
+        List<Double> weights = new ArrayList<>();
+        List<Clients.Target> targets = Cast.targets(scenario, s, functions, weights);
+        int number = 0;
+        Map<Integer, Map<String, Long>> keys = new HashMap<>();
+        for (Scenario.Fleet f : scenario.fleets()) {
+            InvokerModel.Shape shape = Cast.shape(scenario, f, configs[0]);
+            for (int i = 0; i < f.count(); i++) {
+                String id = "10." + number / 65_536 + "." + number / 256 % 256 + "." + number++ % 256 + ":7000";
+                InvokerBody body = new InvokerBody(id, clock, functions, cold -> new InvokerModel(clock, store, shape, cold),
+                        keys.computeIfAbsent(f.cell(), c -> new HashMap<>()), Cast.window(s), evidence, random.nextLong()) {
+                    @Override
+                    public void crash() {
+                        boolean was = up();
+                        super.crash();
+                        if (was) {
+                            for (SimController c : controllers) {
+                                c.host.broke(this.id());
+                            }
+                        }
+                    }
+                };
+                invokers.put(id, body);
+                fleetOf.put(id, f);
+                evidence.saw(id, "began", "cores", f.cores(), "zone", f.zone(), "cell", f.cell());
+                list(id, "passing", 0);
+            }
+        }
+        for (int i = 0; i < controllers.length; i++) {
+            controllers[i] = new SimController(i);
+        }
+        clients = new Clients(clock, evidence, s.classes(), scenario.load(), targets,
+                weights.stream().mapToDouble(w -> w).toArray(), new SimWay(s.classes()), scenario.seed());
+        Troubles troubles = new Troubles(scenario, clock, random, new ArrayList<>(invokers.values()), fleetOf, targets, this,
+                evidence, progress);
+        clock.runUntil(clock.now() + 100_000);
+        clock.after(0, troubles::begin);
+        clock.after(0, clients::start);
+        clock.runUntil(clock.now() + scenario.lengthMicros());
+        clients.stop();
+        long most = s.classes().stream().mapToLong(RequestClass::deadlineMicros).max().orElse(0) + 2_000_000;
+        clock.runUntil(clock.now() + most);
+        evidence.close();
+        if (broken != null) {
+            throw new IOException("the emulation failed: " + broken, broken);
+        }
+        return (System.nanoTime() - began) / 1_000;
+    }
+
+    public long tasks() {
+        return clock.done();
+    }
+
+    // ---- Controllers. ----
+    private final class SimController {
+        private final int number;
+        private final Controller controller;
+        private final SimHost host;
+        private final RosterBook book;
+        private final Map<String, String> told = new HashMap<>();
+        private boolean up = true, stopping;
+        private final java.util.Set<Runnable> cuts = new java.util.LinkedHashSet<>();
+
+        private SimController(int number) {
+            this.number = number;
+            GatewayConfig c = configs[number];
+            host = new SimHost(clock, (from, to) -> delay(far(from, to)), number, invokers::get);
+            Overload modules = new Overload(c.overload(), c.module().limits().maxOpen(), c.module().tenants(), c.bounds(),
+                    c.module().classes());
+            controller = new Controller(host, c, maker, () -> clock.now() / 1_000, new Metrics(false),
+                    overload && c.overload().on() ? modules : Gate.OPEN, new Controller.Outside() {
+                        @Override
+                        public void subscribe(boolean on) { }
+
+                        @Override
+                        public void fetchList() { }
+
+                        @Override
+                        public void tellPeer(int peer, byte[] message) { }
+
+                        @Override
+                        public void broken(String why) {
+                            Emulation.this.broken = new IllegalStateException(why);
+                        }
+                    });
+            book = new RosterBook(200_000, 5_000_000, false, c.seed());
+            evidence.saw("play", "controller_up", "controller", number);
+            news();
+        }
+
+        /** The roster's feed: the whole list, of which the book tells the changes. */
+        private void news() {
+            clock.after(delay(true), () -> {
+                if (!up) {
+                    return;
+                }
+                Map<String, String> now = new HashMap<>();
+                listed.forEach((id, l) -> now.put(id, l.entry().state() == State.READY ? "passing" : "critical"));
+                told.keySet().forEach(id -> now.putIfAbsent(id, "gone"));
+                now.forEach((id, state) -> {
+                    if (!state.equals(told.put(id, state))) {
+                        evidence.saw("roster", "told", "controller", number, "invoker", id, "state", state);
+                    }
+                });
+                book.on(clock.now(), new RosterBook.Answered(index, List.copyOf(listed.values())), action -> {
+                    if (action instanceof RosterBook.Tell tell) {
+                        controller.invokers(tell.list());
+                    }
+                });
+            });
+        }
+
+        private void kill() {
+            up = false;
+            host.die();
+            List.copyOf(cuts).forEach(Runnable::run);
+        }
+    }
+
+    @Override
+    public void list(String id, String state, long startedAt) {
+        index++;
+        if (state.equals("gone")) {
+            listed.remove(id);
+        } else {
+            Scenario.Fleet f = fleetOf.get(id);
+            GatewayConfig c = configs[0];
+            listed.put(id, new RosterBook.Listed(new Invoker(id, Math.max(0, c.zones().indexOf(f.zone())), f.cell(),
+                    Math.max(0, c.kinds().indexOf(f.kind())), state.equals("passing") ? State.READY : State.DRAINING, 1,
+                    startedAt), 0));
+        }
+        for (SimController c : controllers) {
+            if (c != null && c.up) {
+                c.news();
+            }
+        }
+    }
+
+    @Override
+    public void bounce(int number, long backAfter, boolean killed) {
+        SimController c = controllers[number];
+        evidence.saw("play", killed ? "controller_killed" : "controller_stopped", "controller", number);
+        if (killed) {
+            c.kill();
+        } else {
+            c.stopping = true;
+            c.controller.stopTaking();
+        }
+        restart(number, c, backAfter + START_UP);
+    }
+
+    /** A stopping process takes nothing new and ends when nothing is open, or after its grace. */
+    private void restart(int number, SimController old, long after) {
+        long until = clock.now() + configs[number].stopGraceMicros();
+        clock.after(after, () -> {
+            if (old.up && old.controller.open() > 0 && clock.now() < until) {
+                restart(number, old, 50_000);
+                return;
+            }
+            if (old.up) {
+                old.controller.closeAll();
+                old.kill();
+            }
+            controllers[number] = new SimController(number);
+        });
+    }
+
+    @Override
+    public StoreModel store() {
+        return store;
+    }
+
+    @Override
+    public Clients clients() {
+        return clients;
+    }
+
+    @Override
+    public void onClients(Runnable task) {
+        task.run();
+    }
+
+    @Override
+    public void broken(Exception e) {
+        broken = e;
+    }
+
+    // ---- Clients. ----
+    private final class SimWay implements Clients.Way {
+        private final List<RequestClass> classes;
+
+        private SimWay(List<RequestClass> classes) {
+            this.classes = classes;
+        }
+
+        @Override
+        public int controllers() {
+            return controllers.length;
+        }
+
+        @Override
+        public long strays(int controller) {
+            return 0;
+        }
+
+        @Override
+        public void call(int number, Clients.Call call, long within, Clients.Handler handler) {
+            boolean[] over = {false};
+            Intake.Ticket[] ticket = {null};
+            RequestClass kind = classes.get(call.target().requestClass());
+            clock.after(delay(false), () -> {
+                SimController c = controllers[number];
+                if (over[0]) {
+                    return;
+                }
+                if (!c.up || c.stopping) {
+                    clock.after(delay(false), () -> end(over, () -> handler.broken(Break.NO_CONNECTION)));
+                    return;
+                }
+                Runnable cut = () -> end(over, () -> handler.broken(Break.AFTER_FIRST_BYTE));
+                c.cuts.add(cut);
+                byte[] payload = ("{\"work_ms\":" + call.workMs() + "}").getBytes(StandardCharsets.US_ASCII);
+                String key = Clients.seenId(call, classes);
+                ticket[0] = c.controller.accept(new Intake.Incoming(call.target().requestClass(), -1,
+                        call.target().function(), new IdMemory.Arrival(key, kind.repeat(), kind.windowMicros(),
+                                c.controller.wallSeconds() + 1, 1), key.hashCode() | 1L << 40, kind.deadlineMicros()
+                                - configs[number].transitMicros(), "application/json", Bytes.of(payload), -1), e -> {
+                                    c.cuts.remove(cut);
+                                    clock.after(delay(false), () -> end(over, () -> handler.answered(Fronts.status(e),
+                                            Fronts.status(e) != 200 && Fronts.harmless(e), Fronts.comeBackMillis(e))));
+                                });
+            });
+            clock.after(within, () -> end(over, () -> {
+                if (ticket[0] != null) {
+                    ticket[0].left();
+                }
+                handler.broken(Break.TIMEOUT);
+            }));
+        }
+
+        private void end(boolean[] over, Runnable told) {
+            if (!over[0]) {
+                over[0] = true;
+                told.run();
+            }
+        }
+    }
+}
--- a/src/main/java/waytrestle/gateway/Controller.java
+++ b/src/main/java/waytrestle/gateway/Controller.java
@@ -25,18 +25,12 @@
 import waytrestle.calls.IdMemory;
 import waytrestle.calls.Intake;
 import waytrestle.config.GatewayConfig;
-import waytrestle.http.HttpClient;
-import waytrestle.http.HttpLimits;
-import waytrestle.http.HttpMessage;
-import waytrestle.invoker.InferProtocol;
 import waytrestle.invoker.LoadMetrics;
-import waytrestle.invoker.Outcomes;
 import waytrestle.metrics.Metrics;
-import waytrestle.net.Loop;
 
 /**
- * One controller on its loop: tells the decision module what happens and carries out what it decides, and asks the
- * {@link Desk} who is owed which answer. It takes no decision of its own. Everything here runs on the loop's thread.
+ * One controller, on a loop or in the emulator: tells the decision module what happens and carries out what it decides, and asks the
+ * {@link Desk} who is owed which answer. It takes no decision of its own. Everything here runs on one thread.
  */
 public final class Controller implements Intake {
     /** Makes the decision module; tests and comparisons put others in its place. */
@@ -45,7 +39,7 @@
     }
 
     /** What the controller reaches beyond invokers. */
-    interface Outside {
+    public interface Outside {
         void subscribe(boolean on);
 
         void fetchList();
@@ -59,7 +53,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final int KEPT_EVENTS = 64;  // last events logged with a failed decision: enough to replay it
 
-    private final Loop loop;
+    private final Host host;
     private final GatewayConfig config;
     private final ControlApi module;
     private final Desk desk;
@@ -68,7 +62,7 @@
     private final Metrics metrics;
     private final LongSupplier wallMillis;
     private final FaultRule faults;
-    private final Map<String, Link> links = new HashMap<>();
+    private final Map<String, Host.Wire> links = new HashMap<>();
     private final Map<Long, OpenCall> calls = new HashMap<>();
     private final Map<Long, Waiting> clients = new HashMap<>();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
@@ -78,8 +72,6 @@
     private long waiters;
     private int readyInvokers;
 
-    private record Link(HttpClient client, InferProtocol protocol) { }
-
     private record Waiting(Client client, Incoming call, long since) { }
 
     /** A call that the module knows, or that still has attempts out. */
@@ -97,10 +89,10 @@
         }
     }
 
-    Controller(Loop loop, GatewayConfig config, ModuleMaker maker, LongSupplier wallMillis, Metrics metrics,
+    public Controller(Host host, GatewayConfig config, ModuleMaker maker, LongSupplier wallMillis, Metrics metrics,
             Gate gate, Outside outside) {
         this.gate = gate;
-        this.loop = loop;
+        this.host = host;
         this.config = config;
         this.wallMillis = wallMillis;
         this.metrics = metrics;
@@ -121,16 +113,15 @@
         metrics.gauge("waytrestle_invokers_ready", "", () -> readyInvokers);
         metrics.gauge("waytrestle_ids_remembered", "", () -> desk.memory().size());
         metrics.gauge("waytrestle_ids_bytes", "", () -> desk.memory().bytes());
-        metrics.gauge("waytrestle_timers", "", loop::timers);
         metrics.gauge("waytrestle_invoker_connections", "", () -> links.values().stream()
-                .mapToInt(l -> l.client().open()).sum());
+                .mapToInt(Host.Wire::connections).sum());
     }
 
-    int open() {
+    public int open() {
         return desk.open();
     }
 
-    int readyInvokers() {
+    public int readyInvokers() {
         return readyInvokers;
     }
 
@@ -148,7 +139,7 @@
     @Override
     public Ticket accept(Incoming call, Client client) {
         long waiter = ++waiters;
-        clients.put(waiter, new Waiting(client, call, Loop.now()));
+        clients.put(waiter, new Waiting(client, call, host.now()));
         atDesk(new Desk.Arrived(waiter, call.requestClass(), call.tenant(), call.mark(), call.id(),
                 call.timeLeftMicros()));
         return () -> {
@@ -159,11 +150,11 @@
         };
     }
 
-    void stopTaking() {
+    public void stopTaking() {
         atDesk(new Desk.Stopping());
     }
 
-    void closeAll() {
+    public void closeAll() {
         atDesk(new Desk.CloseAll());
     }
 
@@ -173,7 +164,7 @@
 
     // ---- The desk: what clients are owed. ----
     private void atDesk(Desk.Event event) {
-        desk.on(Loop.now(), wallSeconds(), event, this::carryOut);
+        desk.on(host.now(), wallSeconds(), event, this::carryOut);
         work();
     }
 
@@ -186,7 +177,7 @@
             over(a.call());
             events.add(new ControlApi.RequestGone(a.call()));
         } else if (action instanceof Desk.Wake a) {
-            loop.after(a.afterMicros(), () -> {
+            host.after(a.afterMicros(), () -> {
                 if (clients.containsKey(a.waiter())) {
                     atDesk(new Desk.Due(a.waiter()));
                 }
@@ -201,14 +192,14 @@
         }
         String kind = end instanceof Served ? "served" : end instanceof End.Refused ? "refused" : "failed";
         metrics.counter("waytrestle_calls_total", labels(waiting.call(), kind)).add();
-        metrics.latency("waytrestle_call_seconds", labels(waiting.call(), kind), Loop.now() - waiting.since());
+        metrics.latency("waytrestle_call_seconds", labels(waiting.call(), kind), host.now() - waiting.since());
         waiting.client().ended(end);
     }
 
     private void begin(Desk.Begin a) {
         Incoming call = clients.get(a.waiter()).call();
         GatewayConfig.Function f = config.functions().getOrDefault(call.function(), config.unknownFunction());
-        OpenCall made = new OpenCall(a.call(), Loop.now() + a.timeLeftMicros(), call);
+        OpenCall made = new OpenCall(a.call(), host.now() + a.timeLeftMicros(), call);
         calls.put(made.id, made);
         events.add(new ControlApi.Request(made.id, call.requestClass(), call.tenant(), call.function(),
                 a.timeLeftMicros(), f == null ? 0 : f.workMicros(), f == null ? 0 : f.memoryMb(),
@@ -245,7 +236,7 @@
                 }
                 batch.clear();
                 try {
-                    module.on(Loop.now(), event, batch::add);
+                    module.on(host.now(), event, batch::add);
                 } catch (RuntimeException | StackOverflowError e) {
                     failed(event, e);
                 }
@@ -266,11 +257,11 @@
         long id = event instanceof ControlApi.Request r ? r.id() : event instanceof AttemptEnded a ? a.id()
                 : event instanceof ControlApi.StreamBegan s ? s.id() : 0;
         if (id != 0) {
-            desk.on(Loop.now(), wallSeconds(), new Desk.ModuleBroke(id), this::carryOut);
+            desk.on(host.now(), wallSeconds(), new Desk.ModuleBroke(id), this::carryOut);
             over(id);
             events.add(new ControlApi.RequestGone(id));
         }
-        if (faults.stopAfter(Loop.now())) {
+        if (faults.stopAfter(host.now())) {
             outside.broken("more than " + config.faults().most() + " decisions failed within "
                     + config.faults().spanMicros() / 1_000 + " ms");
         }
@@ -280,12 +271,12 @@
         if (action instanceof ControlApi.Send a) {
             send(a);
         } else if (action instanceof ControlApi.SetTimer a) {
-            loop.after(a.afterMicros(), () -> feed(new ControlApi.TimerFired(a.tag())));
+            host.after(a.afterMicros(), () -> feed(new ControlApi.TimerFired(a.tag())));
         } else if (action instanceof ControlApi.Refuse a) {
-            desk.on(Loop.now(), wallSeconds(), new Desk.ModuleRefused(a.id(), a.comeBackAfterMicros()), this::carryOut);
+            desk.on(host.now(), wallSeconds(), new Desk.ModuleRefused(a.id(), a.comeBackAfterMicros()), this::carryOut);
             over(a.id());
         } else if (action instanceof ControlApi.Fail a) {
-            desk.on(Loop.now(), wallSeconds(), new Desk.ModuleFailed(a.id()), this::carryOut);
+            desk.on(host.now(), wallSeconds(), new Desk.ModuleFailed(a.id()), this::carryOut);
             over(a.id());
         } else if (action instanceof ControlApi.Cancel a) {
             cancel(a);
@@ -296,9 +287,9 @@
         } else if (action instanceof ControlApi.Probe a) {
             probe(a);
         } else if (action instanceof ControlApi.CloseIdle a) {
-            Link link = links.get(a.invoker());
+            Host.Wire link = links.get(a.invoker());
             if (link != null) {
-                link.client().closeIdle();
+                link.closeIdle();
             }
         } else if (action instanceof ControlApi.TellPeer a) {
             outside.tellPeer(a.peer(), a.message());
@@ -312,12 +303,12 @@
     }
 
     // ---- Attempts. ----
-    private final class Attempt implements HttpClient.Handler {
+    private final class Attempt implements Host.Ended {
         final OpenCall call;
         final int number;
         final String invoker;
-        final long sentAt = Loop.now();
-        HttpClient.Call exchange;
+        final long sentAt = host.now();
+        Runnable cancel;
         Code code;
         boolean ended;
 
@@ -328,37 +319,21 @@
         }
 
         @Override
-        public void answered(HttpMessage m) {
-            Code code = Outcomes.ofStatus(m.status());
-            Served served = code != Code.OK ? null
-                    : call.call.jsonBytes() >= 0 ? InferProtocol.whole(m) : InferProtocol.answer(m);
-            if (code == Code.OK && served == null) {
-                code = Code.ERROR;
-                metrics.counter("waytrestle_malformed_answers_total", "").add();
-            }
-            end(code, served, LoadMetrics.read(m.header(LoadMetrics.HEADER)));
-        }
-
-        @Override
-        public void broken(HttpClient.Break how, String why) {
-            end(Outcomes.of(how), null, LoadMetrics.read(null));
-        }
-
-        void end(Code code, Served served, LoadMetrics told) {
+        public void ended(Code code, Served served, LoadMetrics told) {
             if (ended) {
                 return;
             }
             ended = true;
             call.out--;
-            long took = Loop.now() - sentAt;
+            long took = host.now() - sentAt;
             this.code = code;
             if (code == Code.OK && (told.start() == ControlApi.Start.WARM || told.start() == ControlApi.Start.UNKNOWN)) {
-                gate.served(Loop.now(), call.call.function(), took);
+                gate.served(host.now(), call.call.function(), took);
             }
             metrics.counter("waytrestle_attempts_total", "code=\"" + code + "\"").add();
             metrics.latency("waytrestle_attempt_seconds", "code=\"" + code + "\"", took);
             if (!call.over) {
-                desk.on(Loop.now(), wallSeconds(), new Desk.AttemptOver(call.id, number, code, served),
+                desk.on(host.now(), wallSeconds(), new Desk.AttemptOver(call.id, number, code, served),
                         Controller.this::carryOut);
                 call.over = code == Code.OK;
             }
@@ -379,96 +354,71 @@
         Attempt attempt = new Attempt(call, call.attempts.size(), a.invoker());
         call.attempts.add(attempt);
         call.out++;
-        long now = Loop.now();
+        long now = host.now();
         long until = a.giveUpAtMicros() > 0 ? Math.min(a.giveUpAtMicros(), call.deadline) : call.deadline;
-        Link link = links.get(a.invoker());
+        Host.Wire link = links.get(a.invoker());
         boolean moot = call.over || now >= until || attempt.number >= config.module().limits().maxAttempts()
                 || attempt.number > 0 && call.attempts.get(attempt.number - 1).code != Code.MISS && !gate.again(now);
         if (moot || link == null) {
-            loop.after(0, () -> attempt.end(moot ? Code.MOOT : Code.CONNECT_FAILED, null, LoadMetrics.read(null)));
+            host.after(0, () -> attempt.ended(moot ? Code.MOOT : Code.CONNECT_FAILED, null, LoadMetrics.read(null)));
             return;
         }
         desk.on(now, wallSeconds(), new Desk.Sent(call.id, attempt.number), this::carryOut);
         String id = call.call.id() != null ? call.call.id().key() : "c" + config.module().me() + "-" + call.id;
-        Incoming in = call.call;
-        attempt.exchange = link.client().call(until - now, attempt, in.jsonBytes() >= 0
-                ? link.protocol().passed(in.function(), id, attempt.number, in.payload(), in.jsonBytes())
-                : link.protocol().infer(in.function(), id, attempt.number, in.contentType(), in.payload()));
+        attempt.cancel = link.infer(call.call, id, attempt.number, until - now, attempt);
     }
 
     private void cancel(ControlApi.Cancel a) {
         OpenCall call = calls.get(a.id());
         if (call != null && a.attempt() >= 0 && a.attempt() < call.attempts.size()) {
             Attempt attempt = call.attempts.get(a.attempt());
-            if (attempt.exchange != null) {
-                attempt.exchange.cancel();
+            if (attempt.cancel != null) {
+                attempt.cancel.run();
             }
         }
     }
 
     // ---- Orders and probes. ----
-    private interface Done {
-        void ended(Code code, long tookMicros, HttpMessage answer);
-    }
-
-    private void ask(String invoker, long within, java.util.function.Function<InferProtocol, java.nio.ByteBuffer[]> what,
-            Done done) {
-        Link link = links.get(invoker);
-        long sentAt = Loop.now();
+    private void order(ControlApi.Order a) {
+        metrics.counter("waytrestle_orders_total", "").add();
+        Host.Wire link = links.get(a.invoker());
+        long sentAt = host.now();
         if (link == null) {
-            loop.after(0, () -> done.ended(Code.CONNECT_FAILED, 0, null));
+            host.after(0, () -> feed(new OrderEnded(a.invoker(), a.function(), Code.CONNECT_FAILED, 0, 0)));
             return;
         }
-        link.client().call(within, new HttpClient.Handler() {
-            @Override
-            public void answered(HttpMessage m) {
-                done.ended(Outcomes.ofStatus(m.status()), Loop.now() - sentAt, m);
-            }
-
-            @Override
-            public void broken(HttpClient.Break how, String why) {
-                done.ended(Outcomes.of(how), Loop.now() - sentAt, null);
-            }
-        }, what.apply(link.protocol()));
-    }
-
-    private void order(ControlApi.Order a) {
-        metrics.counter("waytrestle_orders_total", "").add();
-        ask(a.invoker(), config.module().loading().orderWaitMicros(),
-                p -> a.copies() > 0 ? p.load(a.function(), a.copies()) : p.index(), (code, took, m) -> {
-                    int copies = code != Code.OK ? 0 : a.copies() == 0 ? InferProtocol.copies(m, a.function())
-                            : LoadMetrics.read(m.header(LoadMetrics.HEADER)).copies();
-                    feed(new OrderEnded(a.invoker(), a.function(), code, took,
-                            copies < 0 ? a.copies() : copies));
-                });
+        link.order(a.function(), a.copies(), config.module().loading().orderWaitMicros(), (code, copies, told) ->
+                feed(new OrderEnded(a.invoker(), a.function(), code, host.now() - sentAt, copies)));
     }
 
     private void unload(ControlApi.Unload a) {
-        ask(a.invoker(), config.module().loading().orderWaitMicros(), p -> p.unload(a.function()),
-                (code, took, m) -> { });
+        Host.Wire link = links.get(a.invoker());
+        if (link != null) {
+            link.unload(a.function(), config.module().loading().orderWaitMicros());
+        }
     }
 
     private void probe(ControlApi.Probe a) {
-        ask(a.invoker(), config.module().limits().connectTimeoutMicros(), InferProtocol::ready, (code, took, m) ->
-                feed(new ProbeEnded(a.invoker(), code, took,
-                        m == null ? Map.of() : LoadMetrics.read(m.header(LoadMetrics.HEADER)).report())));
+        Host.Wire link = links.get(a.invoker());
+        long sentAt = host.now();
+        if (link == null) {
+            host.after(0, () -> feed(new ProbeEnded(a.invoker(), Code.CONNECT_FAILED, 0, Map.of())));
+            return;
+        }
+        link.probe(config.module().limits().connectTimeoutMicros(), (code, copies, told) ->
+                feed(new ProbeEnded(a.invoker(), code, host.now() - sentAt, told.report())));
     }
 
     // ---- The list of invokers and peers. ----
-    void invokers(InvokerList list) {
-        HttpLimits d = HttpLimits.DEFAULT;
-        HttpLimits bounds = new HttpLimits(d.startLineBytes(), d.headerCount(), d.headerBytes(),
-                config.invokers().answerBytes(), 0, 0, 0, 0);
+    public void invokers(InvokerList list) {
         for (Invoker each : list.entries()) {
             if (each.state() == State.GONE) {
-                Link link = links.remove(each.id());
+                Host.Wire link = links.remove(each.id());
                 if (link != null) {
-                    link.client().close();
+                    link.close();
                 }
             } else {
-                links.computeIfAbsent(each.id(), id -> new Link(new HttpClient(loop, GatewayConfig.parse(id), bounds,
-                        config.invokers().maxConnections(), config.module().limits().connectTimeoutMicros(),
-                        config.invokers().idleMicros()), new InferProtocol(id, config.module().me())));
+                links.computeIfAbsent(each.id(), host::open);
             }
             if (each.state() != State.READY) {
                 LOG.info("invoker {} is told {}", each.id(), each.state());
@@ -494,11 +444,11 @@
         readyInvokers = ready.size();
     }
 
-    void listFailed() {
+    public void listFailed() {
         feed(new ControlApi.InvokerListFailed());
     }
 
-    void peerSaid(int peer, byte[] message) {
+    public void peerSaid(int peer, byte[] message) {
         feed(new ControlApi.PeerSaid(peer, message));
     }
 }
--- a/src/main/java/waytrestle/gateway/Gateway.java
+++ b/src/main/java/waytrestle/gateway/Gateway.java
@@ -71,7 +71,7 @@
         Overload overload = new Overload(config.overload(), config.module().limits().maxOpen(),
                 config.module().tenants(), config.bounds(), config.module().classes());
         Gate gate = config.overload().on() ? overload : Gate.OPEN;
-        controller = new Controller(loop, config, maker, wallMillis, metrics, gate, new Controller.Outside() {
+        controller = new Controller(new SocketHost(loop, config), config, maker, wallMillis, metrics, gate, new Controller.Outside() {
             @Override
             public void subscribe(boolean on) {
                 if (roster != null) {
@@ -119,6 +119,7 @@
             metrics.gauge("waytrestle_concurrency_limit", "", overload::limit);
             admin = new HttpServer(loop, config.admin(), config.http(), 64, this::page);
             metrics.gauge("waytrestle_connections", "", server::connections);
+            metrics.gauge("waytrestle_timers", "", loop::timers);
             process();
             if (config.peers().listen() != null) {
                 peers = new PeerLink(loop, config.module().me(), config.peers().listen(), config.peers().others(),
--- /dev/null
+++ b/src/main/java/waytrestle/gateway/Host.java
@@ -0,0 +1,47 @@
+package waytrestle.gateway;
+
+import waytrestle.ControlApi.Code;
+import waytrestle.calls.End.Served;
+import waytrestle.calls.Intake.Incoming;
+import waytrestle.invoker.LoadMetrics;
+
+/** What a controller stands on: time, and the ways to invokers. Sockets in service, models in the emulator. */
+public interface Host {
+    /** Monotonic micros. */
+    long now();
+
+    void after(long micros, Runnable task);
+
+    /** A way to an invoker, kept until it is closed. */
+    Wire open(String invoker);
+
+    /** Hears how an attempt ended, once and never within the call that began it. */
+    interface Ended {
+        void ended(Code code, Served served, LoadMetrics told);
+    }
+
+    /** Hears how an order or a probe ended; copies that stand, where that was asked. */
+    interface Told {
+        void told(Code code, int copies, LoadMetrics told);
+    }
+
+    /** The way to one invoker. */
+    interface Wire {
+        /** Sends an attempt; what is returned cancels it. */
+        Runnable infer(Incoming call, String id, int attempt, long withinMicros, Ended ended);
+
+        /** Holds at least so many copies, or (0) asks how many stand. */
+        void order(String function, int copies, long withinMicros, Told told);
+
+        void unload(String function, long withinMicros);
+
+        void probe(long withinMicros, Told told);
+
+        void closeIdle();
+
+        /** Closes idle connections now, others when their exchange ends. */
+        void close();
+
+        int connections();
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/gateway/SocketHost.java
@@ -0,0 +1,137 @@
+package waytrestle.gateway;
+
+import java.nio.ByteBuffer;
+import waytrestle.ControlApi.Code;
+import waytrestle.calls.End.Served;
+import waytrestle.calls.Intake.Incoming;
+import waytrestle.config.GatewayConfig;
+import waytrestle.http.HttpClient;
+import waytrestle.http.HttpLimits;
+import waytrestle.http.HttpMessage;
+import waytrestle.invoker.InferProtocol;
+import waytrestle.invoker.LoadMetrics;
+import waytrestle.invoker.Outcomes;
+import waytrestle.net.Loop;
+
+/** Invokers over sockets: the Open Inference Protocol on kept connections, on the controller's loop. */
+final class SocketHost implements Host {
+    private final Loop loop;
+    private final GatewayConfig config;
+    private final HttpLimits bounds;
+
+    SocketHost(Loop loop, GatewayConfig config) {
+        this.loop = loop;
+        this.config = config;
+        HttpLimits d = HttpLimits.DEFAULT;
+        this.bounds = new HttpLimits(d.startLineBytes(), d.headerCount(), d.headerBytes(),
+                config.invokers().answerBytes(), 0, 0, 0, 0);
+    }
+
+    @Override
+    public long now() {
+        return Loop.now();
+    }
+
+    @Override
+    public void after(long micros, Runnable task) {
+        loop.after(micros, task);
+    }
+
+    @Override
+    public Wire open(String invoker) {
+        return new Link(invoker);
+    }
+
+    private final class Link implements Wire {
+        private final HttpClient client;
+        private final InferProtocol protocol;
+
+        private Link(String id) {
+            client = new HttpClient(loop, GatewayConfig.parse(id), bounds, config.invokers().maxConnections(),
+                    config.module().limits().connectTimeoutMicros(), config.invokers().idleMicros());
+            protocol = new InferProtocol(id, config.module().me());
+        }
+
+        @Override
+        public Runnable infer(Incoming in, String id, int attempt, long within, Ended ended) {
+            ByteBuffer[] request = in.jsonBytes() >= 0
+                    ? protocol.passed(in.function(), id, attempt, in.payload(), in.jsonBytes())
+                    : protocol.infer(in.function(), id, attempt, in.contentType(), in.payload());
+            HttpClient.Call exchange = client.call(within, new HttpClient.Handler() {
+                @Override
+                public void answered(HttpMessage m) {
+                    Code code = Outcomes.ofStatus(m.status());
+                    Served served = code != Code.OK ? null
+                            : in.jsonBytes() >= 0 ? InferProtocol.whole(m) : InferProtocol.answer(m);
+                    ended.ended(code == Code.OK && served == null ? Code.ERROR : code, served, metrics(m));
+                }
+
+                @Override
+                public void broken(HttpClient.Break how, String why) {
+                    ended.ended(Outcomes.of(how), null, metrics(null));
+                }
+            }, request);
+            return exchange::cancel;
+        }
+
+        private LoadMetrics metrics(HttpMessage m) {
+            return LoadMetrics.read(m == null ? null : m.header(LoadMetrics.HEADER));
+        }
+
+        private interface Copies {
+            int of(HttpMessage m);
+        }
+
+        private void ask(long within, Copies copies, Told told, ByteBuffer... request) {
+            client.call(within, new HttpClient.Handler() {
+                @Override
+                public void answered(HttpMessage m) {
+                    Code code = Outcomes.ofStatus(m.status());
+                    told.told(code, code == Code.OK ? copies.of(m) : 0, metrics(m));
+                }
+
+                @Override
+                public void broken(HttpClient.Break how, String why) {
+                    told.told(Outcomes.of(how), 0, metrics(null));
+                }
+            }, request);
+        }
+
+        @Override
+        public void order(String function, int copies, long within, Told told) {
+            if (copies == 0) {
+                ask(within, m -> InferProtocol.copies(m, function), told, protocol.index());
+                return;
+            }
+            ask(within, m -> {
+                int standing = metrics(m).copies();
+                return standing < 0 ? copies : standing;  // a load answered with success stands
+            }, told, protocol.load(function, copies));
+        }
+
+        @Override
+        public void unload(String function, long within) {
+            ask(within, m -> 0, (code, copies, told) -> { }, protocol.unload(function));
+        }
+
+        @Override
+        public void probe(long within, Told told) {
+            ask(within, m -> 0, told, protocol.ready());
+        }
+
+        @Override
+        public void closeIdle() {
+            client.closeIdle();
+        }
+
+        @Override
+        public void close() {
+            client.close();
+        }
+
+        @Override
+        public int connections() {
+            return client.open();
+        }
+    }
+}
--- a/src/main/java/waytrestle/load/LoadRun.java
+++ b/src/main/java/waytrestle/load/LoadRun.java
@@ -116,12 +116,15 @@
     private void advance() {
         while (true) {
             LoadPlan.Stage s = plan.stages().get(stage);
-            double along = (due - stageBegan) / (double) s.micros();
-            double rate = s.from() + (s.to() - s.from()) * Math.min(1, along);
-            long gap = rate <= 0.001 ? s.micros() : (long) (-Math.log(1 - random.nextDouble()) / rate * 1e6);
-            if (due + gap < stageBegan + s.micros()) {
-                due += gap;
-                return;
+            double most = Math.max(s.from(), s.to());
+            // Drawn at the stage's highest rate and thinned to the present one, so that ramps come out even.
+            long end = stageBegan + s.micros();
+            while (most > 0 && due < end) {
+                due += (long) (-Math.log(1 - random.nextDouble()) / most * 1e6);
+                double rate = s.from() + (s.to() - s.from()) * (due - stageBegan) / s.micros();
+                if (due < end && random.nextDouble() * most < rate) {
+                    return;
+                }
             }
             stageBegan += s.micros();
             due = stageBegan;
--- a/src/main/java/waytrestle/metrics/Metrics.java
+++ b/src/main/java/waytrestle/metrics/Metrics.java
@@ -38,6 +38,17 @@
     private final Map<Series, Histogram> latencies = new TreeMap<>();
     private final Map<String, String> help = new LinkedHashMap<>();
 
+    private final boolean latent;
+
+    public Metrics() {
+        this(true);
+    }
+
+    /** Without latencies it stays small: the emulator runs hundreds of controllers. */
+    public Metrics(boolean latencies) {
+        this.latent = latencies;
+    }
+
     public void help(String name, String text) {
         help.put(name, text);
     }
@@ -52,6 +63,9 @@
     }
 
     public void latency(String name, String labels, long micros) {
+        if (!latent) {
+            return;
+        }
         latencies.computeIfAbsent(new Series(name, labels), s -> new Histogram(HIGHEST, 3))
                 .recordValue(Math.min(HIGHEST, Math.max(0, micros)));
     }
--- /dev/null
+++ b/src/main/java/waytrestle/play/Cast.java
@@ -0,0 +1,104 @@
+package waytrestle.play;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import waytrestle.ControlApi.Repeat;
+import waytrestle.ControlApi.Settings;
+import waytrestle.config.GatewayConfig;
+import waytrestle.config.TomlFile;
+import waytrestle.standin.InvokerModel;
+
+/** What a scenario comes to: configurations of controllers, shapes of invokers, functions and what is called. */
+public final class Cast {
+    static final String SECRET = "whsec_" + Base64.getEncoder().encodeToString(new byte[32]).replace('A', 'p');
+
+    private Cast() { }
+
+    /** The configuration of one controller: the scenario's part and what only its place knows. */
+    public static String config(Scenario scenario, int number, int port, int admin, int rosterPort) {
+        StringBuilder out = new StringBuilder();
+        String zone = scenario.fleets().get(number % scenario.fleets().size()).zone();
+        List<String> zones = scenario.fleets().stream().map(Scenario.Fleet::zone).distinct().toList();
+        out.append("[controller]\nnumber = ").append(number).append("\ncount = ").append(scenario.controllers())
+                .append("\nzone = \"").append(zone).append("\"\nzones = [\"").append(String.join("\", \"", zones))
+                .append("\"]\nseed = ").append(scenario.seed() * 1_000 + number)
+                .append("\ntick_ms = 10\nweight_kind = \"none\"\nover_share_worth = 0.1\n\n[listen]\naddress = \"127.0.0.1:")
+                .append(port).append("\"\nadmin = \"127.0.0.1:").append(admin).append("\"\n\n[roster]\naddress = \"127.0.0.1:")
+                .append(rosterPort).append("\"\ndiscovery = \"pushed\"\nwait_ms = 5000\n\n");
+        out.append(scenario.gateway()).append('\n');
+        List<String> classNames = TomlFile.names(scenario.gateway(), "class");
+        for (String each : classNames) {
+            out.append("[[endpoint]]\npath = \"/hooks/").append(each).append("\"\nclass = \"").append(each)
+                    .append("\"\nfunction_pointer = \"/function\"\nsecrets = [\"").append(SECRET).append("\"]\n\n");
+        }
+        if (scenario.load().kserveShare() > 0) {
+            out.append("[kserve]\nclass = \"").append(classNames.get(0)).append("\"\n[[kserve.key]]\nsha256 = \"")
+                    .append(sha256(HttpWay.BEARER)).append("\"\n\n");
+        }
+        for (Scenario.Functions f : scenario.functions()) {
+            for (int i = 0; i < f.count(); i++) {
+                out.append("[[function]]\nclass = \"").append(f.requestClass()).append("\"\nname = \"").append(f.name())
+                        .append('-').append(i).append("\"\nmemory_mb = ").append(f.memoryMb()).append("\nlanes = ")
+                        .append(f.lanes()).append("\nload_ms = ").append(f.loadMicros() / 1e3).append("\n\n");
+            }
+        }
+        return out.toString();
+    }
+
+    private static String sha256(String text) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256")
+                    .digest(text.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("this Java lacks SHA-256", e);
+        }
+    }
+
+    /** What is called; fills in the functions and each target's weight. */
+    public static List<Clients.Target> targets(Scenario scenario, Settings s, Map<String, InvokerModel.Function> functions,
+            List<Double> weights) {
+        List<Clients.Target> targets = new ArrayList<>();
+        for (Scenario.Functions f : scenario.functions()) {
+            int at = -1;
+            for (int i = 0; i < s.classes().size(); i++) {
+                at = s.classes().get(i).name().equals(f.requestClass()) ? i : at;
+            }
+            if (at < 0) {
+                throw new IllegalArgumentException("functions." + f.name() + ": class names none of gateway.class: "
+                        + f.requestClass());
+            }
+            double sum = 0;
+            for (int i = 0; i < f.count(); i++) {
+                sum += Math.pow(i + 1, -f.zipf());
+            }
+            for (int i = 0; i < f.count(); i++) {
+                String name = f.name() + "-" + i;
+                functions.put(name, new InvokerModel.Function(name, f.memoryMb(), f.lanes(), f.loadMicros(),
+                        s.classes().get(at).repeat() == Repeat.KEYED));
+                targets.add(new Clients.Target(name, at, f.workMs()));
+                weights.add(f.share() * Math.pow(i + 1, -f.zipf()) / sum);
+            }
+        }
+        return targets;
+    }
+
+    public static InvokerModel.Shape shape(Scenario scenario, Scenario.Fleet f, GatewayConfig config) {
+        Settings s = config.module();
+        int kind = Math.max(0, config.kinds().indexOf(f.kind()));
+        return new InvokerModel.Shape(f.cores(), f.room(), s.loading().memoryByKind().get(kind), f.loadsAtOnce(),
+                scenario.store().fetchShare(), s.loading().keepAliveMicros(), s.loading().missAnswers(), f.cancelStops(),
+                s.rules().coldShare(), s.rules().warmAfterMicros(), s.rules().fallMultiple(), s.rules().overloadMicros(),
+                f.reportEveryMicros());
+    }
+
+    /** For how long invokers drop repeats of a key. */
+    public static long window(Settings s) {
+        return s.classes().stream().mapToLong(c -> c.windowMicros()).max().orElse(0);
+    }
+}
--- a/src/main/java/waytrestle/play/Evidence.java
+++ b/src/main/java/waytrestle/play/Evidence.java
@@ -6,6 +6,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.function.LongSupplier;
 import waytrestle.net.Loop;
 import waytrestle.standin.Sightings;
 
@@ -14,17 +15,25 @@
     public static final String FILE = "evidence.jsonl";
 
     private final JsonGenerator out;
-    private final long began = Loop.now();
+    private final LongSupplier clock;
+    private final long began;
     private boolean closed;
 
     public Evidence(Path dir) throws IOException {
+        this(dir, Loop::now);
+    }
+
+    /** With another clock of micros. */
+    public Evidence(Path dir, LongSupplier clock) throws IOException {
+        this.clock = clock;
+        this.began = clock.getAsLong();
         Files.createDirectories(dir);
         out = new JsonFactory().createGenerator(Files.newBufferedWriter(dir.resolve(FILE)));
         out.setRootValueSeparator(new com.fasterxml.jackson.core.io.SerializedString("\n"));
     }
 
     public long now() {
-        return Loop.now() - began;
+        return clock.getAsLong() - began;
     }
 
     @Override
--- a/src/main/java/waytrestle/play/Scenario.java
+++ b/src/main/java/waytrestle/play/Scenario.java
@@ -73,7 +73,7 @@
                     t.millis("for_s", 0, 3_600, 0) * 1_000, t.number("share", 0, 1, 1), t.number("factor", 0, 1e6, 1)));
         }
         return new Scenario(length, play.whole("seed", Long.MIN_VALUE, Long.MAX_VALUE),
-                (int) play.whole("controllers", 1, 64), root.raw("gateway"), fleets, store, functions, load,
+                (int) play.whole("controllers", 1, 2_000), root.raw("gateway"), fleets, store, functions, load,
                 root.sub("roster").millis("lag_ms", 0, 600_000, 0), troubles);
     }
 
--- /dev/null
+++ b/src/main/java/waytrestle/standin/InvokerBody.java
@@ -0,0 +1,156 @@
+package waytrestle.standin;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Function;
+import java.util.function.IntPredicate;
+import waytrestle.ControlApi.Code;
+import waytrestle.ControlApi.Start;
+
+/** What an invoker does with attempts and orders, whichever way they come: its model, its group's keys, its troubles. */
+public class InvokerBody implements Actor {
+    /** Where an attempt's answer goes. */
+    public interface Reply {
+        boolean open();
+
+        /** The answer; garbled when it is to be unreadable. */
+        void answer(InvokerModel.Result result, boolean garbled);
+    }
+
+    /** An attempt under way; null where it was answered at once. */
+    public interface Underway {
+        /** Its caller closed; seen so many micros late at most. */
+        void closed(long lag);
+    }
+
+    private static final int KEYS = 100_000;  // remembered keys: more than a day's play sends
+
+    protected final Env env;
+    protected final Sightings sightings;
+    protected String id;
+    private final Map<String, InvokerModel.Function> functions;
+    private final Function<Boolean, InvokerModel> maker;
+    private final Map<String, Long> keys;
+    private final long keyWindow;
+    private final SplittableRandom random;
+    private InvokerModel model;
+    private double loseAnswers, garbage;
+    private boolean up = true;
+    private IntPredicate cutOff = controller -> false;
+
+    /**
+     * Starts warm. The keys that it drops repeats of, with the time until which it does, are shared by the invokers of
+     * one group.
+     */
+    public InvokerBody(String id, Env env, Map<String, InvokerModel.Function> functions,
+            Function<Boolean, InvokerModel> maker, Map<String, Long> keys, long keyWindow, Sightings sightings, long seed) {
+        this.id = id;
+        this.env = env;
+        this.functions = functions;
+        this.maker = maker;
+        this.keys = keys;
+        this.keyWindow = keyWindow;
+        this.sightings = sightings;
+        this.random = new SplittableRandom(seed);
+        this.model = maker.apply(false);
+    }
+
+    @Override
+    public String id() {
+        return id;
+    }
+
+    @Override
+    public InvokerModel model() {
+        return model;
+    }
+
+    @Override
+    public boolean up() {
+        return up;
+    }
+
+    @Override
+    public void crash() {
+        if (up) {
+            up = false;
+            sightings.saw(id, "down");
+            model.stop();
+        }
+    }
+
+    @Override
+    public void restart() throws IOException {
+        if (!up) {
+            up = true;
+            model = maker.apply(true);
+            spoil(0, 0);
+            sightings.saw(id, "up");
+        }
+    }
+
+    @Override
+    public void spoil(double lost, double garbled) {
+        loseAnswers = lost;
+        garbage = garbled;
+    }
+
+    @Override
+    public void cutOff(IntPredicate controllers) {
+        cutOff = controllers;
+    }
+
+    public boolean isCutOff(int controller) {
+        return cutOff.test(controller);
+    }
+
+    public InvokerModel.Function function(String name) {
+        return functions.getOrDefault(name, new InvokerModel.Function(name, 256, 4, 800_000, false));
+    }
+
+    /** An order, told how many copies stand in the end; -1 when they did not fit. */
+    public void order(int controller, String function, int copies, java.util.function.IntConsumer done) {
+        sightings.saw(id, "order", "controller", controller, "function", function, "copies", copies);
+        model.order(function(function), copies, standing -> {
+            if (!model.hung()) {
+                done.accept(standing);
+            }
+        });
+    }
+
+    public Underway attempt(int controller, String key, int attempt, String function, long work, Reply reply) {
+        sightings.saw(id, "attempt", "controller", controller, "id", key, "attempt", attempt, "function", function,
+                "work", work);
+        if (keys.getOrDefault(key, 0L) > env.now()) {  // a repeat within its group and window: not run again
+            finish(key, controller, attempt, new InvokerModel.Result(Code.OK, Start.WARM, 0, model.report()), reply);
+            return null;
+        }
+        InvokerModel at = model;
+        InvokerModel.Visit visit = at.call(function(function), work, () -> sightings.saw(id, "ran", "controller",
+                controller, "id", key, "attempt", attempt), result -> finish(key, controller, attempt, result, reply));
+        if (visit != null && function(function).keyed()) {
+            if (keys.size() > KEYS) {
+                keys.values().removeIf(until -> until <= env.now());
+            }
+            keys.put(key, env.now() + keyWindow);
+        }
+        if (at.fallen()) {
+            sightings.saw(id, "fell");
+            crash();
+        }
+        return visit == null ? null : lag -> {
+            sightings.saw(id, "closed", "controller", controller, "id", key, "attempt", attempt, "lag", lag);
+            at.cancel(visit);
+        };
+    }
+
+    private void finish(String key, int controller, int attempt, InvokerModel.Result r, Reply reply) {
+        boolean served = r.code() == Code.OK;
+        if (model.hung() || !reply.open() || served && random.nextDouble() < loseAnswers) {
+            return;
+        }
+        sightings.saw(id, "answered", "controller", controller, "id", key, "attempt", attempt, "code", r.code().name());
+        reply.answer(r, served && random.nextDouble() < garbage);
+    }
+}
--- a/src/main/java/waytrestle/standin/InvokerStandIn.java
+++ b/src/main/java/waytrestle/standin/InvokerStandIn.java
@@ -9,7 +9,6 @@
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import java.util.SplittableRandom;
 import waytrestle.ControlApi.Code;
 import waytrestle.http.HttpLimits;
 import waytrestle.http.HttpMessage;
@@ -17,42 +16,21 @@
 import waytrestle.net.Loop;
 
 /** The invoker model behind the Open Inference Protocol on a loopback port. */
-public final class InvokerStandIn {
+public final class InvokerStandIn extends InvokerBody {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final HttpLimits LIMITS = new HttpLimits(8_192, 100, 32_768, 1 << 28, 600_000_000L, 600_000_000L,
             600_000_000L, 600_000_000L);
 
     private final Loop loop;
-    private final Env env;
-    private final Sightings sightings;
-    private final Map<String, InvokerModel.Function> functions;
-    private final java.util.function.Supplier<InvokerModel> maker;
-    private final String id;
     private final int port;
-    private final SplittableRandom random;
-    private final Map<String, Long> keys;
-    private final long keyWindow;
-    private InvokerModel model;
     private HttpServer server;
-    private double loseAnswers, garbage;
-    private java.util.function.IntPredicate cutOff = controller -> false;
 
-    /**
-     * Starts warm; a port of 0 lets the system choose one, kept over restarts. The keys that it drops repeats of, with
-     * the time until which it does, are shared by the invokers of one group.
-     */
+    /** Starts warm; a port of 0 lets the system choose one, kept over restarts. */
     public InvokerStandIn(Loop loop, Env env, int port, Map<String, InvokerModel.Function> functions,
             java.util.function.Function<Boolean, InvokerModel> maker, Map<String, Long> keys, long keyWindow,
             Sightings sightings, long seed) throws IOException {
-        this.keys = keys;
-        this.keyWindow = keyWindow;
+        super("", env, functions, maker, keys, keyWindow, sightings, seed);
         this.loop = loop;
-        this.env = env;
-        this.functions = functions;
-        this.sightings = sightings;
-        this.random = new SplittableRandom(seed);
-        this.maker = () -> maker.apply(true);
-        this.model = maker.apply(false);
         this.server = listen(port);
         this.port = server.port();
         this.id = "127.0.0.1:" + this.port;
@@ -63,45 +41,19 @@
                 this::request);
     }
 
-    public String id() {
-        return id;
-    }
-
-    public InvokerModel model() {
-        return model;
-    }
-
-    /** Of answers: lost after the work was done, or garbage in their place. */
-    public void spoil(double lost, double garbled) {
-        loseAnswers = lost;
-        garbage = garbled;
-    }
-
-    /** Calls of these controllers vanish, both ways. */
-    public void cutOff(java.util.function.IntPredicate controllers) {
-        cutOff = controllers;
-    }
-
-    public boolean up() {
-        return server != null;
-    }
-
+    @Override
     public void crash() {
-        if (server != null) {
-            sightings.saw(id, "down");
-            model.stop();
+        if (up()) {
+            super.crash();
             server.kill();
-            server = null;
         }
     }
 
-    /** Comes back cold on the same port. */
+    @Override
     public void restart() throws IOException {
-        if (server == null) {
-            model = maker.get();
-            spoil(0, 0);
+        if (!up()) {
             server = listen(port);
-            sightings.saw(id, "up");
+            super.restart();
         }
     }
 
@@ -109,18 +61,18 @@
         HttpMessage m = e.message();
         String told = m.header("waytrestle-controller");
         int controller = told == null ? -1 : Integer.parseInt(told);
-        if (cutOff.test(controller)) {
+        if (isCutOff(controller)) {
             return;
         }
         String[] path = m.path().split("/");
         if (m.path().equals("/v2/health/ready")) {
-            e.answer(200, "", HttpMessage.NO_BODY, "endpoint-load-metrics", metrics(model.report(), -1, -1, -1));
+            e.answer(200, "", HttpMessage.NO_BODY, "endpoint-load-metrics", metrics(model().report(), -1, -1, -1));
         } else if (m.path().equals("/v2/repository/index")) {
             index(e);
         } else if (path.length == 6 && path[2].equals("repository") && path[5].equals("load")) {
             load(e, path[4], controller);
         } else if (path.length == 6 && path[2].equals("repository") && path[5].equals("unload")) {
-            model.unload(path[4]);
+            model().unload(path[4]);
             e.answer(200, "application/json", "{}".getBytes(StandardCharsets.US_ASCII));
         } else if (path.length == 5 && path[2].equals("models") && path[4].equals("infer")) {
             infer(e, path[3], controller);
@@ -131,7 +83,7 @@
 
     private void index(HttpServer.Exchange e) {
         StringBuilder out = new StringBuilder("[");
-        model.index().forEach((name, n) -> out.append(out.length() > 1 ? "," : "").append("{\"name\":\"").append(name)
+        model().index().forEach((name, n) -> out.append(out.length() > 1 ? "," : "").append("{\"name\":\"").append(name)
                 .append("\",\"state\":\"").append(n > 0 ? "READY" : "LOADING").append("\",\"copies\":").append(n)
                 .append('}'));
         e.answer(200, "application/json", out.append(']').toString().getBytes(StandardCharsets.US_ASCII));
@@ -145,19 +97,14 @@
             e.answer(400, "", HttpMessage.NO_BODY);
             return;
         }
-        sightings.saw(id, "order", "controller", controller, "function", name, "copies", copies);
-        model.order(function(name), copies, standing -> {
-            if (e.open() && !model.hung()) {
+        order(controller, name, copies, standing -> {
+            if (e.open()) {
                 e.answer(standing >= 0 ? 200 : 503, "", HttpMessage.NO_BODY, "endpoint-load-metrics",
-                        metrics(model.report(), -1, -1, Math.max(0, standing)));
+                        metrics(model().report(), -1, -1, Math.max(0, standing)));
             }
         });
     }
 
-    private InvokerModel.Function function(String name) {
-        return functions.getOrDefault(name, new InvokerModel.Function(name, 256, 4, 800_000, false));
-    }
-
     private void infer(HttpServer.Exchange e, String name, int controller) {
         HttpMessage m = e.message();
         JsonNode header;
@@ -180,50 +127,27 @@
             return;
         }
         String key = m.header("waytrestle-call") != null ? m.header("waytrestle-call") : header.path("id").asText();
-        int attempt = Integer.parseInt(m.header("waytrestle-attempt"));
-        sightings.saw(id, "attempt", "controller", controller, "id", key, "attempt", attempt, "function", name,
-                "work", work);
-        if (keys.getOrDefault(key, 0L) > env.now()) {  // a repeat within its group and window: not run again
-            finish(e, key, controller, attempt, payload,
-                    new InvokerModel.Result(Code.OK, waytrestle.ControlApi.Start.WARM, 0, model.report()));
-            return;
-        }
-        boolean keyed = function(name).keyed();
-        InvokerModel.Visit visit = model.call(function(name), work, () -> {
-            sightings.saw(id, "ran", "controller", controller, "id", key, "attempt", attempt);
-        }, result -> finish(e, key, controller, attempt, payload, result));
-        if (keyed && visit != null) {
-            remember(key);
-        }
-        if (model.fallen()) {
-            sightings.saw(id, "fell");
-            crash();
-        } else if (visit != null && e.open()) {
-            e.whenGone(() -> {
-                sightings.saw(id, "closed", "controller", controller, "id", key, "attempt", attempt, "lag",
-                        Loop.now() - loop.turnBefore());
-                model.cancel(visit);
-            });
-        }
-    }
-
-    private static final int KEYS = 100_000;  // remembered keys: more than a day's play sends
+        Underway underway = attempt(controller, key, Integer.parseInt(m.header("waytrestle-attempt")), name, work,
+                new Reply() {
+                    @Override
+                    public boolean open() {
+                        return e.open();
+                    }
 
-    private void remember(String key) {
-        if (keys.size() > KEYS) {
-            keys.values().removeIf(until -> until <= env.now());
+                    @Override
+                    public void answer(InvokerModel.Result r, boolean garbled) {
+                        InvokerStandIn.answer(e, key, payload, r, garbled);
+                    }
+                });
+        if (underway != null && e.open()) {
+            e.whenGone(() -> underway.closed(Loop.now() - loop.turnBefore()));
         }
-        keys.put(key, env.now() + keyWindow);
     }
 
-    private void finish(HttpServer.Exchange e, String key, int controller, int attempt, byte[] payload,
-            InvokerModel.Result r) {
-        if (model.hung() || !e.open() || (r.code() == Code.OK && random.nextDouble() < loseAnswers)) {
-            return;
-        }
-        sightings.saw(id, "answered", "controller", controller, "id", key, "attempt", attempt, "code", r.code().name());
+    private static void answer(HttpServer.Exchange e, String key, byte[] payload, InvokerModel.Result r,
+            boolean garbled) {
         String metrics = metrics(r.report(), r.start().ordinal(), r.company(), -1);
-        if (r.code() == Code.OK && random.nextDouble() < garbage) {
+        if (garbled) {
             e.answer(200, "application/json", "{\"outputs\":[{\"nam".getBytes(StandardCharsets.US_ASCII));
             return;
         }
--- a/src/test/java/waytrestle/ArchTest.java
+++ b/src/test/java/waytrestle/ArchTest.java
@@ -60,8 +60,8 @@
 
     @Test
     void onlyToolsKnowStandInsAndPlays() {
-        noClasses().that().resideOutsideOfPackages("..standin..", "..play..", "..cli..", "..audit..").should()
-                .dependOnClassesThat().resideInAnyPackage("..standin..", "..play..", "..audit..")
+        noClasses().that().resideOutsideOfPackages("..standin..", "..play..", "..cli..", "..audit..", "..emulator..").should()
+                .dependOnClassesThat().resideInAnyPackage("..standin..", "..play..", "..audit..", "..emulator..")
                 .check(ALL);
     }
 
--- a/src/test/java/waytrestle/overload/OverloadTest.java
+++ b/src/test/java/waytrestle/overload/OverloadTest.java
@@ -33,6 +33,8 @@
         final long[] offered = new long[2], good = new long[2];
         final List<long[]> limits = new ArrayList<>();
         int servers, busy;
+        boolean retrying;
+        long repeatsPassed, firstsPassed, marks;
         long now = SECOND;
 
         Fleet(int servers, Overload gate) {
@@ -42,7 +44,7 @@
 
         void offer(int tenant, int kind, long until, double perSecond) {
             for (double t = now; t < until; t += -Math.log(1 - random.nextDouble()) / perSecond * SECOND) {
-                events.add(new long[] {(long) t, 0, tenant, kind});
+                events.add(new long[] {(long) t, 0, tenant, kind, ++marks, 0});
             }
         }
 
@@ -52,10 +54,14 @@
                 now = e[0];
                 int tenant = (int) e[2];
                 if (e[1] == 0) {
-                    offered[tenant]++;
-                    if (gate.refuse(now, tenant, (int) e[3], 0) == null) {
+                    offered[tenant] += e[5] == 0 ? 1 : 0;
+                    if (gate.refuse(now, tenant, (int) e[3], retrying ? e[4] : 0) == null) {
                         gate.began(now, tenant, (int) e[3]);
-                        line.add(new long[] {now, tenant, e[3]});
+                        line.add(new long[] {now, tenant, e[3], e[4], e[5]});
+                        repeatsPassed += e[5] > 0 ? 1 : 0;
+                        firstsPassed += e[5] == 0 ? 1 : 0;
+                    } else {
+                        again(e);
                     }
                 } else {
                     busy--;
@@ -64,6 +70,11 @@
                     gate.over(now, tenant, (int) e[3], 0, false, took > 3 * SECOND);
                     good[tenant] += took <= SECOND ? 1 : 0;
                 }
+                while (!line.isEmpty() && line.peek()[0] < now - 3 * SECOND) {  // out of its time: refused, may come again
+                    long[] late = line.poll();
+                    gate.over(now, (int) late[1], (int) late[2], late[3], true, false);
+                    again(new long[] {now, 0, late[1], late[2], late[3], late[4]});
+                }
                 while (busy < servers && !line.isEmpty()) {
                     long[] next = line.poll();
                     busy++;
@@ -77,6 +88,13 @@
             now = until;
         }
 
+        /** Half of what was refused comes again after a fifth of a second, five times at most. */
+        void again(long[] e) {
+            if (retrying && e[5] < 5 && random.nextBoolean()) {
+                events.add(new long[] {now + 200_000, 0, e[2], e[3], e[4], e[5] + 1});
+            }
+        }
+
         long limitAt(long when) {
             return limits.stream().filter(l -> l[0] <= when).reduce((x, y) -> y).orElseThrow()[1];
         }
@@ -188,6 +206,28 @@
         assertFalse(budget.recognised(2 * SECOND, 100), "bounded");
     }
 
+    /** Ten seconds without a server while clients come again and again; then all are back. */
+    @Test
+    void afterAnOutageServiceIsBackWithinFiveSecondsAndRepeatsStayWithinTheirBudget() {
+        Fleet fleet = new Fleet(40, gate());
+        fleet.retrying = true;
+        fleet.offer(0, 0, 60 * SECOND, 200);
+        fleet.offer(1, 0, 60 * SECOND, 150);
+        fleet.run(20 * SECOND);
+        fleet.servers = 0;
+        fleet.run(30 * SECOND);
+        fleet.servers = 40;
+        fleet.run(35 * SECOND);
+        long before = fleet.good[0] + fleet.good[1];
+        fleet.run(45 * SECOND);
+        double served = (fleet.good[0] + fleet.good[1] - before) / (350.0 * 10);
+        assertTrue(served > 0.95, "served in time from five seconds after the outage: " + served);
+        fleet.run(64 * SECOND);
+        assertTrue(fleet.repeatsPassed > 0, "there were repeats");
+        assertTrue(fleet.repeatsPassed <= 0.2 * fleet.marks + 10 * 60 + 100, fleet.repeatsPassed + " repeats passed for "
+                + fleet.marks + " first calls");
+    }
+
     /** After an outage every client comes again: repeats stay within their budget and the fleet recovers. */
     @Test
     void aStormOfRepeatsIsCutToItsBudget() {
