--- a/src/main/java/waytrestle/cli/Rig.java
+++ b/src/main/java/waytrestle/cli/Rig.java
@@ -20,6 +20,7 @@
 import waytrestle.standin.Env;
 import waytrestle.standin.InvokerModel;
 import waytrestle.standin.InvokerStandIn;
+import waytrestle.standin.LoopEnv;
 import waytrestle.standin.StoreModel;
 
 /** What measuring needs: stand-in invokers here, a gateway as a process of its own, and a loop that sends load. */
@@ -73,17 +74,7 @@
     }
 
     private void stand(int count, InvokerModel.Shape shape) throws IOException {
-        Env env = new Env() {
-            @Override
-            public long now() {
-                return Loop.now();
-            }
-
-            @Override
-            public void after(long micros, Runnable task) {
-                fleet.after(micros, task);
-            }
-        };
+        Env env = new LoopEnv(fleet);
         StoreModel store = new StoreModel(env, 1_000, 100_000);
         Map<String, InvokerModel.Function> functions = new HashMap<>();
         for (int i = 0; i < 40; i++) {  // loads take no time: what is measured is the path of warm calls
--- /dev/null
+++ b/src/main/java/waytrestle/forecast/Chosen.java
@@ -0,0 +1,61 @@
+package waytrestle.forecast;
+
+import java.util.List;
+
+/**
+ * Several methods side by side; the one with the least pinball loss of late is believed. Nothing is said while none of
+ * them knows. Guards against a method that suits another history: functions differ, and one may change its habit.
+ */
+public final class Chosen implements Forecaster {
+    // ---- Tuned numbers. ----
+    private static final double NEWS = 0.01;  // weight of a bucket's loss: some hundred count, so that chance does not choose
+
+    private final List<Forecaster> methods;
+    private final double[] loss;
+    private final boolean[] judged;
+
+    public Chosen(List<Forecaster> methods) {
+        this.methods = List.copyOf(methods);
+        this.loss = new double[methods.size()];
+        this.judged = new boolean[methods.size()];
+    }
+
+    /** All methods that there are. */
+    public static Chosen of(Season season) {
+        return new Chosen(List.of(new SeasonalNaive(season), new Smoothed(season), new ProfileAndLevel(season)));
+    }
+
+    @Override
+    public void observed(long bucket, double calls) {
+        for (int i = 0; i < loss.length; i++) {
+            Range told = methods.get(i).forecast(bucket);
+            if (told.known()) {
+                double lost = Forecaster.pinball(told, calls);
+                loss[i] = judged[i] ? loss[i] + NEWS * (lost - loss[i]) : lost;
+                judged[i] = true;
+            }
+            methods.get(i).observed(bucket, calls);
+        }
+    }
+
+    /** The place of the method believed now; -1 for none. */
+    public int chosen() {
+        int best = -1;
+        for (int i = 0; i < loss.length; i++) {
+            if (judged[i] && (best < 0 || loss[i] < loss[best])) {
+                best = i;
+            }
+        }
+        return best;
+    }
+
+    @Override
+    public Range forecast(long bucket) {
+        int best = chosen();
+        Range told = best < 0 ? Range.UNKNOWN : methods.get(best).forecast(bucket);
+        for (int i = 0; i < loss.length && !told.known(); i++) {
+            told = judged[i] ? methods.get(i).forecast(bucket) : told;
+        }
+        return told;
+    }
+}
--- a/src/main/java/waytrestle/play/Play.java
+++ b/src/main/java/waytrestle/play/Play.java
@@ -24,6 +24,7 @@
 import waytrestle.standin.Env;
 import waytrestle.standin.InvokerModel;
 import waytrestle.standin.InvokerStandIn;
+import waytrestle.standin.LoopEnv;
 import waytrestle.standin.RosterStandIn;
 import waytrestle.standin.StoreModel;
 
@@ -85,17 +86,7 @@
         this.fleetLoop = new Loop("fleet", broken::add);
         this.clientLoop = new Loop("clients", broken::add);
         this.random = new Random(scenario.seed());
-        this.env = new Env() {
-            @Override
-            public long now() {
-                return Loop.now();
-            }
-
-            @Override
-            public void after(long micros, Runnable task) {
-                fleetLoop.after(micros, task);
-            }
-        };
+        this.env = new LoopEnv(fleetLoop);
     }
 
     /** Plays the whole day; throws what broke in the stand-ins themselves. */
@@ -228,18 +219,7 @@
         for (int i = 0; i < scenario.controllers(); i++) {
             at.add(new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.get(2 * i)));
         }
-        Env clientEnv = new Env() {
-            @Override
-            public long now() {
-                return Loop.now();
-            }
-
-            @Override
-            public void after(long micros, Runnable task) {
-                clientLoop.after(micros, task);
-            }
-        };
-        clients = new Clients(clientEnv, evidence, config.module().classes(), scenario.load(), targets,
+        clients = new Clients(new LoopEnv(clientLoop), evidence, config.module().classes(), scenario.load(), targets,
                 weights.stream().mapToDouble(w -> w).toArray(), new HttpWay(clientLoop, at, config.module().classes()),
                 scenario.seed());
     }
