--- a/src/test/java/waytrestle/gateway/SecondFrontTest.java
+++ b/src/test/java/waytrestle/gateway/SecondFrontTest.java
@@ -173,13 +173,13 @@
 
     @Test
     void idleAndSlowConnectionsDoNotKeepOthersOut() throws Exception {
-        try (GatewayBed bed = bed(2, "connections_per_network = 5000", "connections_per_network = 300",
-                "head_ms = 10000", "head_ms = 500")) {
+        try (GatewayBed bed = bed(2, "connections_per_network = 5000", "connections_per_network = 4300",
+                "head_ms = 10000", "head_ms = 3000")) {
             List<Socket> held = new ArrayList<>();
-            for (int i = 0; i < 250; i++) {
+            for (int i = 0; i < 4_200; i++) {
                 Socket s = new Socket("127.0.0.1", bed.gateway.port());
                 held.add(s);
-                if (i < 50) {
+                if (i < 200) {
                     s.getOutputStream().write("POST /v2/models/m/in".getBytes());
                 }
             }
@@ -187,11 +187,11 @@
             for (int i = 0; i < 20; i++) {
                 assertEquals(200, send(bed, infer(bed, "m", SMALL, new byte[0])).statusCode());
             }
-            for (int i = 0; i < 60; i++) {
+            for (int i = 0; i < 120; i++) {
                 held.add(new Socket("127.0.0.1", bed.gateway.port()));
             }
             GatewayBed.until(() -> page(bed).contains("{reason=\"connections_of_network\"}"), "the network's bound");
-            GatewayBed.until(() -> page(bed).contains("{reason=\"slow_head\"} 50"), "fifty slow heads");
+            GatewayBed.until(() -> page(bed).contains("{reason=\"slow_head\"} 200"), "two hundred slow heads");
             for (Socket s : held) {
                 s.close();
             }
