Memory of ids holds nothing of what it let go

Cause: ended entries stood in a line by time of their end, and those let go early for room stayed in it, answers and all, behind an older one that had not lapsed. The bounds in entries and bytes were not kept: at full rate the line grew for the whole tolerance.

Change: the line is a set in order, and what is discarded leaves it.

Result: a test of 1,000 evictions behind one old entry holds at most the bound; taken out, the change makes it fail.

--- a/src/main/java/waytrestle/calls/IdMemory.java
+++ b/src/main/java/waytrestle/calls/IdMemory.java
@@ -1,6 +1,5 @@
 package waytrestle.calls;
 
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -60,7 +59,7 @@
     private final Bounds bounds;
     private final HashMap<String, Entry> entries = new HashMap<>();
     private final HashMap<Long, Entry> open = new HashMap<>();
-    private final ArrayDeque<Entry> ended = new ArrayDeque<>();         // by time of their end
+    private final LinkedHashSet<Entry> ended = new LinkedHashSet<>();   // by time of their end
     private final LinkedHashSet<Entry> safe = new LinkedHashSet<>();    // ended, safe: may be let go
     private final LinkedHashSet<Entry> answers = new LinkedHashSet<>(); // ended, others: their answers may be
     private long bytes;
@@ -76,6 +75,11 @@
         return entries.size();
     }
 
+    /** Ends held, which are never more than the entries. */
+    int endsHeld() {
+        return ended.size();
+    }
+
     public long bytes() {
         return bytes;
     }
@@ -176,6 +180,7 @@
         if (entries.remove(entry.arrival.key(), entry)) {
             bytes -= entry.bytes();
         }
+        ended.remove(entry);
         safe.remove(entry);
         answers.remove(entry);
     }
@@ -183,19 +188,15 @@
     /** Lets go what no accepted signature can bring back; both clocks must agree, since the wall's may step. */
     private void lapse(long now, long wallSeconds) {
         while (!ended.isEmpty()) {
-            Entry entry = ended.peek();
-            boolean known = entries.get(entry.arrival.key()) == entry;
+            Entry entry = ended.iterator().next();
             boolean span = now - entry.endedAt > bounds.toleranceSeconds() * 1_000_000;
             boolean signed = wallSeconds - entry.arrival.signedAt() > bounds.toleranceSeconds();
-            if (known && !(span && signed)) {
+            if (!(span && signed)) {
                 return;
             }
-            ended.poll();
-            if (known) {
-                discard(entry);
-                if (entry.arrival.repeat() != Repeat.SAFE) {
-                    horizon = Math.max(horizon, entry.arrival.signedAt());
-                }
+            discard(entry);
+            if (entry.arrival.repeat() != Repeat.SAFE) {
+                horizon = Math.max(horizon, entry.arrival.signedAt());
             }
         }
     }
--- a/src/test/java/waytrestle/calls/IdMemoryTest.java
+++ b/src/test/java/waytrestle/calls/IdMemoryTest.java
@@ -135,6 +135,17 @@
         assertInstanceOf(Again.class, arrive(arrival("s3", Repeat.SAFE)));
     }
 
+    /** What was let go is held nowhere, whatever older end still stands before it. */
+    @Test
+    void whatIsLetGoIsNotHeldOn() {
+        ended("old", Repeat.UNSAFE, new Served("", new byte[0]), now);
+        for (int i = 0; i < 1_000; i++) {
+            now += 1_000;
+            ended("s" + i, Repeat.SAFE, new Served("", new byte[1_000]), now);
+        }
+        assertTrue(memory.size() <= 4 && memory.endsHeld() <= 4, memory.size() + " entries, " + memory.endsHeld() + " ends");
+    }
+
     @Test
     void fullOfWhatMustNotRunTwiceItRefusesAndNeverForgets() {
         for (int i = 0; i < 4; i++) {
