--- a/src/main/java/waytrestle/emulator/Emulation.java
+++ b/src/main/java/waytrestle/emulator/Emulation.java
@@ -29,6 +29,7 @@
 import waytrestle.config.TomlFile;
 import waytrestle.front.Fronts;
 import waytrestle.gateway.Controller;
+import waytrestle.gateway.GatewayWatch;
 import waytrestle.http.HttpClient.Break;
 import waytrestle.metrics.Metrics;
 import waytrestle.overload.Overload;
@@ -240,9 +241,11 @@
             host = new SimHost(clock, (from, to) -> delay(far(from, to)), number, invokers::get);
             Overload modules = new Overload(c.overload(), c.module().limits().maxOpen(), c.module().tenants(), c.bounds(),
                     c.module().classes());
-            controller = new Controller(host, c, (settings, seed) -> watched(module = maker.make(settings, seed)),
-                    () -> (clock.now() + stepped) / 1_000, new Metrics(false),
-                    overload && c.overload().on() ? modules : Gate.OPEN, AccessLog.OFF, new Controller.Outside() {
+            GatewayWatch watch = new GatewayWatch(c, (settings, seed) -> watched(module = maker.make(settings, seed)),
+                    overload && c.overload().on() ? modules : Gate.OPEN, new Metrics(false),
+                    (clock.now() + stepped) / 1_000_000);
+            controller = new Controller(host, watch.parts(), () -> (clock.now() + stepped) / 1_000, watch,
+                    AccessLog.OFF, new Controller.Outside() {
                         @Override
                         public void subscribe(boolean on) {
                             subscribed = on;
--- a/src/main/java/waytrestle/gateway/Controller.java
+++ b/src/main/java/waytrestle/gateway/Controller.java
@@ -5,9 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import waytrestle.ControlApi;
 import waytrestle.ControlApi.Action;
 import waytrestle.ControlApi.AttemptEnded;
@@ -17,17 +16,15 @@
 import waytrestle.ControlApi.InvokerList;
 import waytrestle.ControlApi.OrderEnded;
 import waytrestle.ControlApi.ProbeEnded;
+import waytrestle.ControlApi.Settings;
 import waytrestle.ControlApi.State;
 import waytrestle.calls.Desk;
 import waytrestle.calls.End;
 import waytrestle.calls.Gate;
-import waytrestle.calls.IdMemory;
 import waytrestle.access.AccessLog;
 import waytrestle.access.AccessLine;
 import waytrestle.calls.Intake;
-import waytrestle.config.GatewayConfig;
-import waytrestle.invoker.LoadMetrics;
-import waytrestle.metrics.Metrics;
+import waytrestle.outcomes.Judge;
 import waytrestle.outcomes.Outcomes;
 import waytrestle.overload.StartRation;
 import waytrestle.outcomes.Reply;
@@ -56,18 +53,22 @@
         void broken(String why);
     }
 
-    private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final int KEPT_EVENTS = 64;  // last events logged with a failed decision: enough to replay it
 
+    /** What a way of running puts together for its controller; functions tells what is known of one where its calls do not. */
+    public record Parts(Settings settings, ControlApi module, Desk desk, Judge judge, Gate gate,
+            Function<String, Facts> functions, FaultRule faults) { }
+
     private final Host host;
-    private final GatewayConfig config;
+    private final Settings settings;
     private final ControlApi module;
     private final Desk desk;
     private final Gate gate;
-    private final Outcomes outcomes;
+    private final Judge judge;
+    private final Function<String, Facts> functions;
     private final AccessLog access;
     private final Outside outside;
-    private final Metrics metrics;
+    private final Watch watch;
     private final LongSupplier wallMillis;
     private final FaultRule faults;
     private final StartRation ration;
@@ -88,12 +89,12 @@
     private static final class OpenCall {
         final long id, deadline;
         final Incoming call;
-        final GatewayConfig.Function function;  // as configured, null where nothing is
+        final Facts function;
         final List<Attempt> attempts = new ArrayList<>(2);
         int out;
         boolean over, answered;
 
-        OpenCall(long id, long deadline, Incoming call, GatewayConfig.Function function) {
+        OpenCall(long id, long deadline, Incoming call, Facts function) {
             this.function = function;
             this.id = id;
             this.deadline = deadline;
@@ -101,70 +102,27 @@
         }
     }
 
-    public Controller(Host host, GatewayConfig config, ModuleMaker maker, LongSupplier wallMillis, Metrics metrics,
-            Gate gate, AccessLog access, Outside outside) {
-        this.access = access;
-        this.gate = gate;
+    public Controller(Host host, Parts parts, LongSupplier wallMillis, Watch watch, AccessLog access,
+            Outside outside) {
         this.host = host;
-        this.config = config;
+        this.settings = parts.settings();
+        this.module = parts.module();
+        this.desk = parts.desk();
+        this.gate = parts.gate();
+        this.judge = parts.judge();
+        this.functions = parts.functions();
+        this.faults = parts.faults();
         this.wallMillis = wallMillis;
-        this.metrics = metrics;
+        this.watch = watch;
+        this.access = access;
         this.outside = outside;
-        this.module = maker.make(config.module(), config.seed());
-        this.desk = new Desk(config.module().classes(), config.module().limits().maxOpen(),
-                config.module().tickMicros(), new IdMemory(config.ids(), wallSeconds()), gate,
-                config.module().limits().cancel());
-        this.outcomes = new Outcomes(config.outcomes(), config.module().loading(), config.module().reports(),
-                config.module().controllers());
-        this.faults = new FaultRule(config.faults().most(), config.faults().spanMicros());
-        this.ration = new StartRation(host.now(), config.module().loading().loadPeriodMicros(),
-                config.module().loading().loadRatio());
-        gauges();
-    }
-
-    private void gauges() {
-        metrics.help("waytrestle_calls_total", "Answers given, by class and end: served, refused (coming again is "
-                + "harmless), failed, or left by its client.");
-        metrics.help("waytrestle_unserved_total", "Refused and failed calls by class and reason; a function's own "
-                + "error counts under the reason function.");
-        metrics.help("waytrestle_call_seconds", "Time from a call's acceptance to its answer.");
-        metrics.help("waytrestle_attempts_total", "Attempts ended, by the code that the decisions heard; MOOT never "
-                + "went out.");
-        metrics.help("waytrestle_replies_total", "What came back of attempts, by invoker: a status or a word in place "
-                + "of one.");
-        metrics.help("waytrestle_attempt_seconds", "Time from sending an attempt to its end.");
-        metrics.help("waytrestle_orders_total", "Load orders given.");
-        metrics.help("waytrestle_failed_decisions_total", "Decisions that threw; each failed its call alone.");
-        metrics.help("waytrestle_ejections_total", "Times that an invoker was left out for a while because it alone "
-                + "erred.");
-        metrics.help("waytrestle_open_calls", "Calls accepted and not answered yet.");
-        metrics.help("waytrestle_invokers_ready", "Invokers that the roster calls ready.");
-        metrics.help("waytrestle_invokers_ejected", "Ready invokers left out at present because they alone err.");
-        metrics.help("waytrestle_functions_blamed", "Functions that fail everywhere and are answered for without a "
-                + "try, but for one probe at a time.");
-        metrics.help("waytrestle_ids_remembered", "Ids in the memory that keeps repeats from running again.");
-        metrics.help("waytrestle_ids_bytes", "Bytes of these ids and their remembered answers.");
-        metrics.help("waytrestle_invoker_connections", "Open connections to all invokers.");
-        metrics.gauge("waytrestle_open_calls", "", desk::open);
-        metrics.gauge("waytrestle_invokers_ready", "", () -> readyInvokers);
-        metrics.gauge("waytrestle_invokers_ejected", "", outcomes::ejected);
-        metrics.gauge("waytrestle_functions_blamed", "", outcomes::blamed);
-        metrics.gauge("waytrestle_ids_remembered", "", () -> desk.memory().size());
-        metrics.gauge("waytrestle_ids_bytes", "", () -> desk.memory().bytes());
-        metrics.gauge("waytrestle_invoker_connections", "", () -> links.values().stream()
-                .mapToInt(Host.Wire::connections).sum());
-        metrics.family("waytrestle_promises_total", "counter", "Answers by which an invoker kept, broke or left untold "
-                + "what a setting promises of it.", out -> outcomes.promises((invoker, promise, untold, kept, broken) -> {
-                    String labels = "invoker=\"" + invoker + "\",promise=\"" + promise.word() + "\",seen=\"";
-                    out.sample(labels + "untold\"", untold);
-                    out.sample(labels + "kept\"", kept);
-                    out.sample(labels + "broken\"", broken);
-                }));
+        this.ration = new StartRation(host.now(), settings.loading().loadPeriodMicros(),
+                settings.loading().loadRatio());
     }
 
     /** What is held for calls beyond their end; nothing once all attempts have ended too. */
     public int held() {
-        return calls.size() + clients.size() + outcomes.held();
+        return calls.size() + clients.size() + judge.held();
     }
 
     public int open() {
@@ -186,6 +144,10 @@
     }
 
     // ---- From the fronts. ----
+    int connections() {
+        return links.values().stream().mapToInt(Host.Wire::connections).sum();
+    }
+
     @Override
     public Ticket accept(Incoming call, Client client) {
         long waiter = ++waiters;
@@ -194,7 +156,7 @@
                 call.timeLeftMicros()));
         return () -> {
             if (clients.remove(waiter) != null) {
-                metrics.counter("waytrestle_calls_total", labels(call, "left")).add();
+                watch.ended(call, "left", "", 0);
                 atDesk(new Desk.Left(waiter));
             }
         };
@@ -208,10 +170,6 @@
         atDesk(new Desk.CloseAll());
     }
 
-    private String labels(Incoming call, String end) {
-        return "class=\"" + config.module().classes().get(call.requestClass()).name() + "\",end=\"" + end + "\"";
-    }
-
     // ---- The desk: what clients are owed. ----
     private void atDesk(Desk.Event event) {
         tell(event);
@@ -242,12 +200,7 @@
         }
         boolean served = end instanceof End.Served;
         String kind = served ? "served" : end instanceof End.Refused ? "refused" : "failed";
-        metrics.counter("waytrestle_calls_total", labels(waiting.call(), kind)).add();
-        if (!served) {
-            metrics.counter("waytrestle_unserved_total", labels(waiting.call(), kind) + ",reason=\"" + reason(end)
-                    + "\"").add();
-        }
-        metrics.latency("waytrestle_call_seconds", labels(waiting.call(), kind), host.now() - waiting.since());
+        watch.ended(waiting.call(), kind, served ? "" : reason(end), host.now() - waiting.since());
         log(waiting, kind, end);
         waiting.client().ended(end);
     }
@@ -271,27 +224,26 @@
                         : host.now()) - a.sentAt, a.estimate));
             }
         }
-        access.write(new AccessLine(wallMillis.getAsLong(), id, in.tenant() < 0 ? "" : config.module().tenants().get(in.tenant())
-                .name(), config.module().classes().get(in.requestClass()).name(), in.function(), tried, kind, reason(end),
+        access.write(new AccessLine(wallMillis.getAsLong(), id, in.tenant() < 0 ? "" : settings.tenants().get(in.tenant())
+                .name(), settings.classes().get(in.requestClass()).name(), in.function(), tried, kind, reason(end),
                 host.now() - waiting.since()));
     }
 
     private void begin(Desk.Begin a) {
         Waiting waiting = clients.get(a.waiter());
         Incoming call = waiting.call();
-        GatewayConfig.Function f = config.functions().getOrDefault(call.function(), config.unknownFunction());
+        Facts f = call.facts() != null ? call.facts() : functions.apply(call.function());
         OpenCall made = new OpenCall(a.call(), host.now() + a.timeLeftMicros(), call, f);
         calls.put(made.id, made);
         ration.taken(host.now());
         clients.put(a.waiter(), new Waiting(waiting.client(), call, waiting.since(), made));
-        judge(new Outcomes.Offered(a.call(), call.function(), f == null ? 0 : f.lanes(), f == null ? 0 : f.loadMicros(),
-                f == null ? 0 : f.workMicros()));
+        judge(new Outcomes.Offered(a.call(), call.function(), f.lanes(), f.loadMicros(), f.workMicros()));
     }
 
     // ---- What ends say, and what is worth believing. ----
     private void judge(Outcomes.Event event) {
         List<Outcomes.Action> out = new ArrayList<>(2);  // carried out after it, since they may lead to its next event
-        outcomes.on(host.now(), event, out::add);
+        judge.on(host.now(), event, out::add);
         for (int i = 0; i < out.size(); i++) {
             carryOut(out.get(i));
         }
@@ -300,10 +252,9 @@
     private void carryOut(Outcomes.Action action) {
         if (action instanceof Outcomes.Let a) {
             OpenCall call = calls.get(a.call());
-            GatewayConfig.Function f = call.function;
+            Facts f = call.function;
             events.add(new ControlApi.Request(a.call(), call.call.requestClass(), call.call.tenant(), call.call.function(),
-                    call.deadline - host.now(), f == null ? 0 : f.workMicros(), f == null ? 0 : f.memoryMb(), a.lanes(),
-                    a.loadMicros(), false, false));
+                    call.deadline - host.now(), f.workMicros(), f.memoryMb(), a.lanes(), a.loadMicros(), f.resent(), false));
         } else if (action instanceof Outcomes.FailFast a) {
             tell(new Desk.FailedFast(a.call(), a.said().text(), a.comeBackMicros()));
             over(a.call());
@@ -325,13 +276,11 @@
                 work();
             });
         } else if (action instanceof Outcomes.Ejected a) {
-            metrics.counter("waytrestle_ejections_total", "").add();
-            LOG.warn("invoker {} alone errs and gets nothing for {} ms", a.invoker(), a.micros() / 1_000);
+            watch.ejected(a.invoker(), a.micros());
         } else if (action instanceof Outcomes.Readmitted a) {
-            LOG.info("invoker {} gets calls again", a.invoker());
+            watch.readmitted(a.invoker());
         } else if (action instanceof Outcomes.Warned a) {
-            LOG.warn("invoker {} {} what {} promises: that it {}", a.invoker(), a.untold() ? "never tells" : "breaks",
-                    a.promise().setting(), a.promise().text());
+            watch.warned(a);
         }
     }
 
@@ -386,9 +335,7 @@
 
     /** What the module did before it threw stands; the call is failed and the module told that it is gone. */
     private void failed(Event event, Throwable e) {
-        LOG.error("a decision failed; seed {}, settings {}, event {}, events before it {}", config.seed(),
-                config.module(), event, lately, e);
-        metrics.counter("waytrestle_failed_decisions_total", "").add();
+        watch.decisionFailed(event, lately, e);
         long id = event instanceof ControlApi.Request r ? r.id() : event instanceof AttemptEnded a ? a.id()
                 : event instanceof ControlApi.StreamBegan s ? s.id() : 0;
         if (id != 0) {
@@ -397,8 +344,7 @@
             events.add(new ControlApi.RequestGone(id));
         }
         if (faults.stopAfter(host.now())) {
-            outside.broken("more than " + config.faults().most() + " decisions failed within "
-                    + config.faults().spanMicros() / 1_000 + " ms");
+            outside.broken("more than " + faults.text());
         }
     }
 
@@ -433,7 +379,7 @@
         } else if (action instanceof ControlApi.FetchList) {
             outside.fetchList();
         } else if (action instanceof ControlApi.Log a) {
-            LOG.info("module: {}", a.text());
+            watch.said(a.text());
         }
     }
 
@@ -484,11 +430,7 @@
             if (code == Code.OK && warm) {
                 gate.served(endedAt, call.call.function(), took);
             }
-            metrics.counter("waytrestle_attempts_total", "code=\"" + code + "\"").add();
-            if (code != Code.MOOT) {
-                metrics.counter("waytrestle_replies_total", "invoker=\"" + invoker + "\",reply=\"" + said.text() + "\"").add();
-            }
-            metrics.latency("waytrestle_attempt_seconds", "code=\"" + code + "\"", took);
+            watch.attempt(code, invoker, said, took);
             boolean ends = verdict.ends() && !call.over;
             End own = came.served() != null ? came.served() : !verdict.own() ? null
                     : new End.Answered(said.status(), came.type(), came.body(), true, End.Tried.NONE);
@@ -507,16 +449,16 @@
     private void send(ControlApi.Send a) {
         OpenCall call = calls.get(a.id());
         if (call == null) {
-            LOG.warn("the module sent call {}, which is not open", a.id());
+            watch.said("the module sent call " + a.id() + ", which is not open");
             return;
         }
         Attempt attempt = new Attempt(call, call.attempts.size(), a.invoker());
-        long last = call.deadline - config.module().tickMicros();  // as the module ends it: nothing is out after that
+        long last = call.deadline - settings.tickMicros();  // as the module ends it: nothing is out after that
         attempt.until = a.giveUpAtMicros() > 0 ? Math.min(a.giveUpAtMicros(), last) : last;
         call.attempts.add(attempt);
         call.out++;
         long now = host.now();
-        boolean moot = call.over || now >= attempt.until || attempt.number >= config.module().limits().maxAttempts()
+        boolean moot = call.over || now >= attempt.until || attempt.number >= settings.limits().maxAttempts()
                 || attempt.number > 0 && call.attempts.get(attempt.number - 1).code != Code.MISS && !gate.again(now);
         if (moot) {
             attempt.withhold();
@@ -530,7 +472,8 @@
     private void go(OpenCall call, int number) {
         Attempt attempt = call.attempts.get(number);
         tell(new Desk.Sent(call.id, number));
-        String id = call.call.id() != null ? call.call.id().key() : "c" + config.module().me() + "-" + call.id;
+        String id = call.call.passedId() != null ? call.call.passedId()
+                : call.call.id() != null ? call.call.id().key() : "c" + settings.me() + "-" + call.id;
         attempt.cancel = links.get(attempt.invoker).infer(call.call, id, number, attempt.until - host.now(), attempt);
     }
 
@@ -550,28 +493,27 @@
             host.after(0, () -> feed(new OrderEnded(a.invoker(), a.function(), Code.MOOT, 0, 0)));
             return;
         }
-        metrics.counter("waytrestle_orders_total", "").add();
+        watch.ordered();
         Host.Wire link = links.get(a.invoker());
         long sentAt = host.now();
         if (link == null) {
             host.after(0, () -> feed(new OrderEnded(a.invoker(), a.function(), Code.CONNECT_FAILED, 0, 0)));
             return;
         }
-        GatewayConfig.Function f = config.functions().getOrDefault(a.function(), config.unknownFunction());
-        link.order(a.function(), a.copies(), config.module().loading().orderWaitMicros(), (reply, copies, told) -> {
+        link.order(a.function(), a.copies(), settings.loading().orderWaitMicros(), (reply, copies, told) -> {
             long took = host.now() - sentAt;
             if (a.copies() > 0) {
                 judge(new Outcomes.OrderDone(a.invoker(), a.function(), reply, told.copies(), took,
-                        f == null ? 0 : f.loadMicros()));
+                        functions.apply(a.function()).loadMicros()));
             }
-            feed(new OrderEnded(a.invoker(), a.function(), Outcomes.codeOfOrder(reply), took, copies));
+            feed(new OrderEnded(a.invoker(), a.function(), judge.codeOfOrder(reply), took, copies));
         });
     }
 
     private void unload(ControlApi.Unload a) {
         Host.Wire link = links.get(a.invoker());
         if (link != null) {
-            link.unload(a.function(), config.module().loading().orderWaitMicros());
+            link.unload(a.function(), settings.loading().orderWaitMicros());
         }
     }
 
@@ -582,19 +524,30 @@
             host.after(0, () -> feed(new ProbeEnded(a.invoker(), Code.CONNECT_FAILED, 0, Map.of())));
             return;
         }
-        link.probe(config.module().limits().connectTimeoutMicros(), (reply, copies, told) ->
-                feed(new ProbeEnded(a.invoker(), Outcomes.codeOfOrder(reply), host.now() - sentAt, told.report())));
+        link.probe(settings.limits().connectTimeoutMicros(), (reply, copies, told) ->
+                feed(new ProbeEnded(a.invoker(), judge.codeOfOrder(reply), host.now() - sentAt, told.report())));
     }
 
     // ---- The list of invokers and peers. ----
     public void invokers(InvokerList list) {
+        if (list.whole()) {       // what a whole list leaves out is gone, its connections with it
+            java.util.Set<String> listed = new java.util.HashSet<>();
+            list.entries().forEach(each -> listed.add(each.id()));
+            links.entrySet().removeIf(each -> {
+                boolean gone = !listed.contains(each.getKey());
+                if (gone) {
+                    each.getValue().close();
+                }
+                return gone;
+            });
+        }
         for (Invoker each : list.entries()) {
             if (each.state() == State.GONE) {
                 Host.Wire link = links.remove(each.id());
                 if (link != null) {
                     link.close();
                 }
-                metrics.forget("invoker=\"" + each.id() + "\"");
+                watch.forgotten(each.id());
             } else {
                 links.computeIfAbsent(each.id(), id -> host.open(id, () -> {
                     judge(new Outcomes.Lost(id));
@@ -602,7 +555,7 @@
                 }));
             }
             if (each.state() != State.READY) {
-                LOG.info("invoker {} is told {}", each.id(), each.state());
+                watch.said("invoker " + each.id() + " is told " + each.state());
             }
         }
         states(list);
--- a/src/main/java/waytrestle/gateway/FaultRule.java
+++ b/src/main/java/waytrestle/gateway/FaultRule.java
@@ -17,6 +17,10 @@
         this.span = spanMicros;
     }
 
+    String text() {
+        return most + " decisions failed within " + span / 1_000 + " ms";
+    }
+
     /** Counts a fault; true when the process should stop. */
     public boolean stopAfter(long now) {
         times.add(now);
--- a/src/main/java/waytrestle/gateway/Gateway.java
+++ b/src/main/java/waytrestle/gateway/Gateway.java
@@ -87,7 +87,8 @@
                         out.sample("end=\"dropped\"", access.dropped());
                     });
         }
-        controller = new Controller(new SocketHost(loop, config), config, maker, wallMillis, metrics, gate,
+        GatewayWatch watch = new GatewayWatch(config, maker, gate, metrics, Math.floorDiv(wallMillis.getAsLong(), 1_000));
+        controller = new Controller(new SocketHost(loop, config), watch.parts(), wallMillis, watch,
                 access == null ? AccessLog.OFF : access, new Controller.Outside() {
             @Override
             public void subscribe(boolean on) {
@@ -119,6 +120,7 @@
                 stop();
             }
         });
+        watch.gauges(controller);
         try {
             Predicate<String> known = name -> config.unknownFunction() != null || config.functions().containsKey(name);
             List<Front> fronts = new ArrayList<>();
--- a/src/main/java/waytrestle/gateway/PeerLink.java
+++ b/src/main/java/waytrestle/gateway/PeerLink.java
@@ -11,23 +11,39 @@
 import waytrestle.net.Loop;
 
 /**
- * Short messages between controllers over UDP: a mark, the sender's number, the message. They may be lost, and a
- * message from an address that is not that controller's is dropped.
+ * Short messages between controllers over UDP. They may be lost, and a message from an address that is not a
+ * controller's is dropped. Framed ones begin with a mark and the sender's number; plain ones are the message alone, told
+ * apart by their sender's address.
  */
-final class PeerLink {
-    static final int MOST = 256;  // bytes of a message, as the module is promised
+public final class PeerLink {
+    public static final int MOST = 256;  // bytes of a message, as the module is promised
     private static final int MARK = 0x77747231;
 
     private final int me;
     private final Map<Integer, InetSocketAddress> peers;
     private final DatagramChannel channel;
     private final ByteBuffer in = ByteBuffer.allocate(MOST + 9);
+    private final boolean framed;
+    private final InetSocketAddress all;
     private long dropped;
 
     PeerLink(Loop loop, int me, InetSocketAddress listen, Map<Integer, InetSocketAddress> peers,
             BiConsumer<Integer, byte[]> said) throws IOException {
+        this(loop, me, listen, peers, null, true, said);
+    }
+
+    /** Plain datagrams; what is for all goes to one address, where there is one. */
+    public static PeerLink plain(Loop loop, int me, InetSocketAddress listen, Map<Integer, InetSocketAddress> peers,
+            InetSocketAddress all, BiConsumer<Integer, byte[]> said) throws IOException {
+        return new PeerLink(loop, me, listen, peers, all, false, said);
+    }
+
+    private PeerLink(Loop loop, int me, InetSocketAddress listen, Map<Integer, InetSocketAddress> peers,
+            InetSocketAddress all, boolean framed, BiConsumer<Integer, byte[]> said) throws IOException {
         this.me = me;
         this.peers = peers;
+        this.all = all;
+        this.framed = framed;
         this.channel = DatagramChannel.open().bind(listen);
         loop.register(channel, SelectionKey.OP_READ, key -> {
             for (int i = 0; i < 64; i++) {
@@ -37,6 +53,10 @@
                     return;
                 }
                 in.flip();
+                if (!framed) {
+                    plain(from, said);
+                    continue;
+                }
                 if (in.remaining() < 8 || in.remaining() > MOST + 8 || in.getInt() != MARK) {
                     dropped++;
                     continue;
@@ -53,27 +73,48 @@
         });
     }
 
+    private void plain(SocketAddress from, BiConsumer<Integer, byte[]> said) {
+        for (Map.Entry<Integer, InetSocketAddress> each : peers.entrySet()) {
+            if (each.getValue().equals(from) && in.remaining() <= MOST) {
+                byte[] message = new byte[in.remaining()];
+                in.get(message);
+                said.accept(each.getKey(), message);
+                return;
+            }
+        }
+        dropped++;
+    }
+
     long dropped() {
         return dropped;
     }
 
     /** Peer -1 addresses all; what the kernel does not take now is lost, as promised. */
-    void tell(int peer, byte[] message) {
+    public void tell(int peer, byte[] message) {
         if (message.length > MOST) {
             dropped++;
             return;
         }
+        if (peer < 0 && all != null) {
+            send(message, all);
+            return;
+        }
         for (Map.Entry<Integer, InetSocketAddress> each : peers.entrySet()) {
             if (peer < 0 || each.getKey() == peer) {
-                ByteBuffer out = ByteBuffer.allocate(8 + message.length).putInt(MARK).putInt(me).put(message).flip();
-                try {
-                    if (channel.send(out, each.getValue()) == 0) {
-                        dropped++;
-                    }
-                } catch (IOException e) {
-                    dropped++;
-                }
+                send(message, each.getValue());
             }
         }
     }
+
+    private void send(byte[] message, InetSocketAddress to) {
+        ByteBuffer out = !framed ? ByteBuffer.wrap(message)
+                : ByteBuffer.allocate(8 + message.length).putInt(MARK).putInt(me).put(message).flip();
+        try {
+            if (channel.send(out, to) == 0) {
+                dropped++;
+            }
+        } catch (IOException e) {
+            dropped++;
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/waytrestle/gateway/platform/Node.java
@@ -0,0 +1,226 @@
+package waytrestle.gateway.platform;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import waytrestle.Control;
+import waytrestle.ControlApi.Invoker;
+import waytrestle.ControlApi.InvokerList;
+import waytrestle.ControlApi.Settings;
+import waytrestle.ControlApi.State;
+import waytrestle.access.AccessLog;
+import waytrestle.calls.Desk;
+import waytrestle.calls.Gate;
+import waytrestle.calls.IdMemory;
+import waytrestle.calls.Intake.Facts;
+import waytrestle.config.platform.PlatformConfig;
+import waytrestle.front.platform.DoFront;
+import waytrestle.gateway.Controller;
+import waytrestle.gateway.FaultRule;
+import waytrestle.gateway.PeerLink;
+import waytrestle.http.Doorkeeper;
+import waytrestle.http.HttpLimits;
+import waytrestle.http.HttpServer;
+import waytrestle.invoker.platform.Proof;
+import waytrestle.net.Loop;
+import waytrestle.roster.board.BoardBook;
+import waytrestle.roster.board.BoardLink;
+import waytrestle.roster.board.Notice;
+
+/** A controller on the platform: one loop with its front, invokers, notice board and peers. */
+public final class Node {
+    // ---- Bounds. ----
+    private static final int OWN_FILES = 48;         // descriptors of the runtime, listener, board and peers
+    private static final double CLIENTS = 0.55;      // of the other descriptors; the platform's clients hold a third
+    private static final HttpLimits HTTP = new HttpLimits(1_024, 64, 8 * 1_024, 16 * 1_024, 2_000_000, 2_000_000,
+            10_000_000, 5_000_000);                  // the platform's bodies have 16 KiB, its clients close after 4 s
+    private static final long FRESH = 2_000_000;     // micros from a connection to its first whole request
+    private static final long TAKING = 800_000;      // micros after TERM in which calls still come
+    private static final long LOOK = 10_000;         // micros between looks at what is still open after that
+    private static final long FLUSH = 100_000;       // micros at the end for last answers to leave
+
+    private final PlatformConfig config;
+    private final NodeWatch watch;
+    private final LongSupplier wallMillis;
+    private final Loop loop;
+    private final PlatformHost host;
+    private final Map<String, Born> born = new HashMap<>();
+    private final List<Invoker> listed = new ArrayList<>();
+    private Controller controller;
+    private DoFront front;
+    private HttpServer server;
+    private BoardLink board;
+    private PeerLink peers;
+    private boolean stopping;
+
+    /** A told start, and the same moment on the loop's clock. */
+    private record Born(long millis, long micros) { }
+
+    private Node(PlatformConfig config, NodeWatch watch, LongSupplier wallMillis) throws IOException {
+        this.config = config;
+        this.watch = watch;
+        this.wallMillis = wallMillis;
+        this.loop = new Loop("controller-" + config.settings().me(), e -> {
+            watch.said("a handler failed: " + e);
+            watch.trace(e);
+        });
+        int others = Math.max(2, config.sockets() - OWN_FILES);
+        int clients = (int) Math.max(1, CLIENTS * others);
+        this.host = new PlatformHost(loop, config.settings(), config.idleMicros(), others - clients);
+        assemble(clients);
+    }
+
+    public static Node start(PlatformConfig config, LongSupplier wallMillis, java.io.PrintStream log)
+            throws IOException {
+        Node made = new Node(config, new NodeWatch(log), wallMillis);
+        made.loop.start();
+        return made;
+    }
+
+    private void assemble(int clients) throws IOException {
+        Settings s = config.settings();
+        Desk desk = new Desk(s.classes(), s.limits().maxOpen(), s.tickMicros(), new IdMemory(
+                new IdMemory.Bounds(0, 0, 0), 0), Gate.OPEN, s.limits().cancel());
+        Controller.Parts parts = new Controller.Parts(s, new Control(s, config.seed()), desk, new Proof(), Gate.OPEN,
+                function -> Facts.NONE, new FaultRule(10, 1_000_000));
+        controller = new Controller(host, parts, wallMillis, watch, AccessLog.OFF, new Controller.Outside() {
+            @Override
+            public void subscribe(boolean on) { }    // the board tells all there is, asked or not
+
+            @Override
+            public void fetchList() {
+                controller.invokers(new InvokerList(true, true, List.copyOf(listed)));
+            }
+
+            @Override
+            public void tellPeer(int peer, byte[] message) {
+                if (peers != null) {
+                    peers.tell(peer, message);
+                }
+            }
+
+            @Override
+            public void broken(String why) {
+                watch.said(why);                     // to end would lose every open call for the sake of some
+            }
+        });
+        front = new DoFront(s.classes(), s.loading(), controller);
+        BoardBook book = new BoardBook(config.lastNotice());
+        board = new BoardLink(loop, config.board(), config.notices(), book, this::notice, watch::said);
+        config.known().forEach(this::notice);
+        if (s.limits().peers() && config.peerListen() != null) {
+            peers = PeerLink.plain(loop, s.me(), config.peerListen(), config.peers(), config.peersAll(),
+                    controller::peerSaid);
+        }
+        server = new HttpServer(loop, config.listen(), HTTP, Doorkeeper.upTo(clients), front)
+                .freshWithin(FRESH).yielding();
+        loop.execute(board::start);
+    }
+
+    private void notice(Notice notice) {
+        List<Invoker> entries = new ArrayList<>(notice.hosts().size());
+        for (Notice.Host h : notice.hosts()) {
+            entries.add(new Invoker(h.id(), h.zone(), h.cell(), h.kind(), h.state(), h.weight(), upSince(h)));
+            if (h.state() != State.GONE) {
+                host.at(h.id(), h.at());
+            }
+        }
+        if (notice.whole()) {
+            listed.clear();
+        }
+        for (Invoker each : entries) {
+            listed.removeIf(i -> i.id().equals(each.id()));
+            if (each.state() != State.GONE) {
+                listed.add(each);
+            }
+        }
+        controller.invokers(new InvokerList(notice.whole(), false, entries));
+        for (Notice.Host h : notice.hosts()) {
+            if (h.state() == State.GONE) {
+                host.at(h.id(), null);
+                born.remove(h.id());
+            }
+        }
+    }
+
+    /** The same told start stays the same moment here, however the two clocks drift. */
+    private long upSince(Notice.Host h) {
+        if (h.bornMillis() <= 0) {
+            return 0;
+        }
+        Born known = born.get(h.id());
+        if (known == null || known.millis() != h.bornMillis()) {
+            known = new Born(h.bornMillis(),
+                    Math.max(1, Loop.now() - (wallMillis.getAsLong() - h.bornMillis()) * 1_000));
+            born.put(h.id(), known);
+        }
+        return known.micros();
+    }
+
+    /** A new configuration: the notice board may be elsewhere. One that cannot be read changes nothing. */
+    void reload(Path file) {
+        try {
+            PlatformConfig read = PlatformConfig.read(file);
+            loop.execute(() -> board.moved(read.board()));
+        } catch (PlatformConfig.Wrong e) {
+            watch.said("the configuration stays as it was: " + e.getMessage());
+        }
+    }
+
+    /** Goes on taking calls for as long as they are sent here, ends those that are open, then ends. */
+    void stop() {
+        loop.execute(() -> {
+            if (stopping) {
+                return;
+            }
+            stopping = true;
+            front.stopping();
+            loop.after(TAKING, () -> {
+                server.stopTaking();
+                server.closeIdle();
+                await();
+            });
+        });
+    }
+
+    private void await() {
+        if (controller.open() > 0) {
+            loop.after(LOOK, this::await);
+            return;
+        }
+        loop.after(FLUSH, loop::stop);
+    }
+
+    int port() {
+        return server.port();
+    }
+
+    int join(long millis) throws InterruptedException {
+        loop.join(millis);
+        return loop.failed() ? 3 : 0;
+    }
+
+    /** Runs the controller that the platform's environment describes, until it is told to end. */
+    public static void main(String[] args) throws InterruptedException {
+        String file = System.getenv("BALANCER_CONFIG");
+        if (args.length != 1 || file == null || file.isEmpty()) {
+            System.err.println("usage: java -jar waytrestle.jar platform, with BALANCER_CONFIG naming its configuration");
+            System.exit(2);
+        }
+        Node node = null;
+        try {
+            node = start(PlatformConfig.read(Path.of(file)), System::currentTimeMillis, System.err);
+        } catch (PlatformConfig.Wrong | IOException e) {
+            System.err.println("waytrestle: " + e.getMessage());
+            System.exit(2);
+        }
+        Node running = node;
+        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> running.reload(Path.of(file)));
+        sun.misc.Signal.handle(new sun.misc.Signal("TERM"), signal -> running.stop());
+        Runtime.getRuntime().halt(running.join(0));
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/gateway/platform/PlatformHost.java
@@ -0,0 +1,156 @@
+package waytrestle.gateway.platform;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import waytrestle.ControlApi.Reports;
+import waytrestle.ControlApi.RequestClass;
+import waytrestle.ControlApi.Settings;
+import waytrestle.calls.Intake.Incoming;
+import waytrestle.gateway.Host;
+import waytrestle.http.Held;
+import waytrestle.http.HttpClient;
+import waytrestle.http.HttpLimits;
+import waytrestle.http.HttpMessage;
+import waytrestle.http.Slots;
+import waytrestle.invoker.LoadMetrics;
+import waytrestle.invoker.platform.FetchProtocol;
+import waytrestle.net.Loop;
+import waytrestle.outcomes.Reply;
+import waytrestle.outcomes.Reply.How;
+
+/** The platform's invokers over sockets, on the controller's loop; all connections to them share one bound. */
+final class PlatformHost implements Host {
+    private static final int ANSWER = 1 << 20;       // bytes of one answer: far over what a call may bring
+    private static final long ANSWERS = 8 << 20;     // bytes of all that are being read: a fraction of the memory
+    private static final double KEEP = 0.8;          // of the time after which invokers close idle connections
+    private static final long KEEP_UNTOLD = 4_000_000;  // micros, where that is not told: below the usual five seconds
+
+    private final Loop loop;
+    private final Settings settings;
+    private final Slots slots;
+    private final Held held = new Held(ANSWERS);
+    private final long idleMicros;
+    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+
+    PlatformHost(Loop loop, Settings settings, long idleMicros, int connections) {
+        this.loop = loop;
+        this.settings = settings;
+        this.slots = new Slots(connections);
+        this.idleMicros = idleMicros > 0 ? (long) (KEEP * idleMicros) : KEEP_UNTOLD;
+    }
+
+    /** Where an invoker is, told before the controller hears of it; null when it is gone. */
+    void at(String invoker, InetSocketAddress address) {
+        if (address == null) {
+            addresses.remove(invoker);
+        } else {
+            addresses.put(invoker, address);
+        }
+    }
+
+    @Override
+    public long now() {
+        return Loop.now();
+    }
+
+    @Override
+    public void after(long micros, Runnable task) {
+        loop.after(micros, task);
+    }
+
+    @Override
+    public Wire open(String invoker, Runnable lost) {
+        return new Link(addresses.get(invoker));
+    }
+
+    private static How of(HttpClient.Break how) {
+        return switch (how) {
+            case NO_CONNECTION, BEFORE_FIRST_BYTE -> How.UNREACHED;
+            case AFTER_FIRST_BYTE -> How.CUT;
+            case MALFORMED -> How.UNREADABLE;
+            case TIMEOUT -> How.TIMEOUT;
+            case CANCELLED -> How.CANCELLED;
+            case NO_ROOM -> How.NO_ROOM;
+        };
+    }
+
+    private final class Link implements Wire {
+        private final HttpClient client;
+        private final FetchProtocol protocol;
+
+        private Link(InetSocketAddress at) {
+            HttpLimits d = HttpLimits.DEFAULT;
+            client = new HttpClient(loop, at, new HttpLimits(d.startLineBytes(), d.headerCount(), d.headerBytes(), ANSWER,
+                    0, 0, 0, 0), Integer.MAX_VALUE, settings.limits().connectTimeoutMicros(), idleMicros, held)
+                    .within(slots);
+            protocol = new FetchProtocol(at.getAddress().getHostAddress() + ":" + at.getPort(),
+                    settings.loading().tellsCompany());
+        }
+
+        @Override
+        public Runnable infer(Incoming in, String id, int attempt, long within, Ended ended) {
+            List<RequestClass> classes = settings.classes();
+            HttpClient.Call exchange = client.call(within, new HttpClient.Handler() {
+                @Override
+                public void answered(HttpMessage m) {
+                    Reply reply = FetchProtocol.reply(m);
+                    ended.ended(new Came(reply, reply.how() == How.ANSWER ? FetchProtocol.served(m) : null, "",
+                            m.content(), protocol.told(m)));
+                }
+
+                @Override
+                public void broken(HttpClient.Break how, String why) {
+                    ended.ended(Came.of(of(how)));
+                }
+            }, protocol.fetch(classes.get(in.requestClass()).name(), id, in.function(), within, in.payload()));
+            return exchange::cancel;
+        }
+
+        private void ask(long within, ByteBuffer request, Told told) {
+            client.call(within, new HttpClient.Handler() {
+                @Override
+                public void answered(HttpMessage m) {
+                    told.told(FetchProtocol.reply(m), FetchProtocol.units(m), protocol.told(m));
+                }
+
+                @Override
+                public void broken(HttpClient.Break how, String why) {
+                    told.told(Reply.of(of(how)), 0, LoadMetrics.NONE);
+                }
+            }, request);
+        }
+
+        @Override
+        public void order(String function, int copies, long within, Told told) {
+            ask(within, protocol.hold(function, copies), told);
+        }
+
+        @Override
+        public void unload(String function, long within) {
+            ask(within, protocol.unload(function), (reply, copies, told) -> { });
+        }
+
+        @Override
+        public void probe(long within, Told told) {
+            ask(within, protocol.probe(settings.reports() == Reports.PROBES), told);
+        }
+
+        @Override
+        public void closeIdle() {
+            client.closeIdle();
+        }
+
+        @Override
+        public void close() {
+            client.close();
+        }
+
+        @Override
+        public int connections() {
+            return client.open();
+        }
+    }
+}
--- a/src/main/java/waytrestle/http/HttpClient.java
+++ b/src/main/java/waytrestle/http/HttpClient.java
@@ -39,6 +39,7 @@
     private long youngClosedAt = Long.MIN_VALUE / 2;
     private long strays;
     private boolean closed;
+    private Slots slots = new Slots(Integer.MAX_VALUE);
 
     /** With no bound on all answers but those on each and on connections. */
     public HttpClient(Loop loop, InetSocketAddress peer, HttpLimits limits, int maxConnections, long connectMicros,
@@ -63,6 +64,12 @@
         return this;
     }
 
+    /** Shares a bound on connections with other clients. */
+    public HttpClient within(Slots shared) {
+        slots = shared;
+        return this;
+    }
+
     public int open() {
         return open;
     }
@@ -132,7 +139,10 @@
         Call call = new Call(request, handler);
         call.timer = loop.after(withinMicros, () -> call.end(Break.TIMEOUT, "no answer in time"));
         Link link = idle.pollLast();  // the last used is the least likely to have been closed by the peer
-        if (link == null && open >= maxConnections) {
+        while (link != null && !link.fit()) {
+            link = idle.pollLast();
+        }
+        if (link == null && (open >= maxConnections || !slots.take())) {
             call.end(Break.NO_ROOM, "all " + maxConnections + " connections to the invoker are in use");
             return call;
         }
@@ -142,6 +152,7 @@
             open++;
         } else {
             link.idleTimer.cancel();
+            slots.noLongerIdle(link);
         }
         link.take(call);
         return call;
@@ -158,6 +169,18 @@
         private long has;         // bytes of an answer that is not whole yet
         private long writtenBefore;
 
+        /** Whether it may be used again; if not it is dropped. */
+        private boolean fit() {
+            Connection.Idle found = connection.idle();
+            if (found == Connection.Idle.SPOKE) {
+                strays++;
+                drop();
+            } else if (found == Connection.Idle.ENDED) {
+                closed(null);
+            }
+            return found == Connection.Idle.FIT;
+        }
+
         private void take(Call next) {
             call = next;
             next.link = this;
@@ -215,6 +238,7 @@
                     usedAt = Loop.now();
                     idleTimer = loop.after(idleMicros, this::drop);
                     idle.add(this);
+                    slots.idle(this, this::drop);
                 }
                 done.answered(message);
             } catch (HttpError e) {
@@ -268,6 +292,8 @@
                 held.release(has);
                 has = 0;
                 open--;
+                slots.free();
+                slots.noLongerIdle(this);
                 idle.remove(this);
                 if (idleTimer != null) {
                     idleTimer.cancel();
--- a/src/main/java/waytrestle/http/HttpMessage.java
+++ b/src/main/java/waytrestle/http/HttpMessage.java
@@ -11,7 +11,7 @@
     Bytes content = Bytes.NONE;
     String method = "", target = "", reason = "";
     int status;
-    boolean http10;
+    boolean http10, untilClose;
     final List<String> names = new ArrayList<>(), values = new ArrayList<>();
 
     public String method() {
@@ -96,6 +96,11 @@
         return http10 ? hasToken("connection", "keep-alive") : !hasToken("connection", "close");
     }
 
+    /** Whether only the close of its connection ended it: nothing tells then that it is whole. */
+    public boolean untilClose() {
+        return untilClose;
+    }
+
     public int headers() {
         return names.size();
     }
--- a/src/main/java/waytrestle/http/HttpParser.java
+++ b/src/main/java/waytrestle/http/HttpParser.java
@@ -322,6 +322,7 @@
             state = State.FIXED;
         } else {
             state = requests || length == 0 ? State.DONE : State.UNTIL_CLOSE;
+            m.untilClose = state == State.UNTIL_CLOSE;
         }
     }
 
--- a/src/main/java/waytrestle/http/HttpServer.java
+++ b/src/main/java/waytrestle/http/HttpServer.java
@@ -41,6 +41,9 @@
     /** A refusal's content type and body. */
     public record Refusal(String type, byte[] body) { }
 
+    private static final long SILENT = 300_000;  // micros after which a new connection without a whole request may give
+                                                 // way: those who have something to ask send it at once
+
     private final Loop loop;
     private final HttpLimits limits;
     private final Doorkeeper door;
@@ -49,7 +52,8 @@
     private final Map<Long, Peer> peers = new LinkedHashMap<>();
     private long accepted;
     private final Map<String, Long> turnedAway = new HashMap<>();
-    private boolean stopping;
+    private boolean stopping, yields;
+    private long freshMicros = Long.MAX_VALUE;
 
     public HttpServer(Loop loop, InetSocketAddress at, HttpLimits limits, int maxConnections, Handler handler)
             throws IOException {
@@ -65,6 +69,18 @@
         this.listener = new Listener(loop, at, 1024, this::accept);
     }
 
+    /** Connections whose first request has not come whole within this time are closed, whatever they send. */
+    public HttpServer freshWithin(long micros) {
+        freshMicros = micros;
+        return this;
+    }
+
+    /** When all connections are taken, one without a request gives way to a new one. */
+    public HttpServer yielding() {
+        yields = true;
+        return this;
+    }
+
     public int port() {
         return listener.port();
     }
@@ -113,6 +129,9 @@
         try {
             InetAddress from = ((InetSocketAddress) channel.getRemoteAddress()).getAddress();
             String reason = door.take(from);
+            if (reason != null && yields && makeRoom()) {
+                reason = door.take(from);
+            }
             if (reason != null) {
                 count(reason);
                 turnAway(channel);
@@ -128,6 +147,30 @@
         }
     }
 
+    /** Closes the first that has been silent since it came, or else the one idle for longest since its last answer. */
+    private boolean makeRoom() {
+        long now = Loop.now();
+        Peer best = null;
+        for (Peer peer : peers.values()) {
+            if (peer.exchange != null || peer.waiting) {
+                continue;
+            }
+            if (!peer.asked && now - peer.born > SILENT) {
+                best = peer;
+                break;
+            }
+            if (peer.asked && peer.parser.idle() && (best == null || peer.since < best.since)) {
+                best = peer;
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        count("made_room");
+        best.end();
+        return true;
+    }
+
     /** A word to a client that finds all connections taken, as far as its socket takes it at once. */
     private static void turnAway(SocketChannel channel) throws IOException {
         byte[] body = Problem.of(503, "connections", "all connections are taken", true).bytes();
@@ -220,14 +263,29 @@
         private Exchange exchange;
         private long since = Loop.now();  // of the present wait: for a message, a head, a body, a writer
         private long messageSince;
-        private boolean headSeen, closing, waiting, gone;
-        private TimerHeap.Timer timer;
+        private final long born = Loop.now();
+        private boolean headSeen, closing, waiting, gone, asked;
+        private TimerHeap.Timer timer, fresh;
 
         private Peer(Connection connection, InetAddress from, long id) {
             this.from = from;
             this.id = id;
             this.connection = connection;
             watch();
+            if (freshMicros < Long.MAX_VALUE) {
+                fresh = loop.after(freshMicros, this::stale);
+            }
+        }
+
+        private void stale() {
+            if (!asked && !closing) {
+                count("fresh");
+                if (parser.idle() && !waiting) {
+                    end();
+                } else {
+                    refuse(new HttpError(408, "the request did not come in time"));
+                }
+            }
         }
 
         /** One timer a connection, set again only when it fires: most waits end long before their bound. */
@@ -282,6 +340,10 @@
                 }
                 phase = 0;
                 headSeen = false;
+                asked = true;
+                if (fresh != null) {
+                    fresh.cancel();
+                }
                 Exchange e = new Exchange(this, message, messageSince);
                 exchange = e;
                 handler.request(e);
@@ -389,6 +451,9 @@
 
         private void leave() {
             timer.cancel();
+            if (fresh != null) {
+                fresh.cancel();
+            }
             peers.remove(id);
             if (!gone) {
                 gone = true;
--- a/src/main/java/waytrestle/http/HttpWriter.java
+++ b/src/main/java/waytrestle/http/HttpWriter.java
@@ -42,6 +42,11 @@
         return ByteBuffer.wrap(text.toString().getBytes(StandardCharsets.ISO_8859_1));
     }
 
+    /** The head of a message without a body, which needs no length. */
+    public ByteBuffer head() {
+        return ByteBuffer.wrap(text.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
+    }
+
     static String reason(int status) {
         return switch (status) {
             case 100 -> "Continue";
--- /dev/null
+++ b/src/main/java/waytrestle/http/Slots.java
@@ -0,0 +1,48 @@
+package waytrestle.http;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+
+/**
+ * A bound on the connections of several clients together. At the bound the connection that has been idle longest, at
+ * whichever client, gives way to a new one; when none is idle there is no room.
+ */
+public final class Slots {
+    private final int most;
+    private final LinkedHashMap<Object, Runnable> idle = new LinkedHashMap<>();
+    private int used;
+
+    public Slots(int most) {
+        this.most = most;
+    }
+
+    boolean take() {
+        if (used >= most && !idle.isEmpty()) {
+            Iterator<Runnable> oldest = idle.values().iterator();
+            Runnable drop = oldest.next();
+            oldest.remove();
+            drop.run();
+        }
+        if (used >= most) {
+            return false;
+        }
+        used++;
+        return true;
+    }
+
+    void free() {
+        used--;
+    }
+
+    void idle(Object connection, Runnable drop) {
+        idle.put(connection, drop);
+    }
+
+    void noLongerIdle(Object connection) {
+        idle.remove(connection);
+    }
+
+    public int used() {
+        return used;
+    }
+}
--- a/src/main/java/waytrestle/invoker/LoadMetrics.java
+++ b/src/main/java/waytrestle/invoker/LoadMetrics.java
@@ -14,9 +14,13 @@
 public record LoadMetrics(Map<String, Double> report, Start start, int company, int copies) {
     public static final String HEADER = "endpoint-load-metrics";
     public static final LoadMetrics NONE = new LoadMetrics(Map.of(), Start.UNKNOWN, -1, -1);
-    private static final ObjectMapper JSON = new ObjectMapper();
     private static final int MOST = 64;  // values of one report
 
+    /** Loaded with the first report in JSON: the reader is a library that most never need. */
+    private static final class Trees {
+        static final ObjectMapper JSON = new ObjectMapper();
+    }
+
     /** Reads a header; what is malformed in it is left out, for a report is advice only. */
     public static LoadMetrics read(String header) {
         if (header == null) {
@@ -32,7 +36,7 @@
             }
         } else if (header.startsWith("JSON ")) {
             try {
-                flatten("", JSON.readTree(header.substring(5)), raw);
+                flatten("", Trees.JSON.readTree(header.substring(5)), raw);
             } catch (IOException e) {
                 return NONE;
             }
--- a/src/main/java/waytrestle/net/Connection.java
+++ b/src/main/java/waytrestle/net/Connection.java
@@ -113,6 +113,19 @@
         return !closed;
     }
 
+    /** What an idle connection is found to be, before the loop has come to it. */
+    public enum Idle { FIT, SPOKE, ENDED }
+
+    /** Asks the kernel whether anything has come on an idle connection, or its other side has ended it. */
+    public Idle idle() {
+        try {
+            int n = channel.read(loop.oneByte());
+            return n == 0 ? Idle.FIT : n > 0 ? Idle.SPOKE : Idle.ENDED;
+        } catch (IOException e) {
+            return Idle.ENDED;
+        }
+    }
+
     /** Bytes queued and not yet taken by the kernel. */
     public long pending() {
         return pending;
--- a/src/main/java/waytrestle/net/Loop.java
+++ b/src/main/java/waytrestle/net/Loop.java
@@ -28,6 +28,7 @@
     private final TimerHeap timers = new TimerHeap();
     private final ConcurrentLinkedQueue<Runnable> handed = new ConcurrentLinkedQueue<>();
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER);
+    private final ByteBuffer oneByte = ByteBuffer.allocateDirect(1);
     private final Consumer<Throwable> broken;
     private final List<Runnable> atEnd = new ArrayList<>();
     private boolean precise;
@@ -112,6 +113,11 @@
         return key;
     }
 
+    /** Room for one byte: a handler that looks at another connection still has the read buffer in use. */
+    ByteBuffer oneByte() {
+        return oneByte.clear();
+    }
+
     /** The loop's one read buffer, empty; its contents must be used up before the handler returns. */
     ByteBuffer readBuffer() {
         return readBuffer.clear();
--- a/src/main/java/waytrestle/outcomes/Outcomes.java
+++ b/src/main/java/waytrestle/outcomes/Outcomes.java
@@ -24,7 +24,7 @@
  * A call ends with the function's own word: a rejection at once, a failure when two invokers agree, absence when two
  * say so. A function that fails call after call everywhere is answered for here until a probe finds it well.
  */
-public final class Outcomes {
+public final class Outcomes implements Judge {
     /** Settings; shares of the fleet, times in micros. */
     public record Settings(double attemptsPerCall, int failedTries, double ejectShare, int breakerCalls,
             long breakerPauseMicros, long breakerMostMicros, int functions) { }
@@ -148,6 +148,7 @@
                 (invoker, promise, untold) -> actions.add(new Warned(invoker, promise, untold)));
     }
 
+    @Override
     public void on(long nowMicros, Event event, Actions out) {
         now = nowMicros;
         actions = out;
@@ -171,8 +172,8 @@
     }
 
     // ---- For pages and tests. ----
-    /** The module's code of an order's or a probe's reply, which no function answers. */
-    public static Code codeOfOrder(Reply reply) {
+    @Override
+    public Code codeOfOrder(Reply reply) {
         Code code = Sense.of(reply).code;
         return code == Code.REJECTED ? Code.ERROR : code;
     }
@@ -197,7 +198,7 @@
         return functions.values().stream().filter(f -> f.state() != FunctionHealth.State.CLOSED).count();
     }
 
-    /** Everything held for open calls; nothing when none is open. */
+    @Override
     public int held() {
         return open.size() + outs.size() + boxes.values().stream().mapToInt(b -> b.out.size() + b.sent.size()).sum();
     }
--- /dev/null
+++ b/src/main/java/waytrestle/roster/board/BoardLink.java
@@ -0,0 +1,131 @@
+package waytrestle.roster.board;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import waytrestle.net.Connection;
+import waytrestle.net.Loop;
+import waytrestle.net.TimerHeap;
+import waytrestle.wire.Json.Malformed;
+
+/** Follows a notice board over TCP; what its lines come to is the book's. */
+public final class BoardLink {
+    private static final long LOOK = 200_000;       // micros between looks at its silence: a fraction of that
+    private static final long CONNECT = 500_000;    // micros for a connection on one network
+    private static final int LINE = 4 << 20;        // bytes of one event: some 20,000 invokers
+    private static final int READ = 64 * 1024;      // bytes kept unread
+
+    private final Loop loop;
+    private final NoticeReader reader;
+    private final BoardBook book;
+    private final Consumer<Notice> told;
+    private final Consumer<String> said;
+    private InetSocketAddress at;
+    private Reader current;
+    private TimerHeap.Timer next;
+
+    public BoardLink(Loop loop, InetSocketAddress at, NoticeReader reader, BoardBook book, Consumer<Notice> told,
+            Consumer<String> said) {
+        this.loop = loop;
+        this.at = at;
+        this.reader = reader;
+        this.book = book;
+        this.told = told;
+        this.said = said;
+    }
+
+    /** Begins to follow, on the loop. */
+    public void start() {
+        on(new BoardBook.Moved());
+        look();
+    }
+
+    /** Follows the board at another address from now on; the same one is asked again. */
+    public void moved(InetSocketAddress to) {
+        at = to;
+        on(new BoardBook.Moved());
+    }
+
+    private void look() {
+        on(new BoardBook.Look());
+        loop.after(LOOK, this::look);
+    }
+
+    private void on(BoardBook.Event event) {
+        book.on(Loop.now(), event, action -> {
+            if (action instanceof BoardBook.Tell tell) {
+                told.accept(tell.notice());
+            } else if (action instanceof BoardBook.Ask ask) {
+                if (current != null) {
+                    current.drop();
+                }
+                if (next != null) {
+                    next.cancel();
+                }
+                next = loop.after(ask.inMicros(), () -> current = new Reader(ask.after()));
+            }
+        });
+    }
+
+    private final class Reader implements Connection.Handler {
+        private final Connection connection;
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream(1_024);
+        private final long after;
+        private boolean dropped;
+
+        private Reader(long after) {
+            this.after = after;
+            this.connection = Connection.open(loop, at, READ, CONNECT, this);
+        }
+
+        private void drop() {
+            dropped = true;
+            connection.close();
+        }
+
+        @Override
+        public void connected() {
+            connection.send(ByteBuffer.wrap(("watch " + after + "\n").getBytes(StandardCharsets.US_ASCII)));
+        }
+
+        @Override
+        public void received(ByteBuffer in) {
+            while (in.hasRemaining() && !dropped) {
+                byte b = in.get();
+                if (b != '\n') {
+                    line.write(b);
+                    if (line.size() > LINE) {
+                        broke("a line of the notice board is over " + LINE + " bytes");
+                    }
+                    continue;
+                }
+                String text = line.toString(StandardCharsets.UTF_8);
+                line.reset();
+                if (!text.isBlank()) {
+                    try {
+                        on(new BoardBook.Line(reader.line(text)));
+                    } catch (Malformed e) {
+                        broke(e.getMessage());
+                    }
+                }
+            }
+            in.position(in.limit());
+        }
+
+        private void broke(String why) {
+            said.accept("notice board: " + why);
+            on(new BoardBook.Broke());
+        }
+
+        @Override
+        public void closed(IOException why) {
+            if (!dropped) {
+                dropped = true;
+                on(new BoardBook.Broke());
+            }
+        }
+    }
+}
--- a/src/main/java/waytrestle/wire/Codec.java
+++ b/src/main/java/waytrestle/wire/Codec.java
@@ -20,7 +20,7 @@
 import waytrestle.wire.Json.Malformed;
 
 /** Translates between the wire's words and the interface's; it decides nothing. */
-final class Codec {
+public final class Codec {
     private static final Code[] CODES = {Code.ERROR, Code.OK, Code.FULL, Code.TIMEOUT,
         Code.CONNECT_FAILED, Code.RESET, Code.CANCELLED, Code.MOOT, Code.MISS};
     private static final Start[] STARTS = {Start.UNKNOWN, Start.WARM, Start.COLD, Start.JOINED,
@@ -28,7 +28,8 @@
 
     private Codec() { }
 
-    static Settings settings(Map<String, Object> p) {
+    /** The settings of an instance, as the simulator and the platform's configuration give them. */
+    public static Settings settings(Map<String, Object> p) {
         List<ControlApi.RequestClass> classes = new ArrayList<>();
         for (Object each : Json.list(p, "lanes")) {
             classes.add(requestClass(Json.map(each, "lanes")));
--- a/src/main/java/waytrestle/wire/Json.java
+++ b/src/main/java/waytrestle/wire/Json.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 
 /** Reads one JSON line into maps and lists, with typed look-ups that name what is malformed. */
-final class Json {
+public final class Json {
     static final JsonFactory FACTORY = JsonFactory.builder()
             .streamReadConstraints(StreamReadConstraints.builder()
                     .maxStringLength(Integer.MAX_VALUE).maxDocumentLength(-1).build())
@@ -21,26 +21,31 @@
     private Json() { }
 
     /** Says in one line what was wrong with the input. */
-    static final class Malformed extends RuntimeException {
+    public static final class Malformed extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
-        Malformed(String message) {
+        public Malformed(String message) {
             super(message);
         }
     }
 
     static Map<String, Object> line(String text) {
+        return object(text, "a batch");
+    }
+
+    /** One object and nothing after it; what names it where it is malformed. */
+    public static Map<String, Object> object(String text, String what) {
         try (JsonParser in = FACTORY.createParser(text)) {
             if (in.nextToken() != JsonToken.START_OBJECT) {
-                throw new Malformed("a batch must be a JSON object");
+                throw new Malformed(what + " must be a JSON object");
             }
             Map<String, Object> value = object(in);
             if (in.nextToken() != null) {
-                throw new Malformed("a batch has text after its JSON object");
+                throw new Malformed(what + " has text after its JSON object");
             }
             return value;
         } catch (IOException e) {
-            throw new Malformed("a batch is not JSON: " + String.valueOf(e.getMessage()).split("\n")[0]);
+            throw new Malformed(what + " is not JSON: " + String.valueOf(e.getMessage()).split("\n")[0]);
         }
     }
 
@@ -80,7 +85,7 @@
     }
 
     @SuppressWarnings("unchecked")
-    static Map<String, Object> map(Object value, String what) {
+    public static Map<String, Object> map(Object value, String what) {
         if (value instanceof Map) {
             return (Map<String, Object>) value;
         }
@@ -88,13 +93,13 @@
     }
 
     @SuppressWarnings("unchecked")
-    static Map<String, Object> mapOrEmpty(Map<String, Object> in, String key) {
+    public static Map<String, Object> mapOrEmpty(Map<String, Object> in, String key) {
         Object value = in.get(key);
         return value == null ? Map.of() : map(value, key);
     }
 
     @SuppressWarnings("unchecked")
-    static List<Object> list(Map<String, Object> in, String key) {
+    public static List<Object> list(Map<String, Object> in, String key) {
         Object value = in.get(key);
         if (value == null) {
             return List.of();
@@ -105,7 +110,7 @@
         throw new Malformed(key + " must be an array");
     }
 
-    static double number(Map<String, Object> in, String key) {
+    public static double number(Map<String, Object> in, String key) {
         Object value = in.get(key);
         if (value == null) {
             return 0;
@@ -116,7 +121,7 @@
         throw new Malformed(key + " must be a number");
     }
 
-    static long whole(Map<String, Object> in, String key) {
+    public static long whole(Map<String, Object> in, String key) {
         Object value = in.get(key);
         if (value == null) {
             return 0;
@@ -130,14 +135,14 @@
         throw new Malformed(key + " must be a whole number");
     }
 
-    static long required(Map<String, Object> in, String key) {
+    public static long required(Map<String, Object> in, String key) {
         if (in.get(key) == null) {
             throw new Malformed(key + " is missing");
         }
         return whole(in, key);
     }
 
-    static boolean flag(Map<String, Object> in, String key) {
+    public static boolean flag(Map<String, Object> in, String key) {
         Object value = in.get(key);
         if (value == null) {
             return false;
@@ -148,7 +153,7 @@
         throw new Malformed(key + " must be true or false");
     }
 
-    static String text(Map<String, Object> in, String key) {
+    public static String text(Map<String, Object> in, String key) {
         Object value = in.get(key);
         if (value == null) {
             return "";
@@ -159,7 +164,7 @@
         throw new Malformed(key + " must be text");
     }
 
-    static String requiredText(Map<String, Object> in, String key) {
+    public static String requiredText(Map<String, Object> in, String key) {
         String value = text(in, key);
         if (value.isEmpty()) {
             throw new Malformed(key + " is missing");
