Broken connections no longer pass for restarts: weighed by how often they break everywhere

Examined: the module's beliefs, logged four times a second, against what crossed the sockets. After 4 s all six invokers counted as fresh, without budget, and 128 calls were held; the rate of answers, by which the budget goes, faded, so they stayed so. Excluded: lost invokers (6 ready), full answers (none), pauses (0 or 1), our CPU (0.28 of a core). How connections ended, by phase: 20 of 27 that the module heard as failed connections were resets of new ones before the first byte of the request, 4 of kept ones, 2 refused, 1 out of time.

Lines at fault and their cure: - HttpClient.Link.closed told a reset before the first byte as a failed connection: a process that is gone refuses. Such a request, of which nothing was sent, now goes on another connection, three at most. - Control.strike took two broken attempts in a row for a process that began anew. Now so many in a row count as chance would hardly bring, by the share that breaks everywhere, and only all attempts there at once tell of a restart. - Control.orderEnded took a broken load order for the loss of the copy; it is asked for again where it was.

--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -26,6 +26,8 @@
     private static final double QUICK = 0.3;  // of a usual run: what the quicker calls of a function need
     private static final long HOLD = 40_000;  // between looks at held requests: a fraction of any aim
     private static final long SUSPECT = 300_000;  // first pause after a failed connection; doubles
+    private static final long AT_ONCE = 50_000;  // in which all attempts at a process that ends break
+    private static final double CHANCE = 0.002;  // so rarely may broken connections in a row be chance
     private static final long SUSPECT_MOST = 4_000_000;  // longest such pause: about a restart
     private static final long FULL_PAUSE = 80_000;  // after a full answer: less than a run; doubles in a row
     private static final long FULL_MOST = 600_000;  // longest such pause: a few runs drain a queue
@@ -64,6 +66,8 @@
         final HashMap<Integer, Fading> failing = new HashMap<>();  // share of failed attempts, by scope
         long fullUntil, noLoadsUntil;
         int strikes, resets;      // failed connections, broken ones: in a row
+        boolean lost;             // since then taken for a process that has ended
+        long resetAt;
         long pausedUntil;
         int fulls;                // full answers in a row
         long coldWindow;          // the window that the draw below is for
@@ -188,6 +192,7 @@
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
     private double meanOthers, meanQueued;  // of all invokers' reports
     private double guessChance;   // for the choice in hand: that an invoker believed cold is so
+    private double broken;        // share of all attempts whose connection broke
     private double meanRun;       // usual run time of an answer, whatever its function
     private double loadAverage;   // measured extra latency of cold sends, micros; 0 unmeasured
     private final double[] coldChance = {0.5, 0.5};  // that a guess finds no copy: first asked, further on
@@ -610,9 +615,11 @@
         if (List.of(Code.OK, Code.ERROR, Code.FULL, Code.MISS, Code.REJECTED).contains(e.code())) {
             w.quietSince = now;
             w.strikes = w.resets = 0;
+            w.lost = false;
             report(w, e.report());
         }
         learnGuess(call.function, attempt, e);
+        broken += MIX_NEWS * ((e.code() == Code.RESET ? 1 : 0) - broken);
         boolean failed = List.of(Code.ERROR, Code.RESET, Code.FULL).contains(e.code()) && !attempt.cold;
         Fading failing = w.failing.computeIfAbsent(call.scope, scope -> new Fading(keepAlive()));
         failing.add(NEWS * ((failed ? 1 : 0) - failing.value(now)), now);
@@ -639,12 +646,9 @@
                 }
             }
             case FULL -> full(w, attempt);
-            case CONNECT_FAILED -> strike(w);
-            default -> {
-                if (e.code() == Code.RESET && w.resets++ > 0) {
-                    strike(w);
-                }
-            }
+            case CONNECT_FAILED -> strike(w, true);
+            case RESET -> broke(w);
+            default -> { }
         }
         boolean unconfirmed = copy.loadingSince > 0 && copy.out == 0 && !copy.ordered;
         if (e.start() == Start.LOAD_FAILED || unconfirmed) {  // must not go on counting as a load under way
@@ -659,12 +663,29 @@
         }
     }
 
-    /** A broken or refused connection: the process may be gone and with it all it held. */
-    private void strike(Worker w) {
-        if (w.strikes++ == 0) {
-            w.clear();
+    /**
+     * Guards against an invoker whose connections break, by how often they do everywhere: so many in a row
+     * that chance would hardly bring them are worth a pause. Only where all attempts there break at once has
+     * the process ended: an invoker taken for fresh gets next to nothing until it has warmed.
+     */
+    private void broke(Worker w) {
+        boolean atOnce = now - w.resetAt <= AT_ONCE && w.out == 0;
+        w.resetAt = now;
+        if (++w.resets >= Math.max(2, Math.log(CHANCE) / Math.log(Math.max(CHANCE, broken)))) {
+            strike(w, atOnce);
+        }
+    }
+
+    /** A refused connection, or broken ones: where the process has ended, all it held went with it. */
+    private void strike(Worker w, boolean ended) {
+        w.strikes++;
+        if (ended) {
+            if (!w.lost) {
+                w.clear();
+            }
+            w.lost = true;
+            w.coldSince = now;
         }
-        w.coldSince = now;
         long pause = Math.min(SUSPECT_MOST, SUSPECT << Math.min(6, w.strikes - 1));
         w.pausedUntil = Math.max(w.pausedUntil, now + pause);
     }
@@ -809,12 +830,13 @@
         if (f == null) {
             return;
         }
-        Copy copy = w == null ? null : w.copies.get(f.id);
         boolean stands = e.copies() > 0;
-        if (w != null && (e.code() == Code.CONNECT_FAILED || e.code() == Code.RESET)) {
-            strike(w);
-            copy = null;
+        if (w != null && e.code() == Code.CONNECT_FAILED) {
+            strike(w, true);
+        } else if (w != null && e.code() == Code.RESET) {
+            broke(w);
         }
+        Copy copy = w == null ? null : w.copies.get(f.id);
         if (copy != null && copy.ordered) {
             w.ordersOut--;
             copy.ordered = false;
@@ -827,11 +849,23 @@
             loaded(w, copy);
             copy.count = e.copies();
             copy.usedAt = Math.max(copy.usedAt, now - keepAlive() / 2);
+        } else if (copy != null && e.code() == Code.RESET) {
+            again(w, f, copy);
         } else if (copy != null && copy.out == 0 && e.code() != Code.OK) {
             drop(w, f, copy);
         }
     }
 
+    /**
+     * Guards against orders whose connection broke: one that came whole stands all the same, and what stood
+     * before still does, so it is asked for again where it was; at a process that has ended that fails.
+     */
+    private void again(Worker w, Function f, Copy copy) {
+        if (!order(w, f, copy.count) && copy.out == 0 && copy.loadingSince > 0) {
+            drop(w, f, copy);
+        }
+    }
+
     // ---- Upkeep: the best-ranked copy of a function worth keeping is renewed before it lapses. ----
     private void upkeep() {
         actions.add(new SetTimer(UPKEEP, "upkeep"));
--- a/src/main/java/waytrestle/http/HttpClient.java
+++ b/src/main/java/waytrestle/http/HttpClient.java
@@ -1,7 +1,9 @@
 package waytrestle.http;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import waytrestle.net.Connection;
@@ -31,6 +33,7 @@
     private final Held held;
     private final ArrayDeque<Link> idle = new ArrayDeque<>();
     private int open;
+    private static final int ANEW = 3;  // connections begun for one request: so many resets in a row tell of the server
     private static final int INTERIM = 16;  // interim answers (1xx) to one request: more say nothing more
     private static final long YOUNG = 4_000_000;  // micros since its use in which no server closes a kept connection:
                                                   // the shortest usual bound is five seconds
@@ -102,6 +105,7 @@
         private Link link;
         private TimerHeap.Timer timer;
         private boolean over;
+        private int begun;
 
         private Call(ByteBuffer[] request, Handler handler) {
             this.request = request;
@@ -142,22 +146,28 @@
         while (link != null && !link.fit()) {
             link = idle.pollLast();
         }
-        if (link == null && (open >= maxConnections || !slots.take())) {
-            call.end(Break.NO_ROOM, "all " + maxConnections + " connections to the invoker are in use");
-            return call;
-        }
         if (link == null) {
-            link = new Link();
-            link.connection = Connection.open(loop, peer, limits.bodyBytes(), connectMicros, link);
-            open++;
+            onNew(call);
         } else {
             link.idleTimer.cancel();
             slots.noLongerIdle(link);
+            link.take(call);
         }
-        link.take(call);
         return call;
     }
 
+    private void onNew(Call call) {
+        if (open >= maxConnections || !slots.take()) {
+            call.end(Break.NO_ROOM, "all connections that may be made to the invoker are in use");
+            return;
+        }
+        Link link = new Link();
+        link.connection = Connection.open(loop, peer, limits.bodyBytes(), connectMicros, link);
+        open++;
+        call.begun++;
+        link.take(call);
+    }
+
     private final class Link implements Connection.Handler {
         private final HttpParser parser = HttpParser.responses(limits);
         private Connection connection;
@@ -191,7 +201,11 @@
 
         private void write() {
             writtenBefore = connection.written();
-            connection.send(call.request);
+            ByteBuffer[] request = new ByteBuffer[call.request.length];
+            for (int i = 0; i < request.length; i++) {
+                request[i] = call.request[i].duplicate();  // it may have to be written again, on another connection
+            }
+            connection.send(request);
         }
 
         @Override
@@ -278,6 +292,17 @@
             }
             Break how = !up ? Break.NO_CONNECTION
                     : connection.written() == writtenBefore ? Break.BEFORE_FIRST_BYTE : Break.AFTER_FIRST_BYTE;
+            // Nothing was sent, and nobody refused: it tells of this connection alone, as any client takes it.
+            boolean refused = why instanceof ConnectException || why instanceof SocketTimeoutException;
+            if (how != Break.AFTER_FIRST_BYTE && !refused && broken.begun < ANEW) {
+                broken.link = null;
+                loop.after(0, () -> {
+                    if (!broken.over) {
+                        onNew(broken);
+                    }
+                });
+                return;
+            }
             broken.end(how, why == null ? "the peer closed" : String.valueOf(why.getMessage()));
         }
 
--- a/src/main/java/waytrestle/net/Connection.java
+++ b/src/main/java/waytrestle/net/Connection.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
@@ -75,7 +76,7 @@
             made.connecting = true;
             channel.configureBlocking(false);
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-            made.connectTimer = loop.after(connectMicros, () -> made.fail(new IOException("no connection in time")));
+            made.connectTimer = loop.after(connectMicros, () -> made.fail(new SocketTimeoutException("no connection in time")));
             boolean done = channel.connect(to);
             made.key = loop.register(channel, done ? 0 : SelectionKey.OP_CONNECT, made::ready);
             if (done) {
--- a/src/test/java/waytrestle/ControlTest.java
+++ b/src/test/java/waytrestle/ControlTest.java
@@ -516,4 +516,70 @@
         String again = one(bed.request(2, "f", 1_100_000, 900_000), Send.class).invoker();
         assertFalse(again.isEmpty(), "a load turned away must not go on counting as one under way");
     }
+
+    /** Calls of one function at one invoker, so many out at a time, of which some break, told apart by the test. */
+    private static void breakSome(Bed bed, int from, int calls, java.util.function.IntPredicate breaks) {
+        for (int i = from; i < from + calls; i++) {
+            String to = one(bed.request(i, "f"), Send.class).invoker();
+            bed.now += 60_000;
+            bed.ended(i, 0, to, breaks.test(i) ? Code.RESET : Code.OK, Start.WARM, 60_000);
+            if (breaks.test(i)) {
+                bed.feed(new RequestGone(i));
+            }
+        }
+    }
+
+    @Test
+    void connectionsThatBreakEverywhereLeaveNoInvokerForFresh() {
+        Bed bed = new Bed();
+        bed.repeat = Repeat.UNSAFE;
+        bed.start(ready("a"));
+        breakSome(bed, 1, 60, i -> i % 4 == 0 || i % 4 == 1);  // two in a row, again and again
+        bed.now += 2_000_000;                     // a pause, if there was one, is over
+        int sent = 0;
+        for (int i = 100; i < 140; i++) {
+            sent += every(bed.request(i, "f"), Send.class).size();
+            bed.now += 10_000;
+            bed.ended(i, 0, "a", Code.OK, Start.WARM, 10_000);
+        }
+        assertEquals(40, sent, "an invoker taken for fresh would get some of these alone");
+    }
+
+    @Test
+    void anInvokerWhoseAttemptsAllBreakAtOnceIsTakenForFresh() {
+        Bed bed = new Bed();
+        bed.repeat = Repeat.UNSAFE;
+        bed.start(ready("a"));
+        breakSome(bed, 1, 40, i -> false);
+        for (int i = 50; i < 54; i++) {
+            one(bed.request(i, "f"), Send.class);
+        }
+        for (int i = 50; i < 54; i++) {
+            bed.ended(i, 0, "a", Code.RESET, Start.UNKNOWN, 1_000);
+        }
+        bed.now += 2_000_000;
+        int sent = 0;
+        for (int i = 100; i < 120; i++) {
+            List<Action> out = bed.request(i, "f");
+            sent += every(out, Send.class).size();
+            if (i == 100) {
+                bed.ended(100, 0, "a", Code.OK, Start.COLD, 60_000);
+            }
+        }
+        assertTrue(sent >= 1 && sent < 12, "within the budget of a fresh one: " + sent);
+    }
+
+    @Test
+    void aBrokenOrderIsAskedForAgainWhereItWasAndItsCopyIsStillBelieved() {
+        Bed bed = new Bed();
+        bed.missAnswers = true;
+        bed.start(ready("a"), ready("b"));
+        String to = one(bed.request(1, "f"), Send.class).invoker();
+        Order order = one(bed.ended(1, 0, to, Code.MISS, Start.UNKNOWN, 1_000), Order.class);
+        assertEquals(to, order.invoker());
+        List<Action> out = bed.feed(new OrderEnded(to, "f", Code.RESET, 5_000, 0));
+        assertEquals(to, one(out, Order.class).invoker());
+        out = bed.feed(new OrderEnded(to, "f", Code.CONNECT_FAILED, 5_000, 0));
+        assertTrue(every(out, Order.class).isEmpty(), "at a process that has ended it is not");
+    }
 }
--- /dev/null
+++ b/src/test/java/waytrestle/http/HttpClientTest.java
@@ -0,0 +1,133 @@
+package waytrestle.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import waytrestle.net.Loop;
+
+/** Requests over connections that break in each phase, against plain sockets. */
+class HttpClientTest {
+    private final Loop loop = new Loop("test", e -> { }).start();
+    private final BlockingQueue<String> ends = new ArrayBlockingQueue<>(100);
+    private ServerSocket server;
+    private HttpClient client;
+
+    HttpClientTest() throws Exception { }
+
+    @BeforeEach
+    void start() throws Exception {
+        server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+        client = client(server.getLocalPort(), new Slots(2));
+    }
+
+    private HttpClient client(int port, Slots slots) {
+        return new HttpClient(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), HttpLimits.DEFAULT, 100,
+                500_000, 5_000_000).within(slots);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        loop.stop();
+        loop.join(5_000);
+        server.close();
+    }
+
+    private void call(HttpClient by) {
+        loop.execute(() -> by.call(3_000_000, new HttpClient.Handler() {
+            @Override
+            public void answered(HttpMessage m) {
+                ends.add("answered " + m.status());
+            }
+
+            @Override
+            public void broken(HttpClient.Break how, String why) {
+                ends.add(how.name());
+            }
+        }, ByteBuffer.wrap("GET / HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII))));
+    }
+
+    private String end() throws Exception {
+        return ends.poll(10, TimeUnit.SECONDS);
+    }
+
+    private static void read(Socket s) throws Exception {
+        byte[] some = new byte[1_000];
+        int n = 0;
+        while (!new String(some, 0, n, StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
+            n += s.getInputStream().read(some, n, some.length - n);
+        }
+    }
+
+    private void answer(Socket s) throws Exception {
+        read(s);
+        s.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes());
+    }
+
+    @Test
+    void aKeptConnectionThatIsResetCostsItsNextRequestNothing() throws Exception {
+        call(client);
+        Socket first = server.accept();
+        answer(first);
+        assertEquals("answered 200", end());
+        first.setSoLinger(true, 0);
+        first.close();
+        call(client);
+        Socket second = server.accept();
+        answer(second);
+        assertEquals("answered 200", end());
+    }
+
+    @Test
+    void aRequestThatWasReadIsNeverWrittenAgain() throws Exception {
+        call(client);
+        Socket first = server.accept();
+        read(first);
+        first.setSoLinger(true, 0);
+        first.close();
+        assertEquals("AFTER_FIRST_BYTE", end());
+        server.setSoTimeout(200);
+        boolean another = true;
+        try {
+            server.accept();
+        } catch (java.net.SocketTimeoutException none) {
+            another = false;
+        }
+        assertTrue(!another, "it may have run");
+    }
+
+    @Test
+    void aRefusedConnectionIsReportedAsOne() throws Exception {
+        server.close();
+        call(client);
+        assertEquals("NO_CONNECTION", end());
+    }
+
+    @Test
+    void connectionsOfSeveralClientsShareOneBoundAndIdleOnesGiveWay() throws Exception {
+        Slots slots = new Slots(1);
+        HttpClient one = client(server.getLocalPort(), slots);
+        HttpClient two = client(server.getLocalPort(), slots);
+        call(one);
+        Socket first = server.accept();
+        call(two);
+        assertEquals("NO_ROOM", end(), "the only connection is in use");
+        answer(first);
+        assertEquals("answered 200", end());
+        call(two);
+        answer(server.accept());
+        assertEquals("answered 200", end());
+        assertEquals(-1, first.getInputStream().read(), "the idle one gave way");
+    }
+}
