Calls at an invoker that fell silent are taken back where they may be repeated

Examined: Control ends such attempts only at the deadline (giveUpAt 0); the silence term of the estimate keeps new calls away but leaves those there.

Control.silent, from the upkeep: several warm attempts out, or one after a failed connection, and no word for eight usual runs (0.4 s at least): a pause, and safe calls there are cancelled and estimated anew. Unsafe ones stay.

--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -26,6 +26,9 @@
     private static final double QUICK = 0.3;  // of a usual run: what the quicker calls of a function need
     private static final long HOLD = 40_000;  // between looks at held requests: a fraction of any aim
     private static final long SUSPECT = 300_000;  // first pause after a failed connection; doubles
+    private static final long SILENCE = 400_000;  // of an invoker with work out: some runs, not one slow call
+    private static final double SILENT_RUNS = 8;  // usual runs without a word: hardly chance with several out
+    private static final int SILENT_OUT = 2;  // warm attempts out for that; one may just be long
     private static final long AT_ONCE = 50_000;  // in which all attempts at a process that ends break
     private static final double CHANCE = 0.002;  // so rarely may broken connections in a row be chance
     private static final long SUSPECT_MOST = 4_000_000;  // longest such pause: about a restart
@@ -676,6 +679,30 @@
         }
     }
 
+    /**
+     * Guards calls against an invoker that takes them and gives no sign (a machine or zone cut off): with
+     * several out, or after a failed connection, silence far beyond their run is not theirs. What may be
+     * repeated is taken back and estimated anew. It can hurt where an invoker only stalls: its work is lost.
+     */
+    private void silent(Worker w) {
+        double quiet = Math.max(SILENCE, SILENT_RUNS * meanRun * Math.max(1, w.slowness));
+        boolean several = w.warmOut >= SILENT_OUT || w.warmOut > 0 && w.strikes > 0;
+        if (!several || now - w.quietSince <= quiet || !settings.limits().cancel()) {
+            return;
+        }
+        w.quietSince = now;
+        strike(w, false);
+        for (Call call : calls.values()) {
+            for (int i = 0; i < call.attempts.size(); i++) {
+                Attempt attempt = call.attempts.get(i);
+                boolean there = !attempt.ended && attempt.worker == w && now - attempt.sentAt > SILENCE;
+                if (there && !call.over && !call.streaming && call.kind.repeat() == Repeat.SAFE) {
+                    actions.add(new Cancel(call.id, i));
+                }
+            }
+        }
+    }
+
     /** A refused connection, or broken ones: where the process has ended, all it held went with it. */
     private void strike(Worker w, boolean ended) {
         w.strikes++;
@@ -873,6 +900,7 @@
         workers.values().removeIf(w -> !w.ready && w.out == 0);
         functions.values().removeIf(f -> now - f.calledAt > FORGET * keepAlive());
         for (Worker w : workers.values()) {
+            silent(w);
             w.copies.values().removeIf(this::lapsed);
             for (Copy copy : w.copies.values()) {
                 Function f = copy.function;
--- a/src/test/java/waytrestle/ControlTest.java
+++ b/src/test/java/waytrestle/ControlTest.java
@@ -582,4 +582,30 @@
         out = bed.feed(new OrderEnded(to, "f", Code.CONNECT_FAILED, 5_000, 0));
         assertTrue(every(out, Order.class).isEmpty(), "at a process that has ended it is not");
     }
+
+    /** Some calls out at a warm invoker that then gives no sign, and what the upkeep takes back. */
+    private static List<Cancel> takenBack(Repeat repeat, int calls, long silence) {
+        Bed bed = new Bed();
+        bed.repeat = repeat;
+        bed.start(ready("a"), ready("b"));
+        String home = bed.warm(1, "f");
+        for (int i = 2; i < 2 + calls; i++) {
+            assertEquals(home, one(bed.request(i, "f"), Send.class).invoker());
+        }
+        bed.now += silence;
+        List<Action> out = bed.feed(new TimerFired("upkeep"));
+        for (Cancel cancel : every(out, Cancel.class)) {
+            Send again = one(bed.ended(cancel.id(), cancel.attempt(), home, Code.CANCELLED, Start.UNKNOWN, silence), Send.class);
+            assertTrue(!again.invoker().equals(home), "not sent there again");
+        }
+        return every(out, Cancel.class);
+    }
+
+    @Test
+    void callsAtAnInvokerThatFellSilentAreTakenBackWhereTheyMayBeRepeated() {
+        assertEquals(2, takenBack(Repeat.SAFE, 2, 1_500_000).size());
+        assertEquals(0, takenBack(Repeat.UNSAFE, 2, 1_500_000).size(), "they may have run");
+        assertEquals(0, takenBack(Repeat.SAFE, 1, 1_500_000).size(), "one may just be long");
+        assertEquals(0, takenBack(Repeat.SAFE, 2, 300_000).size(), "too soon to tell");
+    }
 }
