A guess that all is cold is put right: one in ten calls it alone would refuse is asked for

A probe of the module by a test: where the first two questions of a fresh controller miss, the chance that a guess finds no copy passes one half, every call whose told load outlasts its time is refused unasked, and only questions teach that chance: 100 of 100 refused, for ever.

Where misses are answered a question costs a round trip. The test of the trap fails before and passes now.

--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -24,6 +24,7 @@
     private static final double JAM = 2;  // run times: a longer finish is the crowd's, not the function's
     private static final double WIDTH = 1.5;  // headroom over the share of the fleet that calls would fill
     private static final double QUICK = 0.3;  // of a usual run: what the quicker calls of a function need
+    private static final double ASK = 0.1;  // of calls a guess would refuse: asked, or it is never put right
     private static final long HOLD = 40_000;  // between looks at held requests: a fraction of any aim
     private static final long SUSPECT = 300_000;  // first pause after a failed connection; doubles
     private static final long SILENCE = 400_000;  // of an invoker with work out: some runs, not one slow call
@@ -286,10 +287,13 @@
             return;
         }
         boolean coldBest = copyAt(best, call.function) == null;
+        boolean misses = settings.loading().missAnswers() && settings.loading().orders();
         double estimate = estimate(call.function, best, false);
         estimated = (long) estimate;
         double soonest = estimate - (1 - QUICK) * runAt(call.function, best);
-        boolean hopeless = soonest > call.deadline - now || jammed(call, best);
+        boolean late = soonest > call.deadline - now;
+        boolean guessed = misses && coldBest && call.attempts.isEmpty();
+        boolean hopeless = late && !(guessed && random.nextDouble() < ASK) || jammed(call, best);
         if (hopeless && mayRefuse(call)) {
             Worker more = coldBest ? best : uncrowded(call);
             if (more != null) {
@@ -302,7 +306,6 @@
             hold(call, Math.min(HOLD, best.fullUntil - now));
             return;
         }
-        boolean misses = settings.loading().missAnswers() && settings.loading().orders();
         if (misses && call.misses >= MISSES && (coldBest || !call.waited)) {
             call.waited = true;
             order(best, call.function, 1);
--- a/src/test/java/waytrestle/ControlTest.java
+++ b/src/test/java/waytrestle/ControlTest.java
@@ -608,4 +608,22 @@
         assertEquals(0, takenBack(Repeat.SAFE, 1, 1_500_000).size(), "one may just be long");
         assertEquals(0, takenBack(Repeat.SAFE, 2, 300_000).size(), "too soon to tell");
     }
+
+    @Test
+    void aControllerThatBeganWithMissesFindsThatCopiesStand() {
+        Bed bed = new Bed();
+        bed.missAnswers = true;
+        bed.start(ready("a"), ready("b"), ready("c"));
+        int refused = 0;
+        for (int i = 1; i <= 300; i++) {
+            List<Action> out = bed.request(i, "f" + i, 2_400_000, 3_000_000);
+            bed.now += 10_000;
+            for (Send send : every(out, Send.class)) {
+                boolean misses = i <= 2;          // all other functions stand wherever they are asked for
+                bed.ended(i, 0, send.invoker(), misses ? Code.MISS : Code.OK, Start.UNKNOWN, misses ? 1_000 : 60_000);
+            }
+            refused += i > 200 && every(out, Refuse.class).size() > 0 ? 1 : 0;
+        }
+        assertEquals(0, refused, "of the last hundred");
+    }
 }
