Answers that stop short are given up after a quarter second without a byte

HttpClient.Link waited for the rest until the call's end. It now takes an answer in which nothing came for 250 ms as broken, where its user asks for that (the platform's answers are small); safe calls go elsewhere.

A test waits for the order that it looks at.

--- a/src/main/java/waytrestle/gateway/platform/PlatformHost.java
+++ b/src/main/java/waytrestle/gateway/platform/PlatformHost.java
@@ -25,6 +25,8 @@
 final class PlatformHost implements Host {
     private static final int ANSWER = 1 << 20;       // bytes of one answer: far over what a call may bring
     private static final long ANSWERS = 8 << 20;     // bytes of all that are being read: a fraction of the memory
+    private static final long STALL = 250_000;       // micros without a byte within an answer: these are small, and sent
+                                                     // at once when their call has run
     private static final double KEEP = 0.8;          // of the time after which invokers close idle connections
     private static final long KEEP_UNTOLD = 4_000_000;  // micros, where that is not told: below the usual five seconds
 
@@ -85,7 +87,7 @@
             HttpLimits d = HttpLimits.DEFAULT;
             client = new HttpClient(loop, at, new HttpLimits(d.startLineBytes(), d.headerCount(), d.headerBytes(), ANSWER,
                     0, 0, 0, 0), Integer.MAX_VALUE, settings.limits().connectTimeoutMicros(), idleMicros, held)
-                    .within(slots);
+                    .within(slots).stalledAfter(STALL);
             protocol = new FetchProtocol(at.getAddress().getHostAddress() + ":" + at.getPort(),
                     settings.loading().tellsCompany());
         }
--- a/src/main/java/waytrestle/http/HttpClient.java
+++ b/src/main/java/waytrestle/http/HttpClient.java
@@ -42,6 +42,7 @@
     private long youngClosedAt = Long.MIN_VALUE / 2;
     private long strays;
     private boolean closed;
+    private long stallMicros = Long.MAX_VALUE;
     private Slots slots = new Slots(Integer.MAX_VALUE);
 
     /** With no bound on all answers but those on each and on connections. */
@@ -67,6 +68,12 @@
         return this;
     }
 
+    /** Answers of which some came and then nothing for so long are not waited for any more. */
+    public HttpClient stalledAfter(long micros) {
+        stallMicros = micros;
+        return this;
+    }
+
     /** Shares a bound on connections with other clients. */
     public HttpClient within(Slots shared) {
         slots = shared;
@@ -172,7 +179,7 @@
         private final HttpParser parser = HttpParser.responses(limits);
         private Connection connection;
         private Call call;
-        private TimerHeap.Timer idleTimer;
+        private TimerHeap.Timer idleTimer, stallTimer;
         private boolean up, dropped;
         private int interim;
         private long usedAt;
@@ -219,6 +226,7 @@
         @Override
         public void received(ByteBuffer in) {
             int bytes = in.remaining();
+            moved();
             try {
                 HttpMessage message = parser.next(in);
                 while (message != null && message.status() < 200) {
@@ -232,6 +240,9 @@
                         throw new HttpError(413, "answers together hold as much as they may");
                     }
                     has += bytes;
+                    if (stallMicros < Long.MAX_VALUE) {
+                        stallTimer = loop.after(stallMicros, () -> fail(Break.MALFORMED, "the answer stopped short"));
+                    }
                     return;
                 }
                 held.release(has);
@@ -260,6 +271,13 @@
             }
         }
 
+        private void moved() {
+            if (stallTimer != null) {
+                stallTimer.cancel();
+                stallTimer = null;
+            }
+        }
+
         private void fail(Break how, String why) {
             Call broken = call;
             if (broken != null) {
@@ -314,6 +332,7 @@
         private void drop() {
             if (!dropped) {
                 dropped = true;
+                moved();
                 held.release(has);
                 has = 0;
                 open--;
--- a/src/test/java/waytrestle/gateway/platform/NodeTest.java
+++ b/src/test/java/waytrestle/gateway/platform/NodeTest.java
@@ -135,6 +135,7 @@
         assertEquals(503, status(answer), "the load outlasts the call, and a miss proves that nothing ran");
         assertTrue(answer.contains("X-Pushback-Ms: 2000\r\n"), answer);
         assertTrue(System.nanoTime() - before < 2_000_000_000L, "not held until its time is up");
+        NodeBed.until(() -> bed.asked.size() > 1, "nothing was ordered");
         assertTrue(bed.asked.get(1).startsWith("PUT /fetch/7f3a9c21e0b4d655/1|"), "ordered for those who come back");
     }
 
--- a/src/test/java/waytrestle/http/HttpClientTest.java
+++ b/src/test/java/waytrestle/http/HttpClientTest.java
@@ -130,4 +130,20 @@
         assertEquals("answered 200", end());
         assertEquals(-1, first.getInputStream().read(), "the idle one gave way");
     }
+
+    @Test
+    void anAnswerThatStopsShortIsNotWaitedForWhereThatIsAsked() throws Exception {
+        client.stalledAfter(100_000);
+        call(client);
+        Socket first = server.accept();
+        read(first);
+        for (int i = 0; i < 6; i++) {             // slow, yet it moves
+            first.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n".substring(6 * i, 6 * i + 6).getBytes());
+            Thread.sleep(30);
+        }
+        assertEquals(0, ends.size(), "still on its way");
+        assertEquals("MALFORMED", end());
+        org.junit.jupiter.api.Assertions.assertThrows(java.net.SocketException.class, () -> first.getInputStream().read(),
+                "its connection is of no more use");
+    }
 }
