Silence tells of a lost invoker only where misses are answered; wires over HTTP share their base

There calls wait for loads at the invoker, also those believed warm, so eight runs without a word are usual; taking them back adds their repeats to the jam. Where misses are answered nothing waits there but a run.

--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -685,12 +685,14 @@
     /**
      * Guards calls against an invoker that takes them and gives no sign (a machine or zone cut off): with
      * several out, or after a failed connection, silence far beyond their run is not theirs. What may be
-     * repeated is taken back and estimated anew. It can hurt where an invoker only stalls: its work is lost.
+     * repeated is taken back and estimated anew. It can hurt where an invoker only stalls: its work is lost;
+     * and where calls wait for loads at invokers silence says nothing, so only where misses are answered.
      */
     private void silent(Worker w) {
         double quiet = Math.max(SILENCE, SILENT_RUNS * meanRun * Math.max(1, w.slowness));
         boolean several = w.warmOut >= SILENT_OUT || w.warmOut > 0 && w.strikes > 0;
-        if (!several || now - w.quietSince <= quiet || !settings.limits().cancel()) {
+        boolean tells = settings.loading().missAnswers() && settings.limits().cancel();
+        if (!several || now - w.quietSince <= quiet || !tells) {
             return;
         }
         w.quietSince = now;
--- a/src/main/java/waytrestle/cli/Cli.java
+++ b/src/main/java/waytrestle/cli/Cli.java
@@ -11,7 +11,7 @@
         description = "A gateway that runs calls on invokers which load functions on demand.",
         subcommands = {ServeCommand.class, CheckConfigCommand.class, PlayCommand.class, AuditCommand.class,
             DemoCommand.class, LoadCommand.class, MeasureCommand.class, GoodputCommand.class, EmulateCommand.class,
-            FaultsCommand.class, HuntCommand.class, Cli.WireHostCommand.class})
+            FaultsCommand.class, HuntCommand.class, Cli.WireHostCommand.class, Cli.PlatformCommand.class})
 public final class Cli implements Callable<Integer> {
     /** Named here for the help alone; the program starts it before this command line is loaded. */
     @Command(name = "wirehost", description = "Speak the bench's wire on standard input and output.")
@@ -23,6 +23,16 @@
         }
     }
 
+    /** Named here for the help alone, as above. */
+    @Command(name = "platform", description = "Run the platform's controller; BALANCER_CONFIG names its configuration.")
+    static final class PlatformCommand implements Callable<Integer> {
+        @Override
+        public Integer call() throws InterruptedException {
+            waytrestle.gateway.platform.Node.main(new String[] {"platform"});
+            return 0;
+        }
+    }
+
     public static void main(String[] args) {
         System.exit(run(args, new PrintWriter(System.out, true), new PrintWriter(System.err, true)));
     }
--- a/src/main/java/waytrestle/gateway/SocketHost.java
+++ b/src/main/java/waytrestle/gateway/SocketHost.java
@@ -46,13 +46,12 @@
         return new Link(invoker, lost);
     }
 
-    private final class Link implements Wire {
-        private final HttpClient client;
+    private final class Link extends HttpWire {
         private final InferProtocol protocol;
 
         private Link(String id, Runnable lost) {
-            client = new HttpClient(loop, GatewayConfig.parse(id), bounds, config.invokers().maxConnections(),
-                    config.module().limits().connectTimeoutMicros(), config.invokers().idleMicros(), held).lost(lost);
+            super(new HttpClient(loop, GatewayConfig.parse(id), bounds, config.invokers().maxConnections(),
+                    config.module().limits().connectTimeoutMicros(), config.invokers().idleMicros(), held).lost(lost));
             protocol = new InferProtocol(id, config.module().me());
         }
 
@@ -61,22 +60,14 @@
             ByteBuffer[] request = in.jsonBytes() >= 0
                     ? protocol.passed(in.function(), id, attempt, in.payload(), in.jsonBytes())
                     : protocol.infer(in.function(), id, attempt, in.contentType(), in.payload());
-            HttpClient.Call exchange = client.call(within, new HttpClient.Handler() {
-                @Override
-                public void answered(HttpMessage m) {
-                    Served served = m.status() != 200 ? null
-                            : in.jsonBytes() >= 0 ? InferProtocol.whole(m) : InferProtocol.answer(m, id);
-                    String type = m.header("content-type");
-                    ended.ended(new Came(m.status() != 200 ? new Reply(How.STATUS, m.status())
-                            : Reply.of(served == null ? How.UNREADABLE : How.ANSWER), served,
-                            type == null ? "application/octet-stream" : type, m.content(), metrics(m)));
-                }
-
-                @Override
-                public void broken(HttpClient.Break how, String why) {
-                    ended.ended(Came.of(of(how)));
-                }
-            }, request);
+            HttpClient.Call exchange = exchange(within, m -> {
+                Served served = m.status() != 200 ? null
+                        : in.jsonBytes() >= 0 ? InferProtocol.whole(m) : InferProtocol.answer(m, id);
+                String type = m.header("content-type");
+                ended.ended(new Came(m.status() != 200 ? new Reply(How.STATUS, m.status())
+                        : Reply.of(served == null ? How.UNREADABLE : How.ANSWER), served,
+                        type == null ? "application/octet-stream" : type, m.content(), metrics(m)));
+            }, how -> ended.ended(Came.of(how)), request);
             return exchange::cancel;
         }
 
@@ -84,36 +75,15 @@
             return LoadMetrics.read(m.header(LoadMetrics.HEADER));
         }
 
-        /** The line is the first byte of the request: before it the invoker cannot have run anything. */
-        private How of(HttpClient.Break how) {
-            return switch (how) {
-                case NO_CONNECTION, BEFORE_FIRST_BYTE -> How.UNREACHED;
-                case AFTER_FIRST_BYTE -> How.CUT;
-                case MALFORMED -> How.UNREADABLE;  // something answered; whether it ran is unknown
-                case TIMEOUT -> How.TIMEOUT;
-                case CANCELLED -> How.CANCELLED;
-                case NO_ROOM -> How.NO_ROOM;
-            };
-        }
-
         private interface Copies {
             int of(HttpMessage m);
         }
 
         private void ask(long within, Copies copies, Told told, ByteBuffer... request) {
-            client.call(within, new HttpClient.Handler() {
-                @Override
-                public void answered(HttpMessage m) {
-                    boolean ok = m.status() == 200;
-                    told.told(ok ? Reply.of(How.ANSWER) : new Reply(How.STATUS, m.status()), ok ? copies.of(m) : 0,
-                            metrics(m));
-                }
-
-                @Override
-                public void broken(HttpClient.Break how, String why) {
-                    told.told(Reply.of(of(how)), 0, LoadMetrics.NONE);
-                }
-            }, request);
+            exchange(within, m -> {
+                boolean ok = m.status() == 200;
+                told.told(ok ? Reply.of(How.ANSWER) : new Reply(How.STATUS, m.status()), ok ? copies.of(m) : 0, metrics(m));
+            }, how -> told.told(Reply.of(how), 0, LoadMetrics.NONE), request);
         }
 
         @Override
@@ -137,20 +107,5 @@
         public void probe(long within, Told told) {
             ask(within, m -> 0, told, protocol.ready());
         }
-
-        @Override
-        public void closeIdle() {
-            client.closeIdle();
-        }
-
-        @Override
-        public void close() {
-            client.close();
-        }
-
-        @Override
-        public int connections() {
-            return client.open();
-        }
     }
 }
--- a/src/main/java/waytrestle/gateway/platform/PlatformHost.java
+++ b/src/main/java/waytrestle/gateway/platform/PlatformHost.java
@@ -10,10 +10,10 @@
 import waytrestle.ControlApi.Settings;
 import waytrestle.calls.Intake.Incoming;
 import waytrestle.gateway.Host;
+import waytrestle.gateway.HttpWire;
 import waytrestle.http.Held;
 import waytrestle.http.HttpClient;
 import waytrestle.http.HttpLimits;
-import waytrestle.http.HttpMessage;
 import waytrestle.http.Slots;
 import waytrestle.invoker.LoadMetrics;
 import waytrestle.invoker.platform.FetchProtocol;
@@ -24,6 +24,8 @@
 /** The platform's invokers over sockets, on the controller's loop; all connections to them share one bound. */
 final class PlatformHost implements Host {
     private static final int ANSWER = 1 << 20;       // bytes of one answer: far over what a call may bring
+    private static final HttpLimits LIMITS = new HttpLimits(HttpLimits.DEFAULT.startLineBytes(),
+            HttpLimits.DEFAULT.headerCount(), HttpLimits.DEFAULT.headerBytes(), ANSWER, 0, 0, 0, 0);
     private static final long ANSWERS = 8 << 20;     // bytes of all that are being read: a fraction of the memory
     private static final long STALL = 250_000;       // micros without a byte within an answer: these are small, and sent
                                                      // at once when their call has run
@@ -68,26 +70,12 @@
         return new Link(addresses.get(invoker));
     }
 
-    private static How of(HttpClient.Break how) {
-        return switch (how) {
-            case NO_CONNECTION, BEFORE_FIRST_BYTE -> How.UNREACHED;
-            case AFTER_FIRST_BYTE -> How.CUT;
-            case MALFORMED -> How.UNREADABLE;
-            case TIMEOUT -> How.TIMEOUT;
-            case CANCELLED -> How.CANCELLED;
-            case NO_ROOM -> How.NO_ROOM;
-        };
-    }
-
-    private final class Link implements Wire {
-        private final HttpClient client;
+    private final class Link extends HttpWire {
         private final FetchProtocol protocol;
 
         private Link(InetSocketAddress at) {
-            HttpLimits d = HttpLimits.DEFAULT;
-            client = new HttpClient(loop, at, new HttpLimits(d.startLineBytes(), d.headerCount(), d.headerBytes(), ANSWER,
-                    0, 0, 0, 0), Integer.MAX_VALUE, settings.limits().connectTimeoutMicros(), idleMicros, held)
-                    .within(slots).stalledAfter(STALL);
+            super(new HttpClient(loop, at, LIMITS, Integer.MAX_VALUE, settings.limits().connectTimeoutMicros(),
+                    idleMicros, held).within(slots).stalledAfter(STALL));
             protocol = new FetchProtocol(at.getAddress().getHostAddress() + ":" + at.getPort(),
                     settings.loading().tellsCompany());
         }
@@ -95,34 +83,18 @@
         @Override
         public Runnable infer(Incoming in, String id, int attempt, long within, Ended ended) {
             List<RequestClass> classes = settings.classes();
-            HttpClient.Call exchange = client.call(within, new HttpClient.Handler() {
-                @Override
-                public void answered(HttpMessage m) {
-                    Reply reply = FetchProtocol.reply(m);
-                    ended.ended(new Came(reply, reply.how() == How.ANSWER ? FetchProtocol.served(m) : null, "",
-                            m.content(), protocol.told(m)));
-                }
-
-                @Override
-                public void broken(HttpClient.Break how, String why) {
-                    ended.ended(Came.of(of(how)));
-                }
-            }, protocol.fetch(classes.get(in.requestClass()).name(), id, in.function(), within, in.payload()));
+            HttpClient.Call exchange = exchange(within, m -> {
+                Reply reply = FetchProtocol.reply(m);
+                ended.ended(new Came(reply, reply.how() == How.ANSWER ? FetchProtocol.served(m) : null, "", m.content(),
+                        protocol.told(m)));
+            }, how -> ended.ended(Came.of(how)), protocol.fetch(classes.get(in.requestClass()).name(), id, in.function(),
+                    within, in.payload()));
             return exchange::cancel;
         }
 
         private void ask(long within, ByteBuffer request, Told told) {
-            client.call(within, new HttpClient.Handler() {
-                @Override
-                public void answered(HttpMessage m) {
-                    told.told(FetchProtocol.reply(m), FetchProtocol.units(m), protocol.told(m));
-                }
-
-                @Override
-                public void broken(HttpClient.Break how, String why) {
-                    told.told(Reply.of(of(how)), 0, LoadMetrics.NONE);
-                }
-            }, request);
+            exchange(within, m -> told.told(FetchProtocol.reply(m), FetchProtocol.units(m), protocol.told(m)),
+                    how -> told.told(Reply.of(how), 0, LoadMetrics.NONE), request);
         }
 
         @Override
@@ -139,20 +111,5 @@
         public void probe(long within, Told told) {
             ask(within, protocol.probe(settings.reports() == Reports.PROBES), told);
         }
-
-        @Override
-        public void closeIdle() {
-            client.closeIdle();
-        }
-
-        @Override
-        public void close() {
-            client.close();
-        }
-
-        @Override
-        public int connections() {
-            return client.open();
-        }
     }
 }
