--- a/src/main/java/waytrestle/gateway/platform/Node.java
+++ b/src/main/java/waytrestle/gateway/platform/Node.java
@@ -41,6 +41,8 @@
     private static final long FRESH = 2_000_000;     // micros from a connection to its first whole request
     private static final long TAKING = 800_000;      // micros after TERM in which calls still come
     private static final long LOOK = 10_000;         // micros between looks at what is still open after that
+    private static final int READS = 10;             // of a configuration that is not whole yet ...
+    private static final long READ_PAUSE = 200;      // ... milliseconds apart: two seconds, half of what HUP allows
     private static final long FLUSH = 100_000;       // micros at the end for last answers to leave
 
     private final PlatformConfig config;
@@ -161,13 +163,25 @@
         return known.micros();
     }
 
-    /** A new configuration: the notice board may be elsewhere. One that cannot be read changes nothing. */
+    /**
+     * A new configuration: the notice board may be elsewhere. One that cannot be read changes nothing and is read again
+     * a few times, for it may be half written. Called from any thread: the file is read there and not on the loop.
+     */
     void reload(Path file) {
-        try {
-            PlatformConfig read = PlatformConfig.read(file);
-            loop.execute(() -> board.moved(read.board()));
-        } catch (PlatformConfig.Wrong e) {
-            watch.said("the configuration stays as it was: " + e.getMessage());
+        for (int i = 0; i < READS; i++) {
+            try {
+                PlatformConfig read = PlatformConfig.read(file);
+                loop.execute(() -> board.moved(read.board()));
+                return;
+            } catch (PlatformConfig.Wrong e) {
+                loop.execute(() -> watch.said("the configuration stays as it was: " + e.getMessage()));
+            }
+            try {
+                Thread.sleep(READ_PAUSE);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
         }
     }
 
--- a/src/test/java/waytrestle/gateway/platform/NodeTest.java
+++ b/src/test/java/waytrestle/gateway/platform/NodeTest.java
@@ -153,8 +153,14 @@
             bed.node.reload(bed.file);
             NodeBed.until(() -> other.asked.contains("watch 2"), "the new address was not asked");
             Files.writeString(bed.file, "{\"board\":");
-            bed.node.reload(bed.file);
+            Thread reading = new Thread(() -> bed.node.reload(bed.file));
+            reading.start();
             assertEquals(200, status(bed.ask(NodeBed.call("read", id(1), "", "x"))), "a torn file changes nothing");
+            try (NodeBed.Board third = bed.new Board()) {
+                Files.writeString(bed.file, bed.json(third));
+                NodeBed.until(() -> third.asked.contains("watch 2"), "once whole it is read");
+                reading.join();
+            }
         }
     }
 
