--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -291,8 +291,10 @@
         double estimate = estimate(call.function, best, false);
         estimated = (long) estimate;
         double soonest = estimate - (1 - QUICK) * runAt(call.function, best);
-        boolean late = soonest > call.deadline - now;
-        boolean guessed = misses && coldBest && call.attempts.isEmpty();
+        long left = call.deadline - now;
+        boolean late = soonest > left;
+        boolean guessed = misses && coldBest && call.attempts.isEmpty()
+                && soonest - load(call.function, best, false) <= left;
         boolean hopeless = late && !(guessed && random.nextDouble() < ASK) || jammed(call, best);
         if (hopeless && mayRefuse(call)) {
             Worker more = coldBest ? best : uncrowded(call);
@@ -890,10 +892,12 @@
 
     /**
      * Guards against orders whose connection broke: one that came whole stands all the same, and what stood
-     * before still does, so it is asked for again where it was; at a process that has ended that fails.
+     * before still does, so it is asked for again where it was; at a process that has ended that fails, and
+     * where connections break in a row the pause ends it.
      */
     private void again(Worker w, Function f, Copy copy) {
-        if (!order(w, f, copy.count) && copy.out == 0 && copy.loadingSince > 0) {
+        boolean asked = !paused(w) && order(w, f, copy.count);
+        if (!asked && copy.out == 0 && copy.loadingSince > 0) {
             drop(w, f, copy);
         }
     }
--- a/src/main/java/waytrestle/gateway/Controller.java
+++ b/src/main/java/waytrestle/gateway/Controller.java
@@ -537,6 +537,7 @@
                 boolean gone = !listed.contains(each.getKey());
                 if (gone) {
                     each.getValue().close();
+                    watch.forgotten(each.getKey());
                 }
                 return gone;
             });
--- a/src/main/java/waytrestle/gateway/SocketHost.java
+++ b/src/main/java/waytrestle/gateway/SocketHost.java
@@ -16,14 +16,13 @@
 import waytrestle.net.Loop;
 
 /** Invokers over sockets: the Open Inference Protocol on kept connections, on the controller's loop. */
-final class SocketHost implements Host {
-    private final Loop loop;
+final class SocketHost extends LoopHost {
     private final GatewayConfig config;
     private final HttpLimits bounds;
     private final Held held;
 
     SocketHost(Loop loop, GatewayConfig config) {
-        this.loop = loop;
+        super(loop);
         this.config = config;
         this.held = new Held(config.invokers().allAnswerBytes());
         HttpLimits d = HttpLimits.DEFAULT;
@@ -31,16 +30,6 @@
                 config.invokers().answerBytes(), 0, 0, 0, 0);
     }
 
-    @Override
-    public long now() {
-        return Loop.now();
-    }
-
-    @Override
-    public void after(long micros, Runnable task) {
-        loop.after(micros, task);
-    }
-
     @Override
     public Wire open(String invoker, Runnable lost) {
         return new Link(invoker, lost);
--- a/src/main/java/waytrestle/gateway/platform/Node.java
+++ b/src/main/java/waytrestle/gateway/platform/Node.java
@@ -4,8 +4,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import waytrestle.Control;
 import waytrestle.ControlApi.Invoker;
@@ -41,6 +43,8 @@
     private static final long FRESH = 2_000_000;     // micros from a connection to its first whole request
     private static final long TAKING = 800_000;      // micros after TERM in which calls still come
     private static final long LOOK = 10_000;         // micros between looks at what is still open after that
+    private static final int FAULTS = 10;            // failed decisions that are said to be many ...
+    private static final long FAULTS_SPAN = 1_000_000;  // ... within these micros
     private static final int READS = 10;             // of a configuration that is not whole yet ...
     private static final long READ_PAUSE = 200;      // ... milliseconds apart: two seconds, half of what HUP allows
     private static final long FLUSH = 100_000;       // micros at the end for last answers to leave
@@ -51,7 +55,6 @@
     private final Loop loop;
     private final PlatformHost host;
     private final Map<String, Born> born = new HashMap<>();
-    private final List<Invoker> listed = new ArrayList<>();
     private Controller controller;
     private DoFront front;
     private HttpServer server;
@@ -88,15 +91,13 @@
         Desk desk = new Desk(s.classes(), s.limits().maxOpen(), s.tickMicros(), new IdMemory(
                 new IdMemory.Bounds(0, 0, 0), 0), Gate.OPEN, s.limits().cancel());
         Controller.Parts parts = new Controller.Parts(s, new Control(s, config.seed()), desk, new Proof(), Gate.OPEN,
-                function -> Facts.NONE, new FaultRule(10, 1_000_000));
+                function -> Facts.NONE, new FaultRule(FAULTS, FAULTS_SPAN));
         controller = new Controller(host, parts, wallMillis, watch, AccessLog.OFF, new Controller.Outside() {
             @Override
             public void subscribe(boolean on) { }    // the board tells all there is, asked or not
 
             @Override
-            public void fetchList() {
-                controller.invokers(new InvokerList(true, true, List.copyOf(listed)));
-            }
+            public void fetchList() { }
 
             @Override
             public void tellPeer(int peer, byte[] message) {
@@ -131,16 +132,13 @@
                 host.at(h.id(), h.at());
             }
         }
+        controller.invokers(new InvokerList(notice.whole(), false, entries));
         if (notice.whole()) {
-            listed.clear();
+            Set<String> ids = new HashSet<>();
+            entries.forEach(each -> ids.add(each.id()));
+            host.only(ids);
+            born.keySet().retainAll(ids);
         }
-        for (Invoker each : entries) {
-            listed.removeIf(i -> i.id().equals(each.id()));
-            if (each.state() != State.GONE) {
-                listed.add(each);
-            }
-        }
-        controller.invokers(new InvokerList(notice.whole(), false, entries));
         for (Notice.Host h : notice.hosts()) {
             if (h.state() == State.GONE) {
                 host.at(h.id(), null);
--- a/src/main/java/waytrestle/gateway/platform/PlatformHost.java
+++ b/src/main/java/waytrestle/gateway/platform/PlatformHost.java
@@ -5,12 +5,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import waytrestle.ControlApi.Reports;
 import waytrestle.ControlApi.RequestClass;
 import waytrestle.ControlApi.Settings;
 import waytrestle.calls.Intake.Incoming;
-import waytrestle.gateway.Host;
 import waytrestle.gateway.HttpWire;
+import waytrestle.gateway.LoopHost;
 import waytrestle.http.Held;
 import waytrestle.http.HttpClient;
 import waytrestle.http.HttpLimits;
@@ -22,7 +23,7 @@
 import waytrestle.outcomes.Reply.How;
 
 /** The platform's invokers over sockets, on the controller's loop; all connections to them share one bound. */
-final class PlatformHost implements Host {
+final class PlatformHost extends LoopHost {
     private static final int ANSWER = 1 << 20;       // bytes of one answer: far over what a call may bring
     private static final HttpLimits LIMITS = new HttpLimits(HttpLimits.DEFAULT.startLineBytes(),
             HttpLimits.DEFAULT.headerCount(), HttpLimits.DEFAULT.headerBytes(), ANSWER, 0, 0, 0, 0);
@@ -32,7 +33,6 @@
     private static final double KEEP = 0.8;          // of the time after which invokers close idle connections
     private static final long KEEP_UNTOLD = 4_000_000;  // micros, where that is not told: below the usual five seconds
 
-    private final Loop loop;
     private final Settings settings;
     private final Slots slots;
     private final Held held = new Held(ANSWERS);
@@ -40,7 +40,7 @@
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
 
     PlatformHost(Loop loop, Settings settings, long idleMicros, int connections) {
-        this.loop = loop;
+        super(loop);
         this.settings = settings;
         this.slots = new Slots(connections);
         this.idleMicros = idleMicros > 0 ? (long) (KEEP * idleMicros) : KEEP_UNTOLD;
@@ -55,14 +55,9 @@
         }
     }
 
-    @Override
-    public long now() {
-        return Loop.now();
-    }
-
-    @Override
-    public void after(long micros, Runnable task) {
-        loop.after(micros, task);
+    /** Forgets where all others are. */
+    void only(Set<String> invokers) {
+        addresses.keySet().retainAll(invokers);
     }
 
     @Override
--- a/src/main/java/waytrestle/http/HttpClient.java
+++ b/src/main/java/waytrestle/http/HttpClient.java
@@ -312,7 +312,7 @@
                     : connection.written() == writtenBefore ? Break.BEFORE_FIRST_BYTE : Break.AFTER_FIRST_BYTE;
             // Nothing was sent, and nobody refused: it tells of this connection alone, as any client takes it.
             boolean refused = why instanceof ConnectException || why instanceof SocketTimeoutException;
-            if (how != Break.AFTER_FIRST_BYTE && !refused && broken.begun < ANEW) {
+            if (how != Break.AFTER_FIRST_BYTE && !refused && !closed && broken.begun < ANEW) {
                 broken.link = null;
                 loop.after(0, () -> {
                     if (!broken.over) {
--- a/src/test/java/waytrestle/ControlTest.java
+++ b/src/test/java/waytrestle/ControlTest.java
@@ -579,6 +579,12 @@
         assertEquals(to, order.invoker());
         List<Action> out = bed.feed(new OrderEnded(to, "f", Code.RESET, 5_000, 0));
         assertEquals(to, one(out, Order.class).invoker());
+        int orders = 1;
+        for (; orders < 100 && every(out, Order.class).size() == 1; orders++) {
+            out = bed.feed(new OrderEnded(to, "f", Code.RESET, 5_000, 0));
+        }
+        assertTrue(orders < 10, "not for ever: " + orders);
+        bed.now += 10_000_000;
         out = bed.feed(new OrderEnded(to, "f", Code.CONNECT_FAILED, 5_000, 0));
         assertTrue(every(out, Order.class).isEmpty(), "at a process that has ended it is not");
     }
--- a/src/test/java/waytrestle/gateway/platform/NodeTest.java
+++ b/src/test/java/waytrestle/gateway/platform/NodeTest.java
@@ -196,7 +196,8 @@
             assertEquals(200, status(bed.ask(NodeBed.call("read", id(i), "", "x"))));
         }
         for (Socket s : silent) {
-            assertTrue(s.getInputStream().readAllBytes().length >= 0, "ended by the node within its bound");
+            String said = new String(s.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);  // throws if not ended
+            assertTrue(said.isEmpty() || said.startsWith("HTTP/1.1 503 "), said);
             s.close();
         }
     }
