--- a/src/main/java/waytrestle/calls/Intake.java
+++ b/src/main/java/waytrestle/calls/Intake.java
@@ -25,6 +25,9 @@
     /** Hears the end, on the loop, possibly within {@link #accept}. */
     interface Client {
         void ended(End end);
+
+        /** Asked before something is begun for it: one that has gone unseen is to be told as having left, now. */
+        default void look() { }
     }
 
     /** Held by the front while the call is open. */
--- a/src/main/java/waytrestle/front/platform/DoFront.java
+++ b/src/main/java/waytrestle/front/platform/DoFront.java
@@ -117,9 +117,17 @@
             throw new Unfit(409, "a call of this id is open");
         }
         Intake.Ticket ticket = intake.accept(new Intake.Incoming(kind, -1, function, null, 0,
-                millis * 1_000 - (Loop.now() - e.since()), "", m.content(), -1, facts, id), end -> {
-                    open.remove(id);
-                    answer(e, end);
+                millis * 1_000 - (Loop.now() - e.since()), "", m.content(), -1, facts, id), new Intake.Client() {
+                    @Override
+                    public void ended(End end) {
+                        open.remove(id);
+                        answer(e, end);
+                    }
+
+                    @Override
+                    public void look() {
+                        e.look();
+                    }
                 });
         if (e.open()) {
             e.whenGone(() -> {
--- a/src/main/java/waytrestle/gateway/Controller.java
+++ b/src/main/java/waytrestle/gateway/Controller.java
@@ -90,11 +90,13 @@
         final long id, deadline;
         final Incoming call;
         final Facts function;
+        final Client client;      // who began it
         final List<Attempt> attempts = new ArrayList<>(2);
         int out;
         boolean over, answered;
 
-        OpenCall(long id, long deadline, Incoming call, Facts function) {
+        OpenCall(long id, long deadline, Incoming call, Client client, Facts function) {
+            this.client = client;
             this.function = function;
             this.id = id;
             this.deadline = deadline;
@@ -233,7 +235,7 @@
         Waiting waiting = clients.get(a.waiter());
         Incoming call = waiting.call();
         Facts f = call.facts() != null ? call.facts() : functions.apply(call.function());
-        OpenCall made = new OpenCall(a.call(), host.now() + a.timeLeftMicros(), call, f);
+        OpenCall made = new OpenCall(a.call(), host.now() + a.timeLeftMicros(), call, waiting.client(), f);
         calls.put(made.id, made);
         ration.taken(host.now());
         clients.put(a.waiter(), new Waiting(waiting.client(), call, waiting.since(), made));
@@ -421,6 +423,16 @@
             work();
         }
 
+        /**
+         * Its connection may have come up late, or the loop been busy: nothing begins for a client that has gone, also
+         * where what is out may not be cancelled, nor at an invoker that has been told to end meanwhile.
+         */
+        @Override
+        public Reply.How withdrawn() {
+            call.client.look();
+            return call.over ? Reply.How.CANCELLED : ready.contains(invoker) ? null : Reply.How.NO_ROOM;
+        }
+
         /** The desk first (is anybody owed an answer?), then the module. */
         void judged(Verdict verdict, Told told) {
             call.out--;
@@ -564,6 +576,14 @@
         work();
     }
 
+    /** An invoker is at another address now: its next list entry opens a way there, what is out at the old one ends. */
+    public void moved(String invoker) {
+        Host.Wire link = links.remove(invoker);
+        if (link != null) {
+            link.close();
+        }
+    }
+
     private final java.util.HashSet<String> ready = new java.util.HashSet<>();
 
     private void states(InvokerList list) {
--- a/src/main/java/waytrestle/gateway/Host.java
+++ b/src/main/java/waytrestle/gateway/Host.java
@@ -27,6 +27,11 @@
     /** Hears how an attempt ended, once and never within the call that began it. */
     interface Ended {
         void ended(Came came);
+
+        /** Asked before the first byte is sent, which may be late: how the attempt ends instead, or null to send it. */
+        default Reply.How withdrawn() {
+            return null;
+        }
     }
 
     /** Hears how an order or a probe ended; copies that stand, where that was asked. */
--- a/src/main/java/waytrestle/gateway/HttpWire.java
+++ b/src/main/java/waytrestle/gateway/HttpWire.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import waytrestle.http.HttpClient;
 import waytrestle.http.HttpMessage;
 import waytrestle.outcomes.Reply.How;
@@ -17,7 +18,17 @@
     /** One request and its one end: a whole message, or how it broke. */
     protected final HttpClient.Call exchange(long within, Consumer<HttpMessage> answered, Consumer<How> broken,
             ByteBuffer... request) {
-        return client.call(within, new HttpClient.Handler() {
+        return exchange(within, () -> null, answered, broken, request);
+    }
+
+    /** The same; before its first byte it may still be withdrawn, for its caller's sake or the invoker's. */
+    protected final HttpClient.Call exchange(long within, Supplier<How> withdrawn, Consumer<HttpMessage> answered,
+            Consumer<How> broken, ByteBuffer... request) {
+        HttpClient.Withdrawal withdrawal = () -> {
+            How how = withdrawn.get();
+            return how == null ? null : how == How.CANCELLED ? HttpClient.Break.CANCELLED : HttpClient.Break.NO_ROOM;
+        };
+        return client.call(within, withdrawal, new HttpClient.Handler() {
             @Override
             public void answered(HttpMessage m) {
                 answered.accept(m);
--- a/src/main/java/waytrestle/gateway/PeerLink.java
+++ b/src/main/java/waytrestle/gateway/PeerLink.java
@@ -20,11 +20,11 @@
     private static final int MARK = 0x77747231;
 
     private final int me;
-    private final Map<Integer, InetSocketAddress> peers;
+    private Map<Integer, InetSocketAddress> peers;
     private final DatagramChannel channel;
     private final ByteBuffer in = ByteBuffer.allocate(MOST + 9);
     private final boolean framed;
-    private final InetSocketAddress all;
+    private InetSocketAddress all;
     private long dropped;
 
     PeerLink(Loop loop, int me, InetSocketAddress listen, Map<Integer, InetSocketAddress> peers,
@@ -85,6 +85,12 @@
         dropped++;
     }
 
+    /** The others are at these addresses from now on. */
+    public void moved(Map<Integer, InetSocketAddress> to, InetSocketAddress toAll) {
+        peers = to;
+        all = toAll;
+    }
+
     long dropped() {
         return dropped;
     }
--- a/src/main/java/waytrestle/gateway/SocketHost.java
+++ b/src/main/java/waytrestle/gateway/SocketHost.java
@@ -49,7 +49,7 @@
             ByteBuffer[] request = in.jsonBytes() >= 0
                     ? protocol.passed(in.function(), id, attempt, in.payload(), in.jsonBytes())
                     : protocol.infer(in.function(), id, attempt, in.contentType(), in.payload());
-            HttpClient.Call exchange = exchange(within, m -> {
+            HttpClient.Call exchange = exchange(within, ended::withdrawn, m -> {
                 Served served = m.status() != 200 ? null
                         : in.jsonBytes() >= 0 ? InferProtocol.whole(m) : InferProtocol.answer(m, id);
                 String type = m.header("content-type");
--- a/src/main/java/waytrestle/gateway/platform/Node.java
+++ b/src/main/java/waytrestle/gateway/platform/Node.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import waytrestle.Control;
 import waytrestle.ControlApi.Invoker;
@@ -60,6 +62,8 @@
     private HttpServer server;
     private BoardLink board;
     private PeerLink peers;
+    private final AtomicLong reloads = new AtomicLong();
+    private long reloaded;       // number of the reading that counts
     private boolean stopping;
 
     /** A told start, and the same moment on the loop's clock. */
@@ -120,7 +124,7 @@
                     controller::peerSaid);
         }
         server = new HttpServer(loop, config.listen(), HTTP, Doorkeeper.upTo(clients), front)
-                .freshWithin(FRESH).yielding();
+                .freshWithin(FRESH).yielding().oneAtATime();
         loop.execute(board::start);
     }
 
@@ -128,8 +132,8 @@
         List<Invoker> entries = new ArrayList<>(notice.hosts().size());
         for (Notice.Host h : notice.hosts()) {
             entries.add(new Invoker(h.id(), h.zone(), h.cell(), h.kind(), h.state(), h.weight(), upSince(h)));
-            if (h.state() != State.GONE) {
-                host.at(h.id(), h.at());
+            if (h.state() != State.GONE && host.at(h.id(), h.at())) {
+                controller.moved(h.id());
             }
         }
         controller.invokers(new InvokerList(notice.whole(), false, entries));
@@ -141,7 +145,7 @@
         }
         for (Notice.Host h : notice.hosts()) {
             if (h.state() == State.GONE) {
-                host.at(h.id(), null);
+                host.gone(h.id());
                 born.remove(h.id());
             }
         }
@@ -162,14 +166,16 @@
     }
 
     /**
-     * A new configuration: the notice board may be elsewhere. One that cannot be read changes nothing and is read again
-     * a few times, for it may be half written. Called from any thread: the file is read there and not on the loop.
+     * A new configuration: the notice board and peers may be elsewhere. One that cannot be read changes nothing and is
+     * read again a few times, for it may be half written. Called from any thread: the file is read there and not on the
+     * loop. Of two readings at once the one that was asked for last counts, whichever ends last.
      */
     void reload(Path file) {
+        long number = reloads.incrementAndGet();
         for (int i = 0; i < READS; i++) {
             try {
                 PlatformConfig read = PlatformConfig.read(file);
-                loop.execute(() -> board.moved(read.board()));
+                loop.execute(() -> reloaded(number, read));
                 return;
             } catch (PlatformConfig.Wrong e) {
                 loop.execute(() -> watch.said("the configuration stays as it was: " + e.getMessage()));
@@ -183,6 +189,17 @@
         }
     }
 
+    private void reloaded(long number, PlatformConfig read) {
+        if (number < reloaded) {
+            return;
+        }
+        reloaded = number;
+        board.moved(read.board());
+        if (peers != null) {
+            peers.moved(read.peers(), read.peersAll());
+        }
+    }
+
     /** Goes on taking calls for as long as they are sent here, ends those that are open, then ends. */
     void stop() {
         loop.execute(() -> {
@@ -191,6 +208,7 @@
             }
             stopping = true;
             front.stopping();
+            server.closeAfterAnswers();
             loop.after(TAKING, () -> {
                 server.stopTaking();
                 server.closeIdle();
@@ -199,8 +217,9 @@
         });
     }
 
+    /** What has come in pieces, or is still being read by its client, counts as open; the server's limits bound both. */
     private void await() {
-        if (controller.open() > 0) {
+        if (controller.open() > 0 || server.busy() > 0) {
             loop.after(LOOK, this::await);
             return;
         }
@@ -223,6 +242,9 @@
             System.err.println("usage: java -jar waytrestle.jar platform, with BALANCER_CONFIG naming its configuration");
             System.exit(2);
         }
+        CompletableFuture<Node> started = new CompletableFuture<>();  // a signal may come before there is a node
+        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> started.thenAccept(n -> n.reload(Path.of(file))));
+        sun.misc.Signal.handle(new sun.misc.Signal("TERM"), signal -> started.thenAccept(Node::stop));
         Node node = null;
         try {
             node = start(PlatformConfig.read(Path.of(file)), System::currentTimeMillis, System.err);
@@ -230,9 +252,7 @@
             System.err.println("waytrestle: " + e.getMessage());
             System.exit(2);
         }
-        Node running = node;
-        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> running.reload(Path.of(file)));
-        sun.misc.Signal.handle(new sun.misc.Signal("TERM"), signal -> running.stop());
-        Runtime.getRuntime().halt(running.join(0));
+        started.complete(node);
+        Runtime.getRuntime().halt(node.join(0));
     }
 }
--- a/src/main/java/waytrestle/gateway/platform/PlatformHost.java
+++ b/src/main/java/waytrestle/gateway/platform/PlatformHost.java
@@ -30,6 +30,8 @@
     private static final long ANSWERS = 8 << 20;     // bytes of all that are being read: a fraction of the memory
     private static final long STALL = 250_000;       // micros without a byte within an answer: these are small, and sent
                                                      // at once when their call has run
+    private static final long REST = 20_000;         // micros from an answer to the next request on its connection: a
+                                                     // second answer comes milliseconds late, and no answer names its call
     private static final double KEEP = 0.8;          // of the time after which invokers close idle connections
     private static final long KEEP_UNTOLD = 4_000_000;  // micros, where that is not told: below the usual five seconds
 
@@ -46,13 +48,14 @@
         this.idleMicros = idleMicros > 0 ? (long) (KEEP * idleMicros) : KEEP_UNTOLD;
     }
 
-    /** Where an invoker is, told before the controller hears of it; null when it is gone. */
-    void at(String invoker, InetSocketAddress address) {
-        if (address == null) {
-            addresses.remove(invoker);
-        } else {
-            addresses.put(invoker, address);
-        }
+    /** Where an invoker is, told before the controller hears of it; whether it was elsewhere before. */
+    boolean at(String invoker, InetSocketAddress address) {
+        InetSocketAddress before = addresses.put(invoker, address);
+        return before != null && !before.equals(address);
+    }
+
+    void gone(String invoker) {
+        addresses.remove(invoker);
     }
 
     /** Forgets where all others are. */
@@ -70,7 +73,7 @@
 
         private Link(InetSocketAddress at) {
             super(new HttpClient(loop, at, LIMITS, Integer.MAX_VALUE, settings.limits().connectTimeoutMicros(),
-                    idleMicros, held).within(slots).stalledAfter(STALL));
+                    idleMicros, held).within(slots).stalledAfter(STALL).restingFor(REST));
             protocol = new FetchProtocol(at.getAddress().getHostAddress() + ":" + at.getPort(),
                     settings.loading().tellsCompany());
         }
@@ -78,7 +81,7 @@
         @Override
         public Runnable infer(Incoming in, String id, int attempt, long within, Ended ended) {
             List<RequestClass> classes = settings.classes();
-            HttpClient.Call exchange = exchange(within, m -> {
+            HttpClient.Call exchange = exchange(within, ended::withdrawn, m -> {
                 Reply reply = FetchProtocol.reply(m);
                 ended.ended(new Came(reply, reply.how() == How.ANSWER ? FetchProtocol.served(m) : null, "", m.content(),
                         protocol.told(m)));
--- a/src/main/java/waytrestle/http/HttpClient.java
+++ b/src/main/java/waytrestle/http/HttpClient.java
@@ -6,6 +6,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.Iterator;
 import waytrestle.net.Connection;
 import waytrestle.net.Loop;
 import waytrestle.net.TimerHeap;
@@ -18,6 +19,11 @@
     /** Where an exchange broke. */
     public enum Break { NO_CONNECTION, BEFORE_FIRST_BYTE, AFTER_FIRST_BYTE, MALFORMED, TIMEOUT, CANCELLED, NO_ROOM }
 
+    /** Before anything of a request is written: how it ends instead, or null to go on. */
+    public interface Withdrawal {
+        Break now();
+    }
+
     /** Hears of one end, on the loop and never within the call that began the exchange. */
     public interface Handler {
         void answered(HttpMessage message);
@@ -42,7 +48,7 @@
     private long youngClosedAt = Long.MIN_VALUE / 2;
     private long strays;
     private boolean closed;
-    private long stallMicros = Long.MAX_VALUE;
+    private long stallMicros = Long.MAX_VALUE, restMicros;
     private Slots slots = new Slots(Integer.MAX_VALUE);
 
     /** With no bound on all answers but those on each and on connections. */
@@ -74,6 +80,15 @@
         return this;
     }
 
+    /**
+     * A connection is not used again for so long after an answer: of a peer that answers twice the second answer would
+     * pass for that to the next request.
+     */
+    public HttpClient restingFor(long micros) {
+        restMicros = micros;
+        return this;
+    }
+
     /** Shares a bound on connections with other clients. */
     public HttpClient within(Slots shared) {
         slots = shared;
@@ -109,16 +124,27 @@
     public final class Call {
         private final ByteBuffer[] request;
         private final Handler handler;
+        private final Withdrawal withdrawal;
         private Link link;
         private TimerHeap.Timer timer;
         private boolean over;
         private int begun;
 
-        private Call(ByteBuffer[] request, Handler handler) {
+        private Call(ByteBuffer[] request, Withdrawal withdrawal, Handler handler) {
             this.request = request;
+            this.withdrawal = withdrawal;
             this.handler = handler;
         }
 
+        /** Whether it is not to be written any more, and has ended by that. */
+        private boolean withdrawn() {
+            Break how = over ? null : withdrawal.now();
+            if (how != null) {
+                end(how, "withdrawn before it was sent");
+            }
+            return over;
+        }
+
         /** Ends it as cancelled and closes its connection, which is how the peer learns of it. */
         public void cancel() {
             end(Break.CANCELLED, "cancelled");
@@ -147,12 +173,17 @@
 
     /** Sends a request; the head and body are handed over. */
     public Call call(long withinMicros, Handler handler, ByteBuffer... request) {
-        Call call = new Call(request, handler);
+        return call(withinMicros, () -> null, handler, request);
+    }
+
+    /** The same; until its first byte is written it may be withdrawn, however late a connection comes up. */
+    public Call call(long withinMicros, Withdrawal withdrawal, Handler handler, ByteBuffer... request) {
+        Call call = new Call(request, withdrawal, handler);
         call.timer = loop.after(withinMicros, () -> call.end(Break.TIMEOUT, "no answer in time"));
-        Link link = idle.pollLast();  // the last used is the least likely to have been closed by the peer
-        while (link != null && !link.fit()) {
-            link = idle.pollLast();
+        if (call.withdrawn()) {
+            return call;
         }
+        Link link = kept();
         if (link == null) {
             onNew(call);
         } else {
@@ -163,6 +194,21 @@
         return call;
     }
 
+    /** The last used that has rested is the least likely to have been closed by the peer; null without one. */
+    private Link kept() {
+        long now = Loop.now();
+        for (Iterator<Link> all = idle.descendingIterator(); all.hasNext();) {
+            Link link = all.next();
+            if (now - link.usedAt >= restMicros) {
+                all.remove();
+                if (link.fit()) {
+                    return link;
+                }
+            }
+        }
+        return null;
+    }
+
     private void onNew(Call call) {
         if (open >= maxConnections || !slots.take()) {
             call.end(Break.NO_ROOM, "all connections that may be made to the invoker are in use");
@@ -206,6 +252,11 @@
             }
         }
 
+        /** It came up late: what it was made for may have been withdrawn meanwhile. */
+        private boolean stillWanted() {
+            return call != null && !call.withdrawn();
+        }
+
         private void write() {
             writtenBefore = connection.written();
             ByteBuffer[] request = new ByteBuffer[call.request.length];
@@ -218,7 +269,7 @@
         @Override
         public void connected() {
             up = true;
-            if (call != null) {
+            if (stillWanted()) {
                 write();
             }
         }
@@ -311,11 +362,15 @@
             Break how = !up ? Break.NO_CONNECTION
                     : connection.written() == writtenBefore ? Break.BEFORE_FIRST_BYTE : Break.AFTER_FIRST_BYTE;
             // Nothing was sent, and nobody refused: it tells of this connection alone, as any client takes it.
+            if (why instanceof Connection.NoSocket) {
+                broken.end(Break.NO_ROOM, why.getMessage());
+                return;
+            }
             boolean refused = why instanceof ConnectException || why instanceof SocketTimeoutException;
             if (how != Break.AFTER_FIRST_BYTE && !refused && !closed && broken.begun < ANEW) {
                 broken.link = null;
                 loop.after(0, () -> {
-                    if (!broken.over) {
+                    if (!broken.withdrawn()) {
                         onNew(broken);
                     }
                 });
--- a/src/main/java/waytrestle/http/HttpServer.java
+++ b/src/main/java/waytrestle/http/HttpServer.java
@@ -44,6 +44,9 @@
     private static final long SILENT = 300_000;  // micros after which a new connection without a whole request may give
                                                  // way: those who have something to ask send it at once
 
+    private static final int LOOKS = 4;  // connections looked at to make room for one: a few that speak, not all
+    private static final long LINGER = 2_000_000;  // micros for a client to read a refusal and stop sending
+
     private final Loop loop;
     private final HttpLimits limits;
     private final Doorkeeper door;
@@ -52,7 +55,7 @@
     private final Map<Long, Peer> peers = new LinkedHashMap<>();
     private long accepted;
     private final Map<String, Long> turnedAway = new HashMap<>();
-    private boolean stopping, yields;
+    private boolean stopping, yields, oneAtATime;
     private long freshMicros = Long.MAX_VALUE;
 
     public HttpServer(Loop loop, InetSocketAddress at, HttpLimits limits, int maxConnections, Handler handler)
@@ -81,6 +84,12 @@
         return this;
     }
 
+    /** Closes connections that send so much ahead of their answer that the client's going could not be seen any more. */
+    public HttpServer oneAtATime() {
+        oneAtATime = true;
+        return this;
+    }
+
     public int port() {
         return listener.port();
     }
@@ -94,6 +103,11 @@
         return turnedAway;
     }
 
+    /** From now on every answer tells its client to come on another connection; new ones are still taken. */
+    public void closeAfterAnswers() {
+        stopping = true;
+    }
+
     /**
      * Takes no new connections. Those open stay until their next answer, which tells them to close: a call that is on
      * its way while its idle connection closes would be cut. See {@link #closeIdle} for those that send nothing more.
@@ -103,15 +117,21 @@
         listener.takeAndClose();
     }
 
-    /** Closes the connections that have nothing under way. */
+    /** Closes the connections that have nothing under way, also not in the kernel. */
     public void closeIdle() {
         for (Peer peer : List.copyOf(peers.values())) {
-            if (peer.exchange == null && peer.parser.idle()) {
+            if (peer.unused()) {
                 peer.end();
             }
         }
     }
 
+    /** Connections with something under way: a message of which pieces have come, a call, an answer still being taken. */
+    public int busy() {
+        return (int) peers.values().stream().filter(p -> !p.closing && (p.exchange != null || !p.parser.idle())
+                || p.connection.pending() > 0).count();
+    }
+
     /** Closes everything at once, as a crash would. */
     public void kill() {
         listener.close();
@@ -147,12 +167,33 @@
         }
     }
 
-    /** Closes the first that has been silent since it came, or else the one idle for longest since its last answer. */
+    /** Closes one that may give way; what it had sent meanwhile, unseen, saves it, and the next one is looked at. */
     private boolean makeRoom() {
+        for (int i = 0; i < LOOKS; i++) {
+            Peer best = leastUsed();
+            if (best == null) {
+                return false;
+            }
+            long since = best.since;
+            best.connection.poll();
+            if (!best.connection.isOpen()) {
+                return true;
+            }
+            if (best.mayGiveWay() && best.since == since) {
+                count("made_room");
+                best.end();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The first that has been silent since it came, or else the one idle for longest since its last answer. */
+    private Peer leastUsed() {
         long now = Loop.now();
         Peer best = null;
         for (Peer peer : peers.values()) {
-            if (peer.exchange != null || peer.waiting) {
+            if (!peer.mayGiveWay()) {
                 continue;
             }
             if (!peer.asked && now - peer.born > SILENT) {
@@ -163,12 +204,7 @@
                 best = peer;
             }
         }
-        if (best == null) {
-            return false;
-        }
-        count("made_room");
-        best.end();
-        return true;
+        return best;
     }
 
     /** A word to a client that finds all connections taken, as far as its socket takes it at once. */
@@ -212,6 +248,13 @@
             return !answered && peer.connection.isOpen();
         }
 
+        /** Makes sure, where the loop has been busy elsewhere, that a client that has gone is known to have. */
+        public void look() {
+            if (open()) {
+                peer.connection.pollIfBehind();
+            }
+        }
+
         /** Breaks the connection instead of answering. */
         public void reset() {
             answered = true;
@@ -277,8 +320,21 @@
             }
         }
 
+        /** Nothing is under way on it, also not in the kernel. */
+        private boolean unused() {
+            if (exchange == null && parser.idle() && !closing) {
+                connection.poll();
+            }
+            return connection.isOpen() && exchange == null && parser.idle() && connection.pending() == 0;
+        }
+
+        private boolean mayGiveWay() {
+            return exchange == null && !waiting && (!asked || parser.idle());
+        }
+
         private void stale() {
-            if (!asked && !closing) {
+            connection.poll();
+            if (!asked && !closing && connection.isOpen()) {
                 count("fresh");
                 if (parser.idle() && !waiting) {
                     end();
@@ -299,7 +355,12 @@
                 timer = loop.after(left, this::watch);
                 return;
             }
-            if (parser.idle() || connection.pending() > 0 || closing) {
+            TimerHeap.Timer before = timer;
+            if (parser.idle() && !closing && connection.pending() == 0 && !unused()) {
+                if (connection.isOpen() && timer == before) {
+                    watch();  // it spoke at the last moment
+                }
+            } else if (parser.idle() || connection.pending() > 0 || closing) {
                 count(connection.pending() > 0 ? "slow_reader" : "idle");
                 end();
             } else {
@@ -403,6 +464,15 @@
             release();
         }
 
+        @Override
+        public void crammed() {
+            if (oneAtATime) {
+                count("crammed");
+                connection.reset();
+                closed(null);
+            }
+        }
+
         private void release() {
             door.release(id, other -> {
                 Peer let = peers.get(other);
@@ -419,8 +489,9 @@
             Refusal refusal = handler.refusal(head == null ? null : head.path(), e);
             connection.send(HttpWriter.response(e.status()).header("Content-Type", refusal.type())
                     .header("Connection", "close").head(refusal.body().length), ByteBuffer.wrap(refusal.body()));
-            // A short wait lets the client read the answer before the close: a reset would discard it.
-            loop.after(Math.min(limits.writeMicros(), 200_000), this::end);
+            // What the client still sends is read and dropped for a while: a reset would discard the answer unread.
+            connection.endOutput();
+            loop.after(Math.min(limits.writeMicros(), LINGER), this::end);
         }
 
         private void answered(Exchange e, boolean last) {
--- a/src/main/java/waytrestle/net/Connection.java
+++ b/src/main/java/waytrestle/net/Connection.java
@@ -24,6 +24,9 @@
 
         default void drained() { }
 
+        /** More is kept unread than may be: reading has stopped, and the peer's going would not be seen. */
+        default void crammed() { }
+
         /** The peer closed (null), or the connection broke. */
         void closed(IOException why);
     }
@@ -31,8 +34,18 @@
     private static final int GATHER = 16;  // buffers a gathered write: more gain nothing on a socket
     private static final int SLICE = 64 * 1024;  // bytes of one buffer: the JDK copies all that is left of a heap buffer
                                                 // for each write, however little the socket takes
+    private static final long BEHIND = 50_000;  // micros: a loop behind by more looks again before it acts for a client
     private static final long TURN = 256 * 1024;  // bytes a turn: a large answer must not hold up the small ones
 
+    /** No connection was tried: this process can have no further socket now. */
+    public static final class NoSocket extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        NoSocket(Exception why) {
+            super("no socket is to be had: " + why.getMessage(), why);
+        }
+    }
+
     private final Loop loop;
     private final SocketChannel channel;
     private final int keep;
@@ -41,8 +54,8 @@
     private SelectionKey key;
     private ByteBuffer kept = EMPTY;
     private TimerHeap.Timer connectTimer;
-    private long pending, written, lastMove, offeredSince, keptSince, bornSince, bornTurn;
-    private boolean closed, closeWhenSent, offering, connecting, ended, paused;
+    private long pending, written, lastMove, offeredSince, keptSince, bornSince, bornTurn, bornBehind;
+    private boolean closed, closeWhenSent, endOutput, offering, connecting, ended, paused, accepted;
 
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
@@ -54,6 +67,7 @@
         this.lastMove = Loop.now();
         this.bornSince = loop.turnBefore();
         this.bornTurn = loop.turnAt();
+        this.bornBehind = loop.behind();
     }
 
     /** Takes over an accepted channel; the handler is made knowing its connection. */
@@ -62,6 +76,7 @@
         Late late = new Late();
         Connection made = new Connection(loop, channel, keep, late);
         late.handler = maker.apply(made);
+        made.accepted = true;
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         made.key = loop.register(channel, SelectionKey.OP_READ, made::ready);
         return made;
@@ -85,7 +100,7 @@
             return made;
         } catch (IOException | RuntimeException e) {
             Connection made = new Connection(loop, channel, keep, handler);
-            IOException why = e instanceof IOException io ? io : new IOException(e);
+            IOException why = channel == null ? new NoSocket(e) : e instanceof IOException io ? io : new IOException(e);
             loop.after(0, () -> made.fail(why));
             return made;
         }
@@ -104,6 +119,11 @@
             handler.drained();
         }
 
+        @Override
+        public void crammed() {
+            handler.crammed();
+        }
+
         @Override
         public void closed(IOException why) {
             handler.closed(why);
@@ -127,6 +147,30 @@
         }
     }
 
+    /**
+     * Takes in what the kernel holds, ahead of the loop: for whoever is about to act on this side's idleness, or for a
+     * client that may have gone. What has come is handed to the handler as ever; an end is told to it.
+     */
+    public void poll() {
+        int room = keep - kept.remaining();
+        if (closed || connecting || paused || offering || room <= 0) {
+            return;
+        }
+        try {
+            ByteBuffer in = ByteBuffer.allocate(room);  // the loop's own buffer may be in use
+            take(channel.read(in), in);
+        } catch (IOException e) {
+            fail(e);
+        }
+    }
+
+    /** The same, where the loop has been busy elsewhere for so long that it matters. */
+    public void pollIfBehind() {
+        if (loop.behind() > BEHIND) {
+            poll();
+        }
+    }
+
     /** Bytes queued and not yet taken by the kernel. */
     public long pending() {
         return pending;
@@ -203,11 +247,22 @@
         ByteBuffer in = loop.readBuffer();
         in.limit(Math.max(1, Math.min(in.capacity(), keep - kept.remaining())));
         int n = channel.read(in);
+        long behind = loop.behind() + (loop.turnBefore() == bornTurn ? bornBehind : 0);
+        if (accepted && n > 0 && in.hasRemaining() && behind > BEHIND) {
+            n = channel.read(in) < 0 ? -1 : in.position();  // who sent this may have gone since: nobody waits for it
+        }
+        take(n, in);
+    }
+
+    private void take(int n, ByteBuffer in) throws IOException {
         if (n < 0) {
             ended = true;
             fail(null);
             return;
         }
+        if (n == 0) {
+            return;
+        }
         lastMove = Loop.now();
         in.flip();
         if (kept.hasRemaining()) {
@@ -229,6 +284,9 @@
             }
         }
         interest();
+        if (!closed && kept.remaining() >= keep) {
+            handler.crammed();
+        }
     }
 
     /** Stops reading, so that the peer's sending stops too; {@link #offer} after resuming goes on. */
@@ -315,6 +373,9 @@
                 close();
                 handler.closed(null);
             } else {
+                if (endOutput) {
+                    shutOutput();
+                }
                 handler.drained();
             }
         }
@@ -330,6 +391,24 @@
         }
     }
 
+    /** Ends this side once all queued output has gone; the other may go on sending. */
+    public void endOutput() {
+        endOutput = true;
+        if (pending == 0) {
+            shutOutput();
+        }
+    }
+
+    private void shutOutput() {
+        try {
+            if (!closed) {
+                channel.shutdownOutput();
+            }
+        } catch (IOException ignored) {
+            // it broke, which the next read tells
+        }
+    }
+
     /** Closes once all queued output has gone. */
     public void closeWhenSent() {
         closeWhenSent = true;
--- a/src/main/java/waytrestle/net/Loop.java
+++ b/src/main/java/waytrestle/net/Loop.java
@@ -22,6 +22,7 @@
     }
 
     private static final int READ_BUFFER = 64 * 1024;  // bytes: one read takes what a socket usually holds
+    private static final long LONG_TURN = 10_000;  // micros: what came during a shorter one counts as just come
 
     private final String name;
     private final Selector selector;
@@ -35,6 +36,7 @@
     private volatile boolean running = true, ended, failed;
     private Thread thread;
     private long turnAt = now(), turnBefore = turnAt;
+    private boolean waited;      // in this turn's selection, so what it found had only just come
 
     /** What a handler throws is given to {@code broken}; the loop itself goes on. */
     public Loop(String name, Consumer<Throwable> broken) throws IOException {
@@ -82,6 +84,11 @@
         return turnAt;
     }
 
+    /** Micros for which something may have lain in the kernel unseen, since the loop was busy elsewhere. */
+    public long behind() {
+        return now() - (waited ? turnAt : turnBefore);
+    }
+
     /** Runs a task on the loop soon, from any thread. */
     public void execute(Runnable task) {
         handed.add(task);
@@ -163,12 +170,12 @@
         if (!handed.isEmpty()) {
             wait = 0;
         }
-        if (wait == 0 || precise && wait < 1_500) {
-            selector.selectNow();
-        } else if (wait == Long.MAX_VALUE) {
-            selector.select();
-        } else {
-            selector.select(Math.max(1, (wait + 999) / 1_000));
+        boolean atOnce = wait == 0 || precise && wait < 1_500;
+        // After a long turn a look tells what came during it from what comes during the wait.
+        int found = atOnce || now() - turnAt > LONG_TURN ? selector.selectNow() : 0;
+        waited = !atOnce && found == 0;
+        if (waited) {
+            selector.select(wait == Long.MAX_VALUE ? 0 : Math.max(1, (wait + 999) / 1_000));
         }
         turnBefore = turnAt;
         turnAt = now();
--- a/src/main/java/waytrestle/roster/board/BoardBook.java
+++ b/src/main/java/waytrestle/roster/board/BoardBook.java
@@ -67,8 +67,11 @@
     }
 
     private void line(long now, Notice notice, Actions actions) {
-        heardAt = now;
         boolean told = notice.hosts() != null;
+        if (!told && notice.number() < last) {
+            return;  // a board that is behind what was told here tells nothing: as good as silent
+        }
+        heardAt = now;
         if (notice.number() > last + (told ? 1 : 0)) {
             again(now, actions);
             return;
--- /dev/null
+++ b/src/test/java/waytrestle/gateway/platform/CrossingTest.java
@@ -0,0 +1,229 @@
+package waytrestle.gateway.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import waytrestle.http.HttpLimits;
+import waytrestle.http.HttpServer;
+
+/** Two events that meet, forced by order: what must hold is in docs/platform.md, a row for each of these. */
+class CrossingTest {
+    private NodeBed bed;
+
+    @BeforeEach
+    void make() throws Exception {
+        bed = new NodeBed();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        bed.close();
+    }
+
+    private static String id(int n) {
+        return "%016x".formatted(0x9b1f03aa5c7e0000L + n);
+    }
+
+    private static int status(String answer) {
+        return Integer.parseInt(answer.split(" ")[1]);
+    }
+
+    private static void write(Socket s, String text) throws IOException {
+        s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** The node has seen all that was sent to it before: it answers what came after that. */
+    private void passed() throws Exception {
+        for (int i = 0; i < 2; i++) {
+            assertTrue(bed.ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n").startsWith("HTTP/1.1 "));
+        }
+    }
+
+    private static String all(Socket s) throws IOException {
+        try {
+            return new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        } catch (java.net.SocketException reset) {
+            return "";
+        }
+    }
+
+    private void awaitClosedDoor() throws Exception {
+        NodeBed.until(() -> {
+            try (Socket s = bed.socket()) {
+                return false;
+            } catch (Exception closed) {
+                return true;
+            }
+        }, "it went on listening");
+    }
+
+    // ---- Shutdown. ----
+    @Test
+    void afterTermAnAnswerTellsItsClientToComeOnAnotherConnectionAndThatOneIsTaken() throws Exception {
+        bed.start();
+        try (Socket s = bed.socket()) {
+            write(s, NodeBed.call("read", id(1), "", "x"));
+            assertFalse(NodeBed.answer(s).contains("Connection: close"));
+            bed.node.stop();
+            NodeBed.until(() -> {
+                try {
+                    return status(bed.ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n")) == 503;
+                } catch (Exception e) {
+                    throw new AssertionError(e);
+                }
+            }, "TERM was not seen");
+            write(s, NodeBed.call("read", id(2), "", "x"));
+            String last = NodeBed.answer(s);
+            assertEquals(200, status(last));
+            assertTrue(last.contains("Connection: close\r\n"), last);
+            assertEquals(-1, s.getInputStream().read(), "and it closes");
+            assertEquals(200, status(bed.ask(NodeBed.call("read", id(3), "", "x"))));
+        }
+    }
+
+    @Test
+    void aRequestOfWhichOnlyPiecesCameBeforeTheEndIsAwaitedAndAnswered() throws Exception {
+        bed.start();
+        String call = NodeBed.call("book", id(1), "", "body");
+        try (Socket s = bed.socket()) {
+            write(s, call.substring(0, 60));
+            passed();
+            bed.node.stop();
+            awaitClosedDoor();
+            Thread.sleep(300);        // far beyond what a process without open calls used to stay
+            write(s, call.substring(60));
+            assertEquals(200, status(NodeBed.answer(s)));
+        }
+        assertEquals(0, bed.node.join(10_000));
+    }
+
+    @Test
+    void anAnswerThatASlowReaderHasNotTakenIsNotCutByTheEnd() throws Exception {
+        byte[] large = new byte[900_000];
+        Arrays.fill(large, (byte) 'x');
+        bed.script = e -> e.answer(200, "", large);
+        bed.start();
+        try (Socket s = new Socket()) {
+            s.setReceiveBufferSize(4_096);
+            s.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), bed.node.port()));
+            s.setSoTimeout(10_000);
+            write(s, NodeBed.call("read", id(1), "", "x"));
+            NodeBed.until(() -> bed.asked.size() == 1, "it was not passed on");
+            bed.node.stop();
+            awaitClosedDoor();
+            Thread.sleep(300);
+            String answer = NodeBed.answer(s);
+            assertEquals(large.length, answer.length() - answer.indexOf("\r\n\r\n") - 4);
+        }
+        assertEquals(0, bed.node.join(10_000));
+    }
+
+    // ---- A client that left. ----
+    @Test
+    void nothingBeginsForAClientThatLeftWhileTheConnectionToTheInvokerWasComingUp() throws Exception {
+        try (HeldDoor door = new HeldDoor()) {
+            bed.edit = s -> s.replace("127.0.0.1:" + bed.invoker.port(), "127.0.0.1:" + door.port())
+                    .replace("\"cancel\":true", "\"cancel\":false").replace("\"connect_timeout_us\":250000",
+                            "\"connect_timeout_us\":9000000");
+            bed.start();
+            try (Socket s = bed.socket()) {
+                write(s, NodeBed.call("book", id(1), "", "x"));
+                passed();
+            }
+            passed();
+            try (Socket late = door.open()) {
+                assertNotNull(late, "the connection was still coming up");
+                assertEquals("", all(late), "its client had gone");
+            }
+        }
+    }
+
+    // ---- Hand-overs. ----
+    @Test
+    void nothingBeginsAtAnInvokerThatWasToldToEndWhileTheConnectionWasComingUp() throws Exception {
+        try (HeldDoor door = new HeldDoor()) {
+            bed.edit = s -> s.replace("127.0.0.1:" + bed.invoker.port(), "127.0.0.1:" + door.port())
+                    .replace("\"connect_timeout_us\":250000", "\"connect_timeout_us\":9000000");
+            bed.start();
+            try (Socket s = bed.socket()) {
+                write(s, NodeBed.call("book", id(1), "", "x"));
+                passed();
+                bed.board.say(NodeBed.event(2, false, NodeBed.host("s-1", "Terminating", door.port()),
+                        bed.host("s-2", "Ready")));
+                try (Socket late = door.open()) {
+                    assertNotNull(late, "the connection was still coming up");
+                    assertEquals("", all(late), "the invoker was told to end before anything was sent");
+                }
+                assertEquals(200, status(NodeBed.answer(s)), "another one serves it");
+                assertEquals(1, bed.asked.size());
+            }
+        }
+    }
+
+    @Test
+    void aKnownInvokerAtANewAddressIsAskedThere() throws Exception {
+        bed.start();
+        assertEquals(200, status(bed.ask(NodeBed.call("read", id(1), "", "x"))));
+        java.util.concurrent.atomic.AtomicInteger elsewhere = new java.util.concurrent.atomic.AtomicInteger();
+        HttpServer moved = new HttpServer(bed.loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                HttpLimits.DEFAULT, 100, e -> {
+                    elsewhere.incrementAndGet();
+                    e.answer(200, "", "there".getBytes());
+                });
+        bed.board.say(NodeBed.event(2, false, NodeBed.host("s-1", "Ready", moved.port())));
+        bed.board.say(NodeBed.event(3, false, NodeBed.host("s-9", "Gone", moved.port())));
+        NodeBed.until(() -> {
+            try {
+                return bed.ask(NodeBed.call("read", id((int) System.nanoTime() & 0xffff), "", "x")).endsWith("there");
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        }, "it was asked at the address it had left");
+        int before = bed.asked.size();
+        assertTrue(bed.ask(NodeBed.call("book", id(2), "", "x")).endsWith("there"));
+        assertEquals(before, bed.asked.size());
+        assertTrue(elsewhere.get() >= 2);
+    }
+
+    // ---- List watch. ----
+    @Test
+    void ofTwoConfigurationsReadAtOnceTheLaterOneCountsThoughTheOlderIsReadLast() throws Exception {
+        bed.start();
+        NodeBed.until(() -> bed.board.asked.contains("watch 1"), "never asked");
+        Path older = Path.of(bed.file + ".older");
+        assertEquals(0, new ProcessBuilder("mkfifo", older.toString()).start().waitFor());
+        try (NodeBed.Board later = bed.new Board(); NodeBed.Board wrong = bed.new Board()) {
+            Thread reading = new Thread(() -> bed.node.reload(older));
+            reading.start();
+            try (OutputStream out = Files.newOutputStream(older)) {  // opens once the older reading has begun
+                Files.writeString(bed.file, bed.json(later));
+                bed.node.reload(bed.file);
+                NodeBed.until(() -> later.asked.contains("watch 1"), "the new address was not asked");
+                out.write(bed.json(wrong).getBytes(StandardCharsets.UTF_8));
+            }
+            reading.join(TimeUnit.SECONDS.toMillis(10));
+            passed();
+            later.say(NodeBed.event(2, false, bed.host("s-2", "Ready")));
+            later.last.close();
+            NodeBed.until(() -> later.asked.contains("watch 2") || !wrong.asked.isEmpty(), "no longer followed");
+            assertTrue(wrong.asked.isEmpty(), "the older configuration was let count");
+        } finally {
+            Files.delete(older);
+        }
+    }
+}
--- a/src/test/java/waytrestle/gateway/platform/NodeBed.java
+++ b/src/test/java/waytrestle/gateway/platform/NodeBed.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.function.UnaryOperator;
 import waytrestle.config.platform.PlatformConfig;
 import waytrestle.http.HttpLimits;
 import waytrestle.http.HttpServer;
@@ -68,6 +69,7 @@
     final Path file = Files.createTempFile("platform", ".json");
     volatile Script script = e -> e.answer(200, "", "done".getBytes());
     String sockets = "256";
+    UnaryOperator<String> edit = s -> s;     // of the configuration
     Node node;
 
     NodeBed() throws Exception {
@@ -87,7 +89,11 @@
     }
 
     String host(String id, String state) {
-        return "{\"host\":\"" + id + "\",\"dial\":\"127.0.0.1:" + invoker.port() + "\",\"site\":\"east\",\"class\":\"std\","
+        return host(id, state, invoker.port());
+    }
+
+    static String host(String id, String state, int port) {
+        return "{\"host\":\"" + id + "\",\"dial\":\"127.0.0.1:" + port + "\",\"site\":\"east\",\"class\":\"std\","
                 + "\"block\":2,\"health\":\"" + state + "\",\"share\":4,\"born_ms\":0}";
     }
 
@@ -118,7 +124,7 @@
     }
 
     NodeBed start() throws Exception {
-        Files.writeString(file, json(board));
+        Files.writeString(file, edit.apply(json(board)));
         node = Node.start(PlatformConfig.read(file), System::currentTimeMillis, System.err);
         return this;
     }
--- a/src/test/java/waytrestle/http/HttpClientTest.java
+++ b/src/test/java/waytrestle/http/HttpClientTest.java
@@ -146,4 +146,72 @@
         org.junit.jupiter.api.Assertions.assertThrows(java.net.SocketException.class, () -> first.getInputStream().read(),
                 "its connection is of no more use");
     }
+
+    @Test
+    void aSecondAnswerThatComesLateIsNotTakenForThatToTheNextRequest() throws Exception {
+        client.restingFor(200_000);
+        BlockingQueue<String> bodies = new ArrayBlockingQueue<>(10);
+        loop.execute(() -> ask(() -> null, bodies, () -> ask(() -> null, bodies, () -> { })));  // the next one at once
+        Socket first = server.accept();
+        read(first);
+        String answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n";
+        first.getOutputStream().write((answer + "one").getBytes());
+        assertEquals("one", bodies.poll(10, TimeUnit.SECONDS));
+        server.setSoTimeout(5_000);
+        Socket second = server.accept();                        // in hand before the second answer comes
+        read(second);
+        first.getOutputStream().write((answer + "one").getBytes());
+        assertEquals(-1, first.getInputStream().read(), "a connection that says more than it was asked is given up");
+        second.getOutputStream().write((answer + "two").getBytes());
+        assertEquals("two", bodies.poll(10, TimeUnit.SECONDS));
+        assertEquals(1, client.strays());
+    }
+
+    @Test
+    void aRestedConnectionIsUsedAgain() throws Exception {
+        client.restingFor(1);
+        call(client);
+        Socket only = server.accept();
+        answer(only);
+        assertEquals("answered 200", end());
+        call(client);
+        answer(only);
+        assertEquals("answered 200", end());
+    }
+
+    @Test
+    void whatIsWithdrawnBeforeItIsWrittenNeverLeaves() throws Exception {
+        BlockingQueue<String> bodies = new ArrayBlockingQueue<>(10);
+        loop.execute(() -> ask(() -> HttpClient.Break.NO_ROOM, bodies, () -> { }));
+        assertEquals("NO_ROOM", bodies.poll(10, TimeUnit.SECONDS));
+        java.util.concurrent.atomic.AtomicInteger asked = new java.util.concurrent.atomic.AtomicInteger();
+        loop.execute(() -> ask(() -> asked.getAndIncrement() == 0 ? null : HttpClient.Break.CANCELLED, bodies, () -> { }));
+        assertEquals("CANCELLED", bodies.poll(10, TimeUnit.SECONDS));
+        try (Socket s = server.accept()) {
+            assertEquals(0, received(s), "the connection came up, and nothing was sent");
+        }
+    }
+
+    private static int received(Socket s) throws Exception {
+        try {
+            return s.getInputStream().readAllBytes().length;
+        } catch (java.net.SocketException reset) {
+            return 0;
+        }
+    }
+
+    private void ask(HttpClient.Withdrawal withdrawal, BlockingQueue<String> bodies, Runnable then) {
+        client.call(3_000_000, withdrawal, new HttpClient.Handler() {
+            @Override
+            public void answered(HttpMessage m) {
+                bodies.add(new String(m.body(), StandardCharsets.US_ASCII));
+                then.run();
+            }
+
+            @Override
+            public void broken(HttpClient.Break how, String why) {
+                bodies.add(how.name());
+            }
+        }, ByteBuffer.wrap("GET / HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII)));
+    }
 }
--- a/src/test/java/waytrestle/http/HttpServerTest.java
+++ b/src/test/java/waytrestle/http/HttpServerTest.java
@@ -18,6 +18,7 @@
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -27,6 +28,7 @@
 class HttpServerTest {
     private final List<Throwable> broken = new ArrayList<>();
     private final CountDownLatch gone = new CountDownLatch(1);
+    private final AtomicInteger handled = new AtomicInteger();
     private Loop loop;
     private HttpServer server;
 
@@ -39,6 +41,9 @@
                 e.whenGone(gone::countDown);
                 return;
             }
+            if (e.message().path().equals("/gone")) {
+                handled.incrementAndGet();
+            }
             if (e.message().path().equals("/waited")) {
                 e.answer(200, "", new byte[0], "X-Waited", Long.toString(Loop.now() - e.since()));
                 return;
@@ -203,4 +208,123 @@
             assertArrayEquals(body, java.util.Arrays.copyOfRange(got, got.length - body.length, got.length));
         }
     }
+
+    /** Runs on the loop with the clients' next steps done behind its back: what they sent lies in the kernel. */
+    private void behindTheLoop(Step clients, Runnable then) throws Exception {
+        CountDownLatch held = new CountDownLatch(1), done = new CountDownLatch(1), over = new CountDownLatch(1);
+        loop.execute(() -> {
+            held.countDown();
+            try {
+                done.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            then.run();
+            over.countDown();
+        });
+        held.await();
+        try {
+            clients.take();
+        } finally {
+            done.countDown();
+        }
+        over.await();
+    }
+
+    private interface Step {
+        void take() throws Exception;
+    }
+
+    private static final String ECHO = "POST /e HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+
+    /** A connection that has asked once. */
+    private Socket used() throws Exception {
+        Socket s = socket();
+        s.getOutputStream().write(ECHO.getBytes());
+        answered(s);
+        return s;
+    }
+
+    private static void answered(Socket s) throws Exception {
+        StringBuilder got = new StringBuilder();
+        while (!got.toString().endsWith("\r\n\r\n")) {
+            int c = s.getInputStream().read();
+            assertTrue(c >= 0, "closed after '" + got + "'");
+            got.append((char) c);
+        }
+        assertTrue(got.toString().startsWith("HTTP/1.1 200 "), got.toString());
+    }
+
+    @Test
+    void aRequestThatCrossesTheIdleCloseAtTheEndIsAnswered() throws Exception {
+        try (Socket asks = used(); Socket silent = used()) {
+            behindTheLoop(() -> asks.getOutputStream().write(ECHO.getBytes()), () -> {
+                server.stopTaking();
+                server.closeIdle();
+            });
+            answered(asks);
+            assertEquals(-1, silent.getInputStream().read(), "the idle one is closed");
+        }
+    }
+
+    @Test
+    void aConnectionThatIsAboutToGiveWayIsKeptWhenItsRequestHasCome() throws Exception {
+        server.yielding();
+        try (Socket asks = used(); Socket idle = used(); Socket third = used()) {
+            List<Socket> another = new ArrayList<>();
+            behindTheLoop(() -> {
+                asks.getOutputStream().write(ECHO.getBytes());  // idle for longest, until now
+                another.add(socket());
+            }, server::stopTaking);                             // takes what has come, before anything is read
+            answered(asks);
+            another.get(0).getOutputStream().write(ECHO.getBytes());
+            answered(another.get(0));
+            another.get(0).close();
+        }
+    }
+
+    @Test
+    void ofAClientThatLeftWhileTheLoopWasBusyNothingIsTaken() throws Exception {
+        behindTheLoop(() -> {
+            try (Socket s = socket()) {
+                s.getOutputStream().write("GET /gone HTTP/1.1\r\nHost: a\r\n\r\n".getBytes());
+            }
+            Thread.sleep(80);
+        }, () -> { });
+        used().close();                                         // a later turn, so the one before is over
+        assertEquals(0, handled.get());
+    }
+
+    @Test
+    void aClientThatEndsItsSideAtOnceIsAnsweredWhereTheLoopIsFree() throws Exception {
+        try (Socket s = socket()) {
+            s.getOutputStream().write(ECHO.getBytes());
+            s.shutdownOutput();
+            answered(s);
+        }
+    }
+
+    @Test
+    void aClientIsSeenToLeaveThoughWhatItSentAheadFillsTheBuffer() throws Exception {
+        server.oneAtATime();
+        try (Socket s = socket()) {
+            s.getOutputStream().write("GET /never HTTP/1.1\r\nHost: a\r\n\r\n".getBytes());
+            s.getOutputStream().write(ECHO.repeat(1_000).getBytes());
+        } catch (java.net.SocketException closed) {
+            // it was cut off for it
+        }
+        assertTrue(gone.await(5, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void aRefusalIsReadableByAClientThatFirstSendsAllItHas() throws Exception {
+        try (Socket s = socket()) {
+            s.getOutputStream().write("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 60000000\r\n\r\n".getBytes());
+            for (int i = 0; i < 25; i++) {
+                s.getOutputStream().write(new byte[100_000]);
+                Thread.sleep(20);                               // half a second in all
+            }
+            assertTrue(all(s).startsWith("HTTP/1.1 413 "));
+        }
+    }
 }
--- a/src/test/java/waytrestle/roster/board/BoardBookTest.java
+++ b/src/test/java/waytrestle/roster/board/BoardBookTest.java
@@ -27,6 +27,21 @@
         return feed(new BoardBook.Line(new Notice(number, false, null)));
     }
 
+    @Test
+    void aBoardThatOnlyRepeatsAnOldNumberIsTakenForSilentAndAskedAgain() {
+        number(3);
+        List<String> asked = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            now += 200_000;
+            asked.addAll(number(2));
+            asked.addAll(feed(new BoardBook.Look()));
+        }
+        assertEquals(List.of("ask 3", "ask 3"), asked, "once each time that it was silent for so long");
+        number(3);
+        now += 200_000;
+        assertEquals(List.of(), feed(new BoardBook.Look()), "it has come up with what was told");
+    }
+
     @Test
     void eachEventIsToldOnceAndInOrder() {
         assertEquals(List.of("tell 4"), event(4));
