--- a/src/main/java/waytrestle/front/platform/DoFront.java
+++ b/src/main/java/waytrestle/front/platform/DoFront.java
@@ -64,6 +64,11 @@
         stopping = true;
     }
 
+    /** Ids of calls that are open. */
+    public int open() {
+        return open.size();
+    }
+
     @Override
     public boolean owns(String path) {
         return path.startsWith(CALLS) || path.equals(CHECK);
--- a/src/main/java/waytrestle/gateway/Controller.java
+++ b/src/main/java/waytrestle/gateway/Controller.java
@@ -146,6 +146,11 @@
     }
 
     // ---- From the fronts. ----
+    /** Invokers that there is a way to. */
+    public int ways() {
+        return links.size();
+    }
+
     int connections() {
         return links.values().stream().mapToInt(Host.Wire::connections).sum();
     }
--- a/src/main/java/waytrestle/gateway/platform/Node.java
+++ b/src/main/java/waytrestle/gateway/platform/Node.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import waytrestle.Control;
 import waytrestle.ControlApi.Invoker;
@@ -194,6 +195,7 @@
             return;
         }
         reloaded = number;
+        watch.said("a new configuration: the notice board is at " + read.board());
         board.moved(read.board());
         if (peers != null) {
             peers.moved(read.peers(), read.peersAll());
@@ -230,6 +232,12 @@
         return server.port();
     }
 
+    /** Tells, on the loop, how many entries each table has that grows with clients or invokers. */
+    void tables(Consumer<Map<String, Integer>> told) {
+        loop.execute(() -> told.accept(Map.of("calls", controller.held(), "ids", front.open(), "addresses", host.known(),
+                "starts", born.size(), "ways", controller.ways(), "clients", server.connections(), "timers", loop.timers())));
+    }
+
     int join(long millis) throws InterruptedException {
         loop.join(millis);
         return loop.failed() ? 3 : 0;
@@ -243,7 +251,10 @@
             System.exit(2);
         }
         CompletableFuture<Node> started = new CompletableFuture<>();  // a signal may come before there is a node
-        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> started.thenAccept(n -> n.reload(Path.of(file))));
+        if (sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> started.thenAccept(n -> n.reload(Path.of(file))))
+                == sun.misc.SignalHandler.SIG_IGN) {
+            System.err.println("HUP is ignored by whoever started this, so no new configuration will be read");
+        }
         sun.misc.Signal.handle(new sun.misc.Signal("TERM"), signal -> started.thenAccept(Node::stop));
         Node node = null;
         try {
--- a/src/main/java/waytrestle/gateway/platform/PlatformHost.java
+++ b/src/main/java/waytrestle/gateway/platform/PlatformHost.java
@@ -58,6 +58,10 @@
         addresses.remove(invoker);
     }
 
+    int known() {
+        return addresses.size();
+    }
+
     /** Forgets where all others are. */
     void only(Set<String> invokers) {
         addresses.keySet().retainAll(invokers);
--- a/src/test/java/waytrestle/gateway/platform/NodeBed.java
+++ b/src/test/java/waytrestle/gateway/platform/NodeBed.java
@@ -178,8 +178,10 @@
 
     @Override
     public void close() throws Exception {
-        node.stop();
-        node.join(10_000);
+        if (node != null) {
+            node.stop();
+            node.join(10_000);
+        }
         board.close();
         loop.stop();
         loop.join(5_000);
--- a/src/test/java/waytrestle/gateway/platform/NodeTest.java
+++ b/src/test/java/waytrestle/gateway/platform/NodeTest.java
@@ -8,6 +8,11 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -217,4 +222,84 @@
         Files.writeString(bed.file, good);
         assertFalse(PlatformConfig.read(bed.file).known().isEmpty());
     }
+
+    private Map<String, Integer> tables() throws Exception {
+        CompletableFuture<Map<String, Integer>> told = new CompletableFuture<>();
+        bed.node.tables(told::complete);
+        return told.get(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void thousandsOfInvokersAndClientsComeAndGoAndEveryTableIsAsItWas() throws Exception {
+        assertEquals(200, status(bed.ask(NodeBed.call("read", id(0), "", "x"))));
+        int number = 1;
+        Map<String, Integer> first = null;
+        for (int round = 0; round < 40; round++) {
+            String[] come = new String[100], go = new String[100];
+            for (int i = 0; i < 100; i++) {
+                String host = "t-" + round + "-" + i;
+                come[i] = bed.host(host, "Ready").replace("\"born_ms\":0", "\"born_ms\":" + System.currentTimeMillis());
+                go[i] = bed.host(host, "Gone");
+            }
+            bed.board.say(NodeBed.event(++number, false, come));
+            for (int i = 0; i < 10; i++) {
+                assertEquals(200, status(bed.ask(NodeBed.call("read", id(1 + round * 10 + i), "", "x"))));
+            }
+            bed.board.say(NodeBed.event(++number, false, go));
+            NodeBed.until(() -> {
+                try {
+                    Map<String, Integer> now = tables();
+                    return now.get("addresses") == 1 && now.get("clients") == 0 && now.get("calls") == 0;
+                } catch (Exception e) {
+                    throw new AssertionError(e);
+                }
+            }, "not all that came has gone: " + tables());
+            if (round == 9) {
+                first = tables();
+            }
+        }
+        Map<String, Integer> last = tables();
+        for (String each : List.of("ids", "addresses", "starts", "ways")) {
+            assertEquals(first.get(each), last.get(each), each);
+        }
+        NodeBed.until(() -> {
+            try {
+                return tables().get("timers") <= 30;
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        }, "timers of ended calls last for their three seconds, no longer");
+    }
+
+    @Test
+    void whateverTheFieldsOfACallHoldItIsAnsweredAndNoInvokerIsAskedForWhatNobodyMeant() throws Exception {
+        Random random = new Random(7);
+        String[] fields = {"X-Class", "X-Correlation-Id", "X-Deadline-Ms", "X-Extras", "X-Resent", "X-Estimate-Ms", "Host"};
+        String[] values = {"", "read", "book", "0", "-0", "1e9", "NaN", "Infinity", "9".repeat(400), ";", ":", "lanes:2;lanes:",
+            "lanes:2;;", "memory_mb:0x10", "load_ms:1.5.2", "9b1f03aa5c7e2d4g", "\u00e9", "%00", "1, 1", " 1 ", "true"};
+        for (int i = 0; i < 300; i++) {
+            StringBuilder head = new StringBuilder("POST /do/" + (random.nextInt(4) > 0 ? "7f3a9c21e0b4d655" : "..%2f" + i)
+                    + (random.nextInt(4) > 0 ? "/call" : "/") + " HTTP/1.1\r\n");
+            for (String field : fields) {
+                for (int n = random.nextInt(8) == 0 ? 2 : random.nextInt(10) == 0 ? 0 : 1; n > 0; n--) {
+                    String good = switch (field) {
+                        case "X-Class" -> "read";
+                        case "X-Correlation-Id" -> id(5_000 + i);
+                        case "X-Deadline-Ms" -> "2000";
+                        case "X-Extras" -> "lanes:2";
+                        case "Host" -> "api";
+                        default -> "1";
+                    };
+                    head.append(field).append(": ").append(random.nextInt(3) > 0 ? good
+                            : values[random.nextInt(values.length)]).append("\r\n");
+                }
+            }
+            int before = bed.asked.size();
+            String answer = bed.ask(head + "Content-Length: 1\r\n\r\nx");
+            int status = status(answer);
+            assertTrue(status == 200 || status >= 400 && status < 500 && status != 429, head + answer);
+            assertEquals(before + (status == 200 ? 1 : 0), bed.asked.size(), head.toString());
+        }
+        assertEquals(200, status(bed.ask(NodeBed.call("read", id(9_999), "", "x"))));
+    }
 }
