Load orders too are withdrawn when their invoker is told to end before they are sent; the end is bounded

Both now ask before their first byte (Host.Sent.withdrawn). After TERM, pieces of requests and slow readers are waited for two seconds beyond the last open call, so that a client that trickles cannot hold the process. Tests: CrossingTest, NodeTest, EmulationTest pass; the new one forces the order by an accept that is held.

--- a/src/main/java/waytrestle/gateway/Controller.java
+++ b/src/main/java/waytrestle/gateway/Controller.java
@@ -24,6 +24,7 @@
 import waytrestle.access.AccessLog;
 import waytrestle.access.AccessLine;
 import waytrestle.calls.Intake;
+import waytrestle.invoker.LoadMetrics;
 import waytrestle.outcomes.Judge;
 import waytrestle.outcomes.Outcomes;
 import waytrestle.overload.StartRation;
@@ -435,7 +436,7 @@
         @Override
         public Reply.How withdrawn() {
             call.client.look();
-            return call.over ? Reply.How.CANCELLED : ready.contains(invoker) ? null : Reply.How.NO_ROOM;
+            return call.over ? Reply.How.CANCELLED : toldToEnd(invoker);
         }
 
         /** The desk first (is anybody owed an answer?), then the module. */
@@ -517,16 +518,29 @@
             host.after(0, () -> feed(new OrderEnded(a.invoker(), a.function(), Code.CONNECT_FAILED, 0, 0)));
             return;
         }
-        link.order(a.function(), a.copies(), settings.loading().orderWaitMicros(), (reply, copies, told) -> {
-            long took = host.now() - sentAt;
-            if (a.copies() > 0) {
-                judge(new Outcomes.OrderDone(a.invoker(), a.function(), reply, told.copies(), took,
-                        functions.apply(a.function()).loadMicros()));
+        link.order(a.function(), a.copies(), settings.loading().orderWaitMicros(), new Host.Told() {
+            @Override
+            public Reply.How withdrawn() {
+                return toldToEnd(a.invoker());
+            }
+
+            @Override
+            public void told(Reply reply, int copies, LoadMetrics told) {
+                long took = host.now() - sentAt;
+                if (a.copies() > 0) {
+                    judge(new Outcomes.OrderDone(a.invoker(), a.function(), reply, told.copies(), took,
+                            functions.apply(a.function()).loadMicros()));
+                }
+                feed(new OrderEnded(a.invoker(), a.function(), judge.codeOfOrder(reply), took, copies));
             }
-            feed(new OrderEnded(a.invoker(), a.function(), judge.codeOfOrder(reply), took, copies));
         });
     }
 
+    /** How what has not been sent to an invoker ends that was told to end meanwhile: nothing ran. */
+    private Reply.How toldToEnd(String invoker) {
+        return ready.contains(invoker) ? null : Reply.How.NO_ROOM;
+    }
+
     private void unload(ControlApi.Unload a) {
         Host.Wire link = links.get(a.invoker());
         if (link != null) {
--- a/src/main/java/waytrestle/gateway/Host.java
+++ b/src/main/java/waytrestle/gateway/Host.java
@@ -24,18 +24,21 @@
         }
     }
 
-    /** Hears how an attempt ended, once and never within the call that began it. */
-    interface Ended {
-        void ended(Came came);
-
-        /** Asked before the first byte is sent, which may be late: how the attempt ends instead, or null to send it. */
+    /** Something that waits for a connection. */
+    interface Sent {
+        /** Asked before the first byte is sent, which may be late: how it ends instead, or null to send it. */
         default Reply.How withdrawn() {
             return null;
         }
     }
 
+    /** Hears how an attempt ended, once and never within the call that began it. */
+    interface Ended extends Sent {
+        void ended(Came came);
+    }
+
     /** Hears how an order or a probe ended; copies that stand, where that was asked. */
-    interface Told {
+    interface Told extends Sent {
         void told(Reply reply, int copies, LoadMetrics told);
     }
 
--- a/src/main/java/waytrestle/gateway/SocketHost.java
+++ b/src/main/java/waytrestle/gateway/SocketHost.java
@@ -69,7 +69,7 @@
         }
 
         private void ask(long within, Copies copies, Told told, ByteBuffer... request) {
-            exchange(within, m -> {
+            exchange(within, told::withdrawn, m -> {
                 boolean ok = m.status() == 200;
                 told.told(ok ? Reply.of(How.ANSWER) : new Reply(How.STATUS, m.status()), ok ? copies.of(m) : 0, metrics(m));
             }, how -> told.told(Reply.of(how), 0, LoadMetrics.NONE), request);
--- a/src/main/java/waytrestle/gateway/platform/Node.java
+++ b/src/main/java/waytrestle/gateway/platform/Node.java
@@ -50,6 +50,7 @@
     private static final long FAULTS_SPAN = 1_000_000;  // ... within these micros
     private static final int READS = 10;             // of a configuration that is not whole yet ...
     private static final long READ_PAUSE = 200;      // ... milliseconds apart: two seconds, half of what HUP allows
+    private static final long PIECES = 2_000_000;    // micros at the end without an open call: as long as a message may take
     private static final long FLUSH = 100_000;       // micros at the end for last answers to leave
 
     private final PlatformConfig config;
@@ -65,6 +66,7 @@
     private PeerLink peers;
     private final AtomicLong reloads = new AtomicLong();
     private long reloaded;       // number of the reading that counts
+    private long openAt;         // when a call was open last, after TERM
     private boolean stopping;
 
     /** A told start, and the same moment on the loop's clock. */
@@ -214,14 +216,17 @@
             loop.after(TAKING, () -> {
                 server.stopTaking();
                 server.closeIdle();
+                openAt = Loop.now();
                 await();
             });
         });
     }
 
-    /** What has come in pieces, or is still being read by its client, counts as open; the server's limits bound both. */
+    /** What has come in pieces, or is still being read by its client, is waited for too, for a while. */
     private void await() {
-        if (controller.open() > 0 || server.busy() > 0) {
+        long now = Loop.now();
+        openAt = controller.open() > 0 ? now : openAt;
+        if (controller.open() > 0 || server.busy() > 0 && now - openAt < PIECES) {
             loop.after(LOOK, this::await);
             return;
         }
--- a/src/main/java/waytrestle/gateway/platform/PlatformHost.java
+++ b/src/main/java/waytrestle/gateway/platform/PlatformHost.java
@@ -95,7 +95,7 @@
         }
 
         private void ask(long within, ByteBuffer request, Told told) {
-            exchange(within, m -> told.told(FetchProtocol.reply(m), FetchProtocol.units(m), protocol.told(m)),
+            exchange(within, told::withdrawn, m -> told.told(FetchProtocol.reply(m), FetchProtocol.units(m), protocol.told(m)),
                     how -> told.told(Reply.of(how), 0, LoadMetrics.NONE), request);
         }
 
--- a/src/test/java/waytrestle/gateway/platform/CrossingTest.java
+++ b/src/test/java/waytrestle/gateway/platform/CrossingTest.java
@@ -175,6 +175,37 @@
         }
     }
 
+    @Test
+    void noLoadIsOrderedAtAnInvokerThatWasToldToEndWhileTheConnectionWasComingUp() throws Exception {
+        try (HeldDoor door = new HeldDoor()) {
+            bed.edit = s -> s.replace("127.0.0.1:" + bed.invoker.port(), "127.0.0.1:" + door.port())
+                    .replace("\"connect_timeout_us\":250000", "\"connect_timeout_us\":9000000");
+            bed.script = e -> {
+                if (e.message().method().equals("PUT")) {
+                    e.answer(200, "", new byte[0], "X-Units", "1");
+                } else {
+                    e.answer(404, "", new byte[0]);
+                }
+            };
+            bed.start();
+            bed.board.say(NodeBed.event(2, false, bed.host("s-2", "Ready"), NodeBed.host("s-1", "Terminating", door.port())));
+            for (int i = 0; i < 4; i++) {     // misses at s-2 teach that guesses find no copy
+                bed.ask(NodeBed.call("book", id(i), "X-Extras: load_ms:9000\r\n", "x"));
+            }
+            bed.board.say(NodeBed.event(3, false, bed.host("s-2", "Terminating"), NodeBed.host("s-1", "Ready", door.port())));
+            passed();
+            int refused = status(bed.ask(NodeBed.call("book", id(9), "X-Extras: load_ms:9000\r\n", "x")
+                    .replace("7f3a9c21e0b4d655", "00000000000000aa")));
+            assertEquals(503, refused, "its load is ordered at the only invoker, and outlasts it");
+            bed.board.say(NodeBed.event(4, false, NodeBed.host("s-1", "Terminating", door.port())));
+            passed();
+            try (Socket late = door.open()) {
+                assertNotNull(late, "the connection was still coming up");
+                assertEquals("", all(late), "it was told to end before the order was sent");
+            }
+        }
+    }
+
     @Test
     void aKnownInvokerAtANewAddressIsAskedThere() throws Exception {
         bed.start();
