Only what was decided while its invoker was ready is withdrawn; a module's own send to a draining one still shows

Now readiness is remembered at the decision (Controller.Attempt.wasReady) and only its loss withdraws. AuditTest's case, FleetTest and CrossingTest pass.

--- a/src/main/java/waytrestle/gateway/Controller.java
+++ b/src/main/java/waytrestle/gateway/Controller.java
@@ -397,6 +397,7 @@
         final int number;
         final String invoker;
         final long sentAt = host.now(), estimate = module.estimateMicros();
+        final boolean wasReady;   // told so when it was decided
         Runnable cancel;
         Code code;
         boolean ended;
@@ -408,6 +409,7 @@
             this.call = call;
             this.number = number;
             this.invoker = invoker;
+            this.wasReady = ready.contains(invoker);
         }
 
         void withhold() {
@@ -436,7 +438,7 @@
         @Override
         public Reply.How withdrawn() {
             call.client.look();
-            return call.over ? Reply.How.CANCELLED : toldToEnd(invoker);
+            return call.over ? Reply.How.CANCELLED : toldToEnd(wasReady, invoker);
         }
 
         /** The desk first (is anybody owed an answer?), then the module. */
@@ -518,10 +520,11 @@
             host.after(0, () -> feed(new OrderEnded(a.invoker(), a.function(), Code.CONNECT_FAILED, 0, 0)));
             return;
         }
+        boolean wasReady = ready.contains(a.invoker());
         link.order(a.function(), a.copies(), settings.loading().orderWaitMicros(), new Host.Told() {
             @Override
             public Reply.How withdrawn() {
-                return toldToEnd(a.invoker());
+                return toldToEnd(wasReady, a.invoker());
             }
 
             @Override
@@ -536,9 +539,9 @@
         });
     }
 
-    /** How what has not been sent to an invoker ends that was told to end meanwhile: nothing ran. */
-    private Reply.How toldToEnd(String invoker) {
-        return ready.contains(invoker) ? null : Reply.How.NO_ROOM;
+    /** How what has not been sent to an invoker ends that was told to end since that was decided: nothing ran. */
+    private Reply.How toldToEnd(boolean wasReady, String invoker) {
+        return wasReady && !ready.contains(invoker) ? Reply.How.NO_ROOM : null;
     }
 
     private void unload(ControlApi.Unload a) {
