Calls wait until the notice board has answered a controller that has just started

So a controller was ready before its watch had answered, by what its configuration knew when its process was started, 0.5 s or more ago; on part of a core that comes near the grace. Excluded: a pause before the first question (there is none), a slow answer of the board (8 ms), reading it. Lines at fault: Node.assemble, which told `known` and listened at once; DoFront's check, which was always 200; BoardBook.RETRY_MOST and BoardLink.CONNECT, 0.5 s each, which together are the whole grace when the board hangs.

Change: what is known is told when the watch has answered, and until then the check is 503 and calls that come all the same wait in the decisions' own queue; after half of the grace without an answer they are served by what is known. Connecting to the board and the longest pause take a quarter of the stated grace each. The bed's board answers a question with its number, as the platform's does, and its start waits for the check, as clients do; the tests that need it do without.

--- a/src/main/java/waytrestle/front/platform/DoFront.java
+++ b/src/main/java/waytrestle/front/platform/DoFront.java
@@ -47,7 +47,7 @@
     private final Intake intake;
     private final Set<String> open = new HashSet<>();
     private final Map<String, Long> turnedAway = new HashMap<>();
-    private boolean stopping;
+    private boolean ready, stopping;
 
     public DoFront(List<RequestClass> kinds, Loading loading, Intake intake) {
         this.kinds = kinds;
@@ -59,6 +59,11 @@
         mostMemory = most > 0 ? most : ANY_MB;
     }
 
+    /** From now on the check says that calls may come; before that, those that come all the same wait. */
+    public void ready() {
+        ready = true;
+    }
+
     /** From now on the check says that no calls should come. */
     public void stopping() {
         stopping = true;
@@ -94,7 +99,7 @@
     public void request(HttpServer.Exchange e) {
         HttpMessage m = e.message();
         if (m.path().equals(CHECK) && m.method().equals("GET")) {
-            e.answer(stopping ? 503 : 200, TEXT, text(stopping ? "stopping" : "ready"));
+            e.answer(ready && !stopping ? 200 : 503, TEXT, text(stopping ? "stopping" : ready ? "ready" : "starting"));
             return;
         }
         try {
--- a/src/main/java/waytrestle/gateway/platform/Node.java
+++ b/src/main/java/waytrestle/gateway/platform/Node.java
@@ -50,6 +50,8 @@
     private static final long FAULTS_SPAN = 1_000_000;  // ... within these micros
     private static final int READS = 10;             // of a configuration that is not whole yet ...
     private static final long READ_PAUSE = 200;      // ... milliseconds apart: two seconds, half of what HUP allows
+    private static final int UNANSWERED_PART = 2;    // of the grace for what is told: with a notice board that says nothing in
+                                                     // half of it, calls are served by what was known at the start
     private static final long PIECES = 2_000_000;    // micros at the end without an open call: as long as a message may take
     private static final long FLUSH = 100_000;       // micros at the end for last answers to leave
 
@@ -67,7 +69,7 @@
     private final AtomicLong reloads = new AtomicLong();
     private long reloaded;       // number of the reading that counts
     private long openAt;         // when a call was open last, after TERM
-    private boolean stopping;
+    private boolean serving, stopping;
 
     /** A told start, and the same moment on the loop's clock. */
     private record Born(long millis, long micros) { }
@@ -119,16 +121,31 @@
             }
         });
         front = new DoFront(s.classes(), s.loading(), controller);
-        BoardBook book = new BoardBook(config.lastNotice());
-        board = new BoardLink(loop, config.board(), config.notices(), book, this::notice, watch::said);
-        config.known().forEach(this::notice);
+        BoardBook book = new BoardBook(config.lastNotice(), s.rules().drainGraceMicros());
+        board = new BoardLink(loop, config.board(), config.notices(), book, this::notice, this::serve, watch::said);
         if (s.limits().peers() && config.peerListen() != null) {
             peers = PeerLink.plain(loop, s.me(), config.peerListen(), config.peers(), config.peersAll(),
                     controller::peerSaid);
         }
         server = new HttpServer(loop, config.listen(), HTTP, Doorkeeper.upTo(clients), front)
                 .freshWithin(FRESH).yielding().oneAtATime();
-        loop.execute(board::start);
+        loop.execute(() -> {
+            board.start();
+            loop.after(s.rules().drainGraceMicros() / UNANSWERED_PART, this::serve);
+        });
+    }
+
+    /**
+     * Guards against sends to an invoker that was told to end while this process started: what the configuration knows is
+     * as old as the start, which on part of a core is most of the grace. Calls wait until the notice board has answered.
+     */
+    private void serve() {
+        if (serving) {
+            return;
+        }
+        serving = true;
+        config.known().forEach(this::notice);
+        front.ready();
     }
 
     private void notice(Notice notice) {
--- a/src/main/java/waytrestle/roster/board/BoardBook.java
+++ b/src/main/java/waytrestle/roster/board/BoardBook.java
@@ -11,7 +11,8 @@
     // ---- Tuned numbers, micros. ----
     private static final long SILENCE = 1_700_000;  // between lines: one number may be late, not two
     private static final long RETRY = 20_000;       // first pause after a failure, doubling ...
-    private static final long RETRY_MOST = 500_000; // ... to this: half of the time in which an event must be obeyed
+    private static final int GRACE_PARTS = 4;       // connecting, and the longest pause, may take one part each of the time
+                                                    // in which an event must be obeyed: half is left to read and obey it
 
     /** What happens. */
     public sealed interface Event { }
@@ -33,6 +34,9 @@
 
     public record Tell(Notice notice) implements Action { }
 
+    /** The board has answered for the first time: what was known at the start is complete, but for what is told next. */
+    public record Current() implements Action { }
+
     /** Drop the connection, if there is one, and after a while ask on a new one for all after this event. */
     public record Ask(long after, long inMicros) implements Action { }
 
@@ -41,12 +45,22 @@
         void add(Action action);
     }
 
+    private static final long UNTOLD_GRACE = 1_000_000;  // where the settings tell none: the usual one
+
+    private final long longestStep;
     private long last, heardAt;
     private int failures;
+    private boolean current;
 
-    /** Last is the number of the last event that is known already. */
-    public BoardBook(long last) {
+    /** Last is the number of the last event that is known already; grace is the time in which an event must be obeyed. */
+    public BoardBook(long last, long graceMicros) {
         this.last = last;
+        this.longestStep = (graceMicros > 0 ? graceMicros : UNTOLD_GRACE) / GRACE_PARTS;
+    }
+
+    /** Micros after which a connection that has not come up is given up. */
+    public long connectMicros() {
+        return longestStep;
     }
 
     public long last() {
@@ -77,6 +91,10 @@
             return;
         }
         failures = 0;
+        if (!current && notice.number() >= last) {
+            current = true;
+            actions.add(new Current());
+        }
         if (told && notice.number() == last + 1) {
             last = notice.number();
             actions.add(new Tell(notice));
@@ -84,7 +102,7 @@
     }
 
     private void again(long now, Actions actions) {
-        long pause = failures == 0 ? 0 : Math.min(RETRY_MOST, RETRY << Math.min(10, failures));
+        long pause = failures == 0 ? 0 : Math.min(longestStep, RETRY << Math.min(10, failures));
         failures++;
         heardAt = now + pause;
         actions.add(new Ask(last, pause));
--- a/src/main/java/waytrestle/roster/board/BoardLink.java
+++ b/src/main/java/waytrestle/roster/board/BoardLink.java
@@ -14,7 +14,6 @@
 /** Follows a notice board over TCP; what its lines come to is the book's. */
 public final class BoardLink {
     private static final long LOOK = 200_000;       // micros between looks at its silence: a fraction of that
-    private static final long CONNECT = 500_000;    // micros for a connection on one network
     private static final int LINE = 4 << 20;        // bytes of one event: some 20,000 invokers
     private static final int READ = 64 * 1024;      // bytes kept unread
 
@@ -22,18 +21,20 @@
     private final NoticeReader reader;
     private final BoardBook book;
     private final Consumer<Notice> told;
+    private final Runnable isCurrent;
     private final Consumer<String> said;
     private InetSocketAddress at;
     private Reader current;
     private TimerHeap.Timer next;
 
     public BoardLink(Loop loop, InetSocketAddress at, NoticeReader reader, BoardBook book, Consumer<Notice> told,
-            Consumer<String> said) {
+            Runnable isCurrent, Consumer<String> said) {
         this.loop = loop;
         this.at = at;
         this.reader = reader;
         this.book = book;
         this.told = told;
+        this.isCurrent = isCurrent;
         this.said = said;
     }
 
@@ -58,6 +59,8 @@
         book.on(Loop.now(), event, action -> {
             if (action instanceof BoardBook.Tell tell) {
                 told.accept(tell.notice());
+            } else if (action instanceof BoardBook.Current) {
+                isCurrent.run();
             } else if (action instanceof BoardBook.Ask ask) {
                 if (current != null) {
                     current.drop();
@@ -78,7 +81,7 @@
 
         private Reader(long after) {
             this.after = after;
-            this.connection = Connection.open(loop, at, READ, CONNECT, this);
+            this.connection = Connection.open(loop, at, READ, book.connectMicros(), this);
         }
 
         private void drop() {
--- a/src/test/java/waytrestle/gateway/platform/CrossingTest.java
+++ b/src/test/java/waytrestle/gateway/platform/CrossingTest.java
@@ -215,6 +215,67 @@
     }
 
     // ---- List watch. ----
+    private static final String LONG_GRACE = "\"drain_grace_us\":60000000";  // no time-out before the test is over
+
+    private HttpServer elsewhere() throws Exception {
+        return new HttpServer(bed.loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), HttpLimits.DEFAULT, 100,
+                e -> e.answer(200, "", "elsewhere".getBytes()));
+    }
+
+    /** What the board tells while the process starts: the one that was ready drains, another has come. */
+    private String drains(HttpServer other) {
+        return NodeBed.event(2, false, bed.host("s-1", "Terminating"), NodeBed.host("s-2", "Ready", other.port()));
+    }
+
+    @Test
+    void aRestartWhileAnInvokerIsToldToEndSendsNothingThereBeforeTheBoardHasAnswered() throws Exception {
+        bed.edit = s -> s.replace("\"drain_grace_us\":1000000", LONG_GRACE);
+        bed.board.answers = false;
+        bed.startUnready();
+        try (Socket s = bed.socket()) {
+            write(s, NodeBed.call("book", id(1), "", "x"));
+            passed();
+            assertEquals(503, status(bed.ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n")), "not ready yet");
+            Thread.sleep(150);        // several looks at calls that wait
+            assertEquals(0, bed.asked.size(), "nothing is sent by a list that may be old");
+            bed.board.say(drains(elsewhere()));
+            assertTrue(NodeBed.answer(s).endsWith("elsewhere"));
+        }
+        assertEquals(200, status(bed.ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n")));
+        assertEquals(0, bed.asked.size());
+    }
+
+    @Test
+    void aBoardWhoseConnectionComesUpLateIsAwaited() throws Exception {
+        try (HeldDoor late = new HeldDoor()) {
+            bed.edit = s -> s.replace("\"drain_grace_us\":1000000", LONG_GRACE)
+                    .replaceFirst("\"board\":\"127.0.0.1:\\d+\"", "\"board\":\"127.0.0.1:" + late.port() + "\"");
+            bed.startUnready();
+            try (Socket s = bed.socket()) {
+                write(s, NodeBed.call("book", id(1), "", "x"));
+                passed();
+                try (Socket board = late.open()) {
+                    assertNotNull(board, "the connection was still coming up");
+                    assertEquals(0, bed.asked.size());
+                    write(board, drains(elsewhere()) + "\n");
+                    assertTrue(NodeBed.answer(s).endsWith("elsewhere"));
+                }
+            }
+            assertEquals(0, bed.asked.size());
+        }
+    }
+
+    @Test
+    void withABoardThatNeverAnswersCallsAreServedByWhatIsKnown() throws Exception {
+        try (HeldDoor never = new HeldDoor()) {
+            bed.edit = s -> s.replaceFirst("\"board\":\"127.0.0.1:\\d+\"", "\"board\":\"127.0.0.1:" + never.port() + "\"");
+            bed.startUnready();
+            assertEquals(200, status(bed.ask(NodeBed.call("book", id(1), "", "x"))), "it waited, and was served");
+            assertEquals(200, status(bed.ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n")));
+            assertEquals(1, bed.asked.size());
+        }
+    }
+
     @Test
     void ofTwoConfigurationsReadAtOnceTheLaterOneCountsThoughTheOlderIsReadLast() throws Exception {
         bed.start();
--- a/src/test/java/waytrestle/gateway/platform/NodeBed.java
+++ b/src/test/java/waytrestle/gateway/platform/NodeBed.java
@@ -28,6 +28,7 @@
         final ServerSocket server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
         final List<String> asked = Collections.synchronizedList(new ArrayList<>());
         volatile Socket last;
+        volatile boolean answers = true;    // each question at once, with the number that was asked for
 
         Board() throws Exception {
             Thread taking = new Thread(() -> {
@@ -39,6 +40,9 @@
                         for (int c = in.read(); c >= 0 && c != '\n'; c = in.read()) {
                             line.append((char) c);
                         }
+                        if (answers) {
+                            write(s, "{\"rev\":" + line.substring(line.indexOf(" ") + 1) + "}");
+                        }
                         last = s;
                         asked.add(line.toString());
                     }
@@ -52,7 +56,11 @@
 
         void say(String line) throws Exception {
             until(() -> last != null, "nobody asked the notice board");
-            last.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
+            write(last, line);
+        }
+
+        private void write(Socket to, String line) throws java.io.IOException {
+            to.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
         }
 
         @Override
@@ -123,7 +131,20 @@
             """.formatted(sockets, at.server.getLocalPort(), event(1, true, host("s-1", "Ready")));
     }
 
+    /** Starts it, and waits as its clients do until it is ready. */
     NodeBed start() throws Exception {
+        startUnready();
+        until(() -> {
+            try {
+                return ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n").startsWith("HTTP/1.1 200 ");
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        }, "it never became ready");
+        return this;
+    }
+
+    NodeBed startUnready() throws Exception {
         Files.writeString(file, edit.apply(json(board)));
         node = Node.start(PlatformConfig.read(file), System::currentTimeMillis, System.err);
         return this;
--- a/src/test/java/waytrestle/roster/board/BoardBookTest.java
+++ b/src/test/java/waytrestle/roster/board/BoardBookTest.java
@@ -8,14 +8,14 @@
 
 /** Numbers, order and gaps of the notice board. */
 class BoardBookTest {
-    private final BoardBook book = new BoardBook(3);
+    private final BoardBook book = new BoardBook(3, 2_000_000);
     private final List<String> came = new ArrayList<>();
     private long now = 1_000_000;
 
     private List<String> feed(BoardBook.Event event) {
         came.clear();
         book.on(now, event, a -> came.add(a instanceof BoardBook.Tell t ? "tell " + t.notice().number()
-                : "ask " + ((BoardBook.Ask) a).after()));
+                : a instanceof BoardBook.Current ? "current" : "ask " + ((BoardBook.Ask) a).after()));
         return List.copyOf(came);
     }
 
@@ -44,7 +44,7 @@
 
     @Test
     void eachEventIsToldOnceAndInOrder() {
-        assertEquals(List.of("tell 4"), event(4));
+        assertEquals(List.of("current", "tell 4"), event(4));
         assertEquals(List.of(), event(4), "twice");
         assertEquals(List.of(), event(2), "old");
         assertEquals(List.of("ask 4"), event(6), "a gap is asked for, not jumped");
@@ -67,6 +67,28 @@
         assertEquals(List.of("ask 3"), feed(new BoardBook.Look()));
     }
 
+    @Test
+    void whatWasKnownIsCurrentOnceTheBoardHasAnsweredAndNotBefore() {
+        assertEquals(List.of("ask 3"), feed(new BoardBook.Moved()));
+        assertEquals(List.of(), number(2), "it is behind what is known");
+        assertEquals(List.of("ask 3"), number(4), "it knows more than it told");
+        assertEquals(List.of("current"), number(3));
+        assertEquals(List.of(), number(3), "said once");
+        assertEquals(List.of("tell 4"), event(4));
+    }
+
+    @Test
+    void aConnectionThatHangsAndThePauseAfterItLeaveHalfOfTheGrace() {
+        for (long grace : new long[] {400_000, 1_000_000, 8_000_000}) {
+            BoardBook each = new BoardBook(3, grace);
+            long[] pause = {0};
+            for (int i = 0; i < 20; i++) {
+                each.on(now, new BoardBook.Broke(), a -> pause[0] = ((BoardBook.Ask) a).inMicros());
+            }
+            assertEquals(grace / 2, pause[0] + each.connectMicros());
+        }
+    }
+
     @Test
     void aBrokenBoardIsAskedAtOnceAndThenWithPauses() {
         long total = 0;
