--- a/src/main/java/waytrestle/Control.java
+++ b/src/main/java/waytrestle/Control.java
@@ -295,7 +295,7 @@
         boolean late = soonest > left;
         boolean guessed = misses && coldBest && call.attempts.isEmpty()
                 && soonest - load(call.function, best, false) <= left;
-        boolean hopeless = late && !(guessed && random.nextDouble() < ASK) || jammed(call, best);
+        boolean hopeless = (late && !(guessed && random.nextDouble() < ASK)) || jammed(call, best);
         if (hopeless && mayRefuse(call)) {
             Worker more = coldBest ? best : uncrowded(call);
             if (more != null) {
@@ -348,7 +348,7 @@
     private Worker lowest(Call call) {
         Worker warm = highest(call, true, WARM_TIE * call.kind.aimMicros());
         Worker cold = highest(call, false, COLD_TIE * loadTime(call.function, true));
-        boolean load = warm == null || cold != null && cost(call, cold) < cost(call, warm);
+        boolean load = warm == null || (cold != null && cost(call, cold) < cost(call, warm));
         return load ? cold : warm;
     }
 
@@ -575,8 +575,8 @@
 
     // ---- The repeat rules. ----
     private boolean mayResend(Call call) {
-        return !call.mayHaveRun || call.kind.repeat() == Repeat.SAFE || call.kind.repeat() == Repeat.KEYED
-                && now <= call.boundAt + call.kind.windowMicros() - settings.tickMicros();
+        return !call.mayHaveRun || call.kind.repeat() == Repeat.SAFE || (call.kind.repeat() == Repeat.KEYED
+                && now <= call.boundAt + call.kind.windowMicros() - settings.tickMicros());
     }
 
     private boolean mayRepeatAt(Call call, Worker w) {
@@ -692,7 +692,7 @@
      */
     private void silent(Worker w) {
         double quiet = Math.max(SILENCE, SILENT_RUNS * meanRun * Math.max(1, w.slowness));
-        boolean several = w.warmOut >= SILENT_OUT || w.warmOut > 0 && w.strikes > 0;
+        boolean several = w.warmOut >= SILENT_OUT || (w.warmOut > 0 && w.strikes > 0);
         boolean tells = settings.loading().missAnswers() && settings.limits().cancel();
         if (!several || now - w.quietSince <= quiet || !tells) {
             return;
--- a/src/main/java/waytrestle/access/FileAccessLog.java
+++ b/src/main/java/waytrestle/access/FileAccessLog.java
@@ -67,7 +67,7 @@
 
     private static double place(String id) {
         long x = id.hashCode() * 0x9E3779B97F4A7C15L;
-        return ((x ^ x >>> 32) * 0xD6E8FEB86659FD93L >>> 11) * 0x1.0p-53;
+        return (((x ^ x >>> 32) * 0xD6E8FEB86659FD93L) >>> 11) * 0x1.0p-53;
     }
 
     @Override
--- a/src/main/java/waytrestle/audit/Audit.java
+++ b/src/main/java/waytrestle/audit/Audit.java
@@ -161,7 +161,6 @@
 
     private static final class Box {
         long cores, coldFrom = -1;
-        String zone = "", cell = "";
         final ArrayDeque<Work> window = new ArrayDeque<>();
         long sum;
         final Map<Integer, Long> heard = new HashMap<>(); // controller: when its last answer left
@@ -286,8 +285,6 @@
             case "began" -> {
                 Box box = box(s.who());
                 box.cores = s.number("cores");
-                box.zone = s.text("zone");
-                box.cell = s.text("cell");
             }
             case "up" -> {
                 Box box = box(s.who());
--- a/src/main/java/waytrestle/calls/Desk.java
+++ b/src/main/java/waytrestle/calls/Desk.java
@@ -105,12 +105,11 @@
     }
 
     private static final class Waiter {
-        final long id, deadline;
+        final long id;
         final Call call;
 
-        Waiter(long id, long deadline, Call call) {
+        Waiter(long id, Call call) {
             this.id = id;
-            this.deadline = deadline;
             this.call = call;
         }
     }
@@ -280,7 +279,7 @@
     }
 
     private void wait(long id, long deadline, Call call) {
-        Waiter waiter = new Waiter(id, deadline, call);
+        Waiter waiter = new Waiter(id, call);
         waiters.put(id, waiter);
         call.waiters.add(waiter);
         actions.add(
@@ -496,12 +495,12 @@
         boolean harmless =
                 call.mayRunAt() == 0
                         || call.kind.repeat() == Repeat.SAFE
-                        || call.kind.repeat() == Repeat.KEYED
+                        || (call.kind.repeat() == Repeat.KEYED
                                 && call.kind.group() == Group.ALL
                                 && now + comeBackAfter
                                         < call.mayRunAt()
                                                 + call.kind
-                                                        .windowMicros(); // later its repeat would
+                                                        .windowMicros()); // later its repeat would
         // run
         if (harmless) {
             end(call, new Refused(why, comeBackAfter, tried(call)), call.mayRunAt());
--- a/src/main/java/waytrestle/cli/Cli.java
+++ b/src/main/java/waytrestle/cli/Cli.java
@@ -1,6 +1,8 @@
 package waytrestle.cli;
 
+import java.io.PrintStream;
 import java.io.PrintWriter;
+import java.nio.charset.Charset;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -56,8 +58,11 @@
     }
 
     public static void main(String[] args) {
-        System.exit(
-                run(args, new PrintWriter(System.out, true), new PrintWriter(System.err, true)));
+        System.exit(run(args, writer(System.out), writer(System.err)));
+    }
+
+    private static PrintWriter writer(PrintStream stream) {
+        return new PrintWriter(stream, true, Charset.defaultCharset());
     }
 
     static int run(String[] args, PrintWriter out, PrintWriter err) {
--- a/src/main/java/waytrestle/cli/Rig.java
+++ b/src/main/java/waytrestle/cli/Rig.java
@@ -6,6 +6,7 @@
 import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -152,7 +153,7 @@
     private String config() throws IOException {
         String text;
         try (java.io.InputStream in = Rig.class.getResourceAsStream("/demo.toml")) {
-            text = new String(in.readAllBytes());
+            text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
         }
         StringBuilder out =
                 new StringBuilder(
--- a/src/main/java/waytrestle/cli/ServeCommand.java
+++ b/src/main/java/waytrestle/cli/ServeCommand.java
@@ -8,6 +8,7 @@
 import waytrestle.config.GatewayConfig;
 import waytrestle.gateway.Controller;
 import waytrestle.gateway.Gateway;
+import waytrestle.net.ProcessSignals;
 import waytrestle.play.RandomChoice;
 
 /** Runs a gateway until it is told to stop. */
@@ -67,7 +68,7 @@
                         },
                         "stop");
         Runtime.getRuntime().addShutdownHook(onTerm);
-        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> gateway.reload());
+        ProcessSignals.handle(ProcessSignals.RELOAD, gateway::reload);
         return gateway.join(0);
     }
 }
--- a/src/main/java/waytrestle/emulator/Emulation.java
+++ b/src/main/java/waytrestle/emulator/Emulation.java
@@ -309,7 +309,10 @@
             GatewayWatch watch =
                     new GatewayWatch(
                             c,
-                            (settings, seed) -> watched(module = maker.make(settings, seed)),
+                            (settings, seed) -> {
+                                module = maker.make(settings, seed);
+                                return watched(module);
+                            },
                             overload && c.overload().on() ? modules : Gate.OPEN,
                             new Metrics(false),
                             (clock.now() + stepped) / 1_000_000);
--- a/src/main/java/waytrestle/forecast/Smoothed.java
+++ b/src/main/java/waytrestle/forecast/Smoothed.java
@@ -51,7 +51,7 @@
     @Override
     public Range forecast(long bucket) {
         double slot = share[season.slot(bucket)];
-        if (Double.isNaN(slot) || miss < 0 && seen < 2L * season.slotsOfDay()) {
+        if (Double.isNaN(slot) || (miss < 0 && seen < 2L * season.slotsOfDay())) {
             return Range.UNKNOWN;
         }
         double middle = level * slot;
--- a/src/main/java/waytrestle/front/Fronts.java
+++ b/src/main/java/waytrestle/front/Fronts.java
@@ -91,8 +91,8 @@
     /** Whether coming again is proved to do no harm. */
     public static boolean harmless(End end) {
         return end instanceof End.Refused
-                || end instanceof End.Failed failed && !failed.mayHaveRun()
-                || end instanceof End.Answered answered && !answered.mayHaveRun();
+                || (end instanceof End.Failed failed && !failed.mayHaveRun())
+                || (end instanceof End.Answered answered && !answered.mayHaveRun());
     }
 
     /**
--- a/src/main/java/waytrestle/front/kserve/InferCheck.java
+++ b/src/main/java/waytrestle/front/kserve/InferCheck.java
@@ -172,8 +172,8 @@
                 throw new Fault(at, "has over " + DEPTH + " dimensions");
             }
             expect(json, JsonToken.VALUE_NUMBER_INT, at, "whole numbers");
-            if (json.getNumberType() != JsonParser.NumberType.INT
-                            && json.getNumberType() != JsonParser.NumberType.LONG
+            if ((json.getNumberType() != JsonParser.NumberType.INT
+                            && json.getNumberType() != JsonParser.NumberType.LONG)
                     || json.getLongValue() < 0) {
                 throw new Fault(at, "a dimension must be from 0 to 9223372036854775807");
             }
@@ -262,10 +262,10 @@
         boolean flag = t.type.equals("BOOL");
         boolean real = t.type.startsWith("FP");
         boolean wrong =
-                t.strings && !bytes
-                        || t.flags && !flag
-                        || t.fractions && !real
-                        || t.numbers && (bytes || flag)
+                (t.strings && !bytes)
+                        || (t.flags && !flag)
+                        || (t.fractions && !real)
+                        || (t.numbers && (bytes || flag))
                         || t.type.equals("BF16");
         if (wrong) {
             throw new Fault(
--- a/src/main/java/waytrestle/front/platform/DoFront.java
+++ b/src/main/java/waytrestle/front/platform/DoFront.java
@@ -205,7 +205,7 @@
         }
         for (int i = 0; i < ID; i++) {
             char c = text.charAt(i);
-            if (!(c >= '0' && c <= '9' || c >= 'a' && c <= 'f')) {
+            if (!((c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'))) {
                 return false;
             }
         }
@@ -217,7 +217,7 @@
         boolean plain = !text.isEmpty() && text.length() <= 20;
         for (int i = 0; plain && i < text.length(); i++) {
             char c = text.charAt(i);
-            plain = c >= '0' && c <= '9' || !whole && c == '.';
+            plain = (c >= '0' && c <= '9') || (!whole && c == '.');
         }
         try {
             double value = plain ? Double.parseDouble(text) : Double.NaN;
--- a/src/main/java/waytrestle/gateway/Controller.java
+++ b/src/main/java/waytrestle/gateway/Controller.java
@@ -578,9 +578,9 @@
                 call.over
                         || now >= attempt.until
                         || attempt.number >= settings.limits().maxAttempts()
-                        || attempt.number > 0
+                        || (attempt.number > 0
                                 && call.attempts.get(attempt.number - 1).code != Code.MISS
-                                && !gate.again(now);
+                                && !gate.again(now));
         if (moot) {
             attempt.withhold();
         } else if (!links.containsKey(a.invoker())) {
--- a/src/main/java/waytrestle/gateway/platform/Node.java
+++ b/src/main/java/waytrestle/gateway/platform/Node.java
@@ -32,6 +32,7 @@
 import waytrestle.http.HttpServer;
 import waytrestle.invoker.platform.Proof;
 import waytrestle.net.Loop;
+import waytrestle.net.ProcessSignals;
 import waytrestle.roster.board.BoardBook;
 import waytrestle.roster.board.BoardLink;
 import waytrestle.roster.board.Notice;
@@ -329,7 +330,7 @@
     private void await() {
         long now = Loop.now();
         openAt = controller.open() > 0 ? now : openAt;
-        if (controller.open() > 0 || server.busy() > 0 && now - openAt < PIECES) {
+        if (controller.open() > 0 || (server.busy() > 0 && now - openAt < PIECES)) {
             loop.after(LOOK, this::await);
             return;
         }
@@ -378,15 +379,12 @@
         }
         CompletableFuture<Node> started =
                 new CompletableFuture<>(); // a signal may come before there is a node
-        if (sun.misc.Signal.handle(
-                        new sun.misc.Signal("HUP"),
-                        signal -> started.thenAccept(n -> n.reload(Path.of(file))))
-                == sun.misc.SignalHandler.SIG_IGN) {
+        if (!ProcessSignals.handle(
+                ProcessSignals.RELOAD, () -> started.join().reload(Path.of(file)))) {
             System.err.println(
                     "HUP is ignored by whoever started this, so no new configuration will be read");
         }
-        sun.misc.Signal.handle(
-                new sun.misc.Signal("TERM"), signal -> started.thenAccept(Node::stop));
+        ProcessSignals.handle(ProcessSignals.SHUTDOWN, () -> started.join().stop());
         Node node = null;
         try {
             node = start(PlatformConfig.read(Path.of(file)), System::currentTimeMillis, System.err);
--- a/src/main/java/waytrestle/http/HttpServer.java
+++ b/src/main/java/waytrestle/http/HttpServer.java
@@ -157,7 +157,7 @@
                 peers.values().stream()
                         .filter(
                                 p ->
-                                        !p.closing && (p.exchange != null || !p.parser.idle())
+                                        (!p.closing && (p.exchange != null || !p.parser.idle()))
                                                 || p.connection.pending() > 0)
                         .count();
     }
@@ -461,7 +461,7 @@
                     message = parser.next(in);
                 }
                 if (message == null) {
-                    if (was || parser.inBody() && phase != 2) {
+                    if (was || (parser.inBody() && phase != 2)) {
                         phase = parser.inBody() ? 2 : 1;
                         begun();
                     }
--- a/src/main/java/waytrestle/invoker/platform/FetchProtocol.java
+++ b/src/main/java/waytrestle/invoker/platform/FetchProtocol.java
@@ -72,7 +72,7 @@
         }
         boolean marked = "1".equals(m.header(UNRUN));
         boolean claims = m.status() == 503 || m.status() == 504;
-        return claims && !marked || m.untilClose()
+        return (claims && !marked) || m.untilClose()
                 ? Reply.of(How.UNREADABLE)
                 : new Reply(How.STATUS, m.status());
     }
--- a/src/main/java/waytrestle/load/LoadReport.java
+++ b/src/main/java/waytrestle/load/LoadReport.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.TreeMap;
+import java.util.SortedMap;
 import org.knowm.xchart.BitmapEncoder;
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
@@ -119,7 +119,7 @@
         return out.toString();
     }
 
-    private static String series(TreeMap<Long, LoadRun.Slice> slices) {
+    private static String series(SortedMap<Long, LoadRun.Slice> slices) {
         StringBuilder out =
                 new StringBuilder("second,offered,served,refused,failed,p50_ms,p99_ms\n");
         slices.forEach(
--- a/src/main/java/waytrestle/load/LoadRun.java
+++ b/src/main/java/waytrestle/load/LoadRun.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedMap;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
@@ -108,7 +109,7 @@
         return tallies;
     }
 
-    public TreeMap<Long, Slice> slices() {
+    public SortedMap<Long, Slice> slices() {
         return slices;
     }
 
--- a/src/main/java/waytrestle/net/Loop.java
+++ b/src/main/java/waytrestle/net/Loop.java
@@ -186,7 +186,7 @@
         if (!handed.isEmpty()) {
             wait = 0;
         }
-        boolean atOnce = wait == 0 || precise && wait < 1_500;
+        boolean atOnce = wait == 0 || (precise && wait < 1_500);
         // After a long turn a look tells what came during it from what comes during the wait.
         int found = atOnce || now() - turnAt > LONG_TURN ? selector.selectNow() : 0;
         waited = !atOnce && found == 0;
--- a/src/main/java/waytrestle/outcomes/FunctionHealth.java
+++ b/src/main/java/waytrestle/outcomes/FunctionHealth.java
@@ -160,7 +160,7 @@
         said = last;
         row++;
         boolean blamed = row >= rules.calls() && agreeing.size() >= Math.min(2, Math.max(1, ready));
-        if (call == probe || state == State.CLOSED && blamed) {
+        if (call == probe || (state == State.CLOSED && blamed)) {
             pause = pause == 0 ? rules.pauseMicros() : Math.min(rules.mostMicros(), 2 * pause);
             state = State.OPEN;
             until = now + pause;
--- a/src/main/java/waytrestle/outcomes/InvokerHealth.java
+++ b/src/main/java/waytrestle/outcomes/InvokerHealth.java
@@ -67,8 +67,8 @@
 
     boolean suspect(long now) {
         double wrong = rejections.value(now);
-        return excess.value(now) >= EXCESS && failed.value(now) >= SHARE * all.value(now)
-                || wrong >= REJECTIONS && wrong >= SHARE * all.value(now);
+        return (excess.value(now) >= EXCESS && failed.value(now) >= SHARE * all.value(now))
+                || (wrong >= REJECTIONS && wrong >= SHARE * all.value(now));
     }
 
     boolean ejected() {
--- a/src/main/java/waytrestle/outcomes/Lanes.java
+++ b/src/main/java/waytrestle/outcomes/Lanes.java
@@ -35,8 +35,8 @@
     }
 
     private static void mean(float[] mean, short[] n, int level, long micros) {
-        mean[level] +=
-                (n[level] == 0 ? 1 : Math.max(NEWS, 1.0 / (n[level] + 1))) * (micros - mean[level]);
+        double weight = n[level] == 0 ? 1 : Math.max(NEWS, 1.0 / (n[level] + 1));
+        mean[level] = (float) (mean[level] + weight * (micros - mean[level]));
         n[level] = (short) Math.min(1_000, n[level] + 1);
     }
 
--- a/src/main/java/waytrestle/outcomes/Outcomes.java
+++ b/src/main/java/waytrestle/outcomes/Outcomes.java
@@ -354,7 +354,7 @@
             evidence(f, out.invoker(), box, sense, suspect);
         }
         Verdict verdict =
-                c == null || loadFailed && sense == Sense.ABSENT
+                c == null || (loadFailed && sense == Sense.ABSENT)
                         ? new Verdict(sense.code, false, false, false)
                         : judge(c, f, out.invoker(), sense, e.reply(), suspect);
         actions.add(new Judged(e.call(), e.attempt(), verdict, told));
--- a/src/main/java/waytrestle/outcomes/Promises.java
+++ b/src/main/java/waytrestle/outcomes/Promises.java
@@ -23,7 +23,6 @@
     private static final int WARN_AFTER =
             10; // answers before an operator is told: one may be chance
     private static final double MOST = 1e6; // of any count that a report may tell
-    private static final long SURE = 50_000; // an attempt out so long is in the invoker's hands
     private static final int OWN =
             3; // own calls surely there before a report of fewer refutes itself
     private static final double CROWDED =
@@ -120,7 +119,7 @@
         }
         Standing s = invokers.computeIfAbsent(seen.invoker(), i -> new Standing());
         boolean served = sense == Sense.SERVED;
-        Map<String, Double> report = report(s, f, seen, told.report(), served, now);
+        Map<String, Double> report = report(s, f, seen, told.report(), served);
         Start start = served ? start(s, f, seen, told.start()) : told.start();
         int company = served ? company(s, seen, told.company(), report) : -1;
         if (told.start() != Start.LOAD_FAILED) {
@@ -195,9 +194,9 @@
         boolean mayStand = served != 0 && seen.sentAt() - served < made.keepAliveMicros();
         boolean waited = told == Start.COLD || told == Start.JOINED;
         boolean refuted =
-                waited && quick && load > f.usual.run() / 2
+                (waited && quick && load > f.usual.run() / 2)
                         || told == Start.LOAD_FAILED
-                        || told == Start.WARM && slow && !mayStand;
+                        || (told == Start.WARM && slow && !mayStand);
         saw(s, seen.invoker(), Promise.START, !refuted);
         return s.of(Promise.START).trusted() && !refuted ? told : Start.UNKNOWN;
     }
@@ -221,12 +220,7 @@
      * nothing.
      */
     private Map<String, Double> report(
-            Standing s,
-            FunctionHealth f,
-            Seen seen,
-            Map<String, Double> report,
-            boolean served,
-            long now) {
+            Standing s, FunctionHealth f, Seen seen, Map<String, Double> report, boolean served) {
         if (report.isEmpty()) {
             if (made.reports()) {
                 untold(s, seen.invoker(), Promise.REPORTS);
@@ -243,7 +237,8 @@
             boolean few = seen.surelyThere() >= OWN && inHand < seen.surelyThere() / 2.0;
             boolean crowd =
                     inHand > CROWDED * (meanInHand + ROOM)
-                            && (!f.usual.known() || served && seen.took() < QUICK * f.usual.run());
+                            && (!f.usual.known()
+                                    || (served && seen.took() < QUICK * f.usual.run()));
             good = !few && !crowd && report.getOrDefault("queue", 0.0) <= inHand;
             if (good) {
                 meanInHand += NEWS * (Math.min(inHand, CROWDED * (meanInHand + ROOM)) - meanInHand);
@@ -256,7 +251,7 @@
     private void missAnswers(Standing s, FunctionHealth f, Seen seen, Sense sense, Start start) {
         boolean loadsItself = sense == Sense.SERVED && start == Start.COLD;
         boolean misses = sense == Sense.ABSENT;
-        if (loadsItself || misses && f.servedAt(seen.invoker()) != 0) {
+        if (loadsItself || (misses && f.servedAt(seen.invoker()) != 0)) {
             saw(s, seen.invoker(), Promise.MISS_ANSWERS, made.missAnswers() == misses);
         }
     }
@@ -266,7 +261,7 @@
         if (f.servedAt(seen.invoker()) == 0 || idle <= 0 || idle > made.keepAliveMicros()) {
             return;
         }
-        if (sense == Sense.ABSENT || sense == Sense.SERVED && start == Start.COLD) {
+        if (sense == Sense.ABSENT || (sense == Sense.SERVED && start == Start.COLD)) {
             saw(s, seen.invoker(), Promise.KEEP_ALIVE, false);
         } else if (sense == Sense.SERVED
                 && start == Start.WARM
--- a/src/main/java/waytrestle/play/RandomChoice.java
+++ b/src/main/java/waytrestle/play/RandomChoice.java
@@ -85,11 +85,11 @@
         boolean may =
                 !call.mayHaveRun
                         || call.kind.repeat() == Repeat.SAFE
-                        || call.kind.repeat() == Repeat.KEYED
+                        || (call.kind.repeat() == Repeat.KEYED
                                 && now
                                         < call.boundAt
                                                 + call.kind.windowMicros()
-                                                - settings.tickMicros();
+                                                - settings.tickMicros());
         List<Invoker> ready = new ArrayList<>();
         for (Invoker i : invokers.values()) {
             boolean group =
--- a/src/main/java/waytrestle/play/Troubles.java
+++ b/src/main/java/waytrestle/play/Troubles.java
@@ -93,8 +93,7 @@
                     some(t.share())
                             .forEach(i -> replace(i, (long) (t.factor() * 1e6), t.forMicros()));
             case CONTROLLER_CRASH ->
-                    stage.bounce(
-                            (int) (random.nextInt(scenario.controllers())), t.forMicros(), true);
+                    stage.bounce((int) random.nextInt(scenario.controllers()), t.forMicros(), true);
             case CONTROLLER_ROLL -> {
                 for (int i = 0; i < scenario.controllers(); i++) {
                     int number = i;
--- a/src/main/java/waytrestle/standin/InvokerBody.java
+++ b/src/main/java/waytrestle/standin/InvokerBody.java
@@ -301,7 +301,7 @@
     private void finish(
             String key, int controller, int attempt, InvokerModel.Result r, Reply reply) {
         boolean served = r.status() == InvokerModel.SERVED;
-        if (model.hung() || !reply.open() || served && random.nextDouble() < loseAnswers) {
+        if (model.hung() || !reply.open() || (served && random.nextDouble() < loseAnswers)) {
             return;
         }
         sightings.saw(
--- a/src/main/java/waytrestle/standin/InvokerModel.java
+++ b/src/main/java/waytrestle/standin/InvokerModel.java
@@ -53,7 +53,7 @@
     }
 
     /** A call at the invoker; cancel it by {@link #cancel}. */
-    public final class Visit {
+    public static final class Visit {
         final Function function;
         final long work;
         final Runnable ran;
--- a/src/main/java/waytrestle/wire/Codec.java
+++ b/src/main/java/waytrestle/wire/Codec.java
@@ -132,7 +132,7 @@
     private static ControlApi.Loading loading(Map<String, Object> d) {
         List<Double> memory = new ArrayList<>();
         for (Object each : Json.list(d, "memory_mb_by_kind")) {
-            memory.add(each instanceof Number ? ((Number) each).doubleValue() : 0.0);
+            memory.add(each instanceof Number number ? number.doubleValue() : 0.0);
         }
         return new ControlApi.Loading(
                 Json.text(d, "not_loaded").equals("miss"),
@@ -194,9 +194,10 @@
             Map<Integer, List<Invoker>> lists,
             Settings settings) {
         switch (what) {
-            case "ENDPOINTS":
+            case "ENDPOINTS" -> {
                 return listEvent(e, lists);
-            case "INBOUND":
+            }
+            case "INBOUND" -> {
                 int requestClass = (int) Json.whole(e, "service");
                 if (requestClass < 0 || requestClass >= settings.classes().size()) {
                     throw new Malformed("service is not in the settings: " + requestClass);
@@ -213,7 +214,8 @@
                         Math.round(Json.number(e, "load_ms") * 1000),
                         Json.flag(e, "repeat"),
                         Json.flag(e, "mutates"));
-            case "REPORT_BACK":
+            }
+            case "REPORT_BACK" -> {
                 int detail = (int) Json.whole(e, "detail");
                 int start = detail & 7;
                 Code code = code(e);
@@ -229,33 +231,41 @@
                         start < STARTS.length ? STARTS[start] : Start.UNKNOWN,
                         company ? detail >> 3 : -1,
                         report(e));
-            case "ESTABLISHED":
+            }
+            case "ESTABLISHED" -> {
                 return new ControlApi.StreamBegan(
                         Json.required(e, "txn"),
                         (int) Json.whole(e, "try"),
                         Json.text(e, "invoker"),
                         Json.whole(e, "time_taken_us"));
-            case "PROBED":
+            }
+            case "PROBED" -> {
                 return new ControlApi.ProbeEnded(
                         Json.requiredText(e, "invoker"),
                         code(e),
                         Json.whole(e, "time_taken_us"),
                         report(e));
-            case "HELD_NOW":
+            }
+            case "HELD_NOW" -> {
                 return new ControlApi.OrderEnded(
                         Json.requiredText(e, "invoker"),
                         Json.requiredText(e, "fn"),
                         code(e),
                         Json.whole(e, "time_taken_us"),
                         (int) Json.whole(e, "number"));
-            case "CANCELLED_BY_CLIENT":
+            }
+            case "CANCELLED_BY_CLIENT" -> {
                 return new ControlApi.RequestGone(Json.required(e, "txn"));
-            case "WAKEUP":
+            }
+            case "WAKEUP" -> {
                 return new ControlApi.TimerFired(Json.text(e, "tag"));
-            case "WHISPER":
+            }
+            case "WHISPER" -> {
                 return new ControlApi.PeerSaid((int) Json.whole(e, "origin_peer"), base64(e));
-            default:
+            }
+            default -> {
                 return null;
+            }
         }
     }
 
--- a/src/main/java/waytrestle/wire/Json.java
+++ b/src/main/java/waytrestle/wire/Json.java
@@ -66,26 +66,34 @@
 
     private static Object value(JsonParser in) throws IOException {
         switch (in.currentToken()) {
-            case START_OBJECT:
+            case START_OBJECT -> {
                 return object(in);
-            case START_ARRAY:
+            }
+            case START_ARRAY -> {
                 List<Object> list = new ArrayList<>();
                 while (in.nextToken() != JsonToken.END_ARRAY) {
                     list.add(value(in));
                 }
                 return list;
-            case VALUE_STRING:
+            }
+            case VALUE_STRING -> {
                 return in.getText();
-            case VALUE_NUMBER_INT:
+            }
+            case VALUE_NUMBER_INT -> {
                 return in.getLongValue();
-            case VALUE_NUMBER_FLOAT:
+            }
+            case VALUE_NUMBER_FLOAT -> {
                 return in.getDoubleValue();
-            case VALUE_TRUE:
-                return Boolean.TRUE;
-            case VALUE_FALSE:
-                return Boolean.FALSE;
-            default:
+            }
+            case VALUE_TRUE -> {
+                return true;
+            }
+            case VALUE_FALSE -> {
+                return false;
+            }
+            default -> {
                 return null;
+            }
         }
     }
 
@@ -120,8 +128,8 @@
         if (value == null) {
             return 0;
         }
-        if (value instanceof Number) {
-            return ((Number) value).doubleValue();
+        if (value instanceof Number number) {
+            return number.doubleValue();
         }
         throw new Malformed(key + " must be a number");
     }
@@ -131,11 +139,11 @@
         if (value == null) {
             return 0;
         }
-        if (value instanceof Long) {
-            return (Long) value;
+        if (value instanceof Long l) {
+            return l;
         }
-        if (value instanceof Double) {
-            return Math.round((Double) value);
+        if (value instanceof Double d) {
+            return Math.round(d);
         }
         throw new Malformed(key + " must be a whole number");
     }
@@ -152,8 +160,8 @@
         if (value == null) {
             return false;
         }
-        if (value instanceof Boolean) {
-            return (Boolean) value;
+        if (value instanceof Boolean b) {
+            return b;
         }
         throw new Malformed(key + " must be true or false");
     }
@@ -163,8 +171,8 @@
         if (value == null) {
             return "";
         }
-        if (value instanceof String) {
-            return (String) value;
+        if (value instanceof String string) {
+            return string;
         }
         throw new Malformed(key + " must be text");
     }
