--- a/src/main/java/waytrestle/Bytes.java
+++ b/src/main/java/waytrestle/Bytes.java
@@ -1,8 +1,12 @@
 package waytrestle;
 
+import java.io.ByteArrayInputStream;
+import java.io.InputStream;
+import java.io.SequenceInputStream;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 
 /**
@@ -95,14 +99,12 @@
     }
 
     /** The segments as one stream. */
-    public java.io.InputStream stream() {
-        List<java.io.InputStream> all = new ArrayList<>(segments.size());
+    public InputStream stream() {
+        List<InputStream> all = new ArrayList<>(segments.size());
         for (Segment s : segments) {
-            all.add(new java.io.ByteArrayInputStream(s.array(), s.from(), s.length()));
+            all.add(new ByteArrayInputStream(s.array(), s.from(), s.length()));
         }
-        return all.size() == 1
-                ? all.get(0)
-                : new java.io.SequenceInputStream(java.util.Collections.enumeration(all));
+        return all.size() == 1 ? all.get(0) : new SequenceInputStream(Collections.enumeration(all));
     }
 
     /** Reads forward from the beginning. */
--- a/src/main/java/waytrestle/Main.java
+++ b/src/main/java/waytrestle/Main.java
@@ -1,6 +1,8 @@
 package waytrestle;
 
-import waytrestle.wire.WireHost;
+import waytrestle.bench.BenchAdapter;
+import waytrestle.cli.Cli;
+import waytrestle.platform.PlatformController;
 
 /**
  * The program's entry. The bench's adapter and the platform's controller are started without
@@ -11,11 +13,11 @@
 
     public static void main(String[] args) throws InterruptedException {
         if (args.length == 1 && args[0].equals("wirehost")) {
-            WireHost.main(args);
+            BenchAdapter.main(args);
         } else if (args.length == 1 && args[0].equals("platform")) {
-            waytrestle.gateway.platform.Node.main(args);
+            PlatformController.main(args);
         } else {
-            waytrestle.cli.Cli.main(args);
+            Cli.main(args);
         }
     }
 }
--- a/src/main/java/waytrestle/audit/Audit.java
+++ b/src/main/java/waytrestle/audit/Audit.java
@@ -8,17 +8,21 @@
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
-import waytrestle.ControlApi.Group;
-import waytrestle.ControlApi.Loading;
-import waytrestle.ControlApi.Repeat;
-import waytrestle.ControlApi.RequestClass;
-import waytrestle.ControlApi.Rules;
-import waytrestle.ControlApi.Settings;
+import waytrestle.scheduler.DeduplicationScope;
+import waytrestle.scheduler.Idempotency;
+import waytrestle.scheduler.SchedulerSettings;
+import waytrestle.scheduler.SchedulerSettings.Preloading;
+import waytrestle.scheduler.SchedulerSettings.RequestClass;
+import waytrestle.scheduler.SchedulerSettings.Rules;
 
 /**
  * Judges the five rules from what clients, invokers and roster saw on their sockets. It joins their
@@ -88,7 +92,7 @@
                         String.format(
                                 "rule %d %-18s %s%n",
                                 rule.ordinal() + 1,
-                                rule.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' '),
+                                rule.name().toLowerCase(Locale.ROOT).replace('_', ' '),
                                 n == 0 ? "kept" : "BROKEN " + n + " times"));
             }
             breaks.forEach(
@@ -164,12 +168,11 @@
         final ArrayDeque<Work> window = new ArrayDeque<>();
         long sum;
         final Map<Integer, Long> heard = new HashMap<>(); // controller: when its last answer left
-        final java.util.Set<Integer> knows =
-                new java.util.HashSet<>(); // controllers that can know of the restart
+        final Set<Integer> knows = new HashSet<>(); // controllers that can know of the restart
         long unknowingAt = Long.MIN_VALUE / 2; // last send of one that cannot
     }
 
-    private final Settings settings;
+    private final SchedulerSettings settings;
     private final long seenLate;
     private final Map<String, Call> calls = new HashMap<>();
     private final Map<String, Box> boxes = new HashMap<>();
@@ -184,7 +187,7 @@
     private double coldUsed;
     private double ordersUsed;
 
-    public Audit(Settings settings, long seenLate) {
+    public Audit(SchedulerSettings settings, long seenLate) {
         this.seenLate = seenLate;
         this.settings = settings;
         for (Rule rule : Rule.values()) {
@@ -193,12 +196,13 @@
     }
 
     /** Judges a file of sightings. */
-    public static Verdict of(Path evidence, Settings settings) throws IOException {
+    public static Verdict of(Path evidence, SchedulerSettings settings) throws IOException {
         return of(evidence, settings, SEEN_LATE);
     }
 
     /** Judges with another allowance, in micros, for seeing things late. */
-    public static Verdict of(Path evidence, Settings settings, long seenLate) throws IOException {
+    public static Verdict of(Path evidence, SchedulerSettings settings, long seenLate)
+            throws IOException {
         Audit audit = new Audit(settings, seenLate);
         ObjectMapper json = new ObjectMapper();
         try (BufferedReader lines = Files.newBufferedReader(evidence)) {
@@ -313,7 +317,7 @@
                                                 }));
             }
             case "fell" -> {
-                if (box(s.who()).unknowingAt < s.t() - settings.rules().overloadMicros()) {
+                if (box(s.who()).unknowingAt < s.t() - settings.rules().overloadWindowMicros()) {
                     broke(
                             Rule.COLD_SPARED,
                             s.t(),
@@ -404,17 +408,17 @@
      */
     private void cold(Sighting s, Box box) {
         Rules rules = settings.rules();
-        double age = (s.t() - box.coldFrom) / (double) Math.max(1, rules.warmAfterMicros());
+        double age = (s.t() - box.coldFrom) / (double) Math.max(1, rules.slowStartMicros());
         if (age >= 1) {
             return;
         }
         box.window.add(new Work(s.t(), s.number("work")));
         box.sum += s.number("work");
-        while (box.window.peek().t() < s.t() - rules.overloadMicros()) {
+        while (box.window.peek().t() < s.t() - rules.overloadWindowMicros()) {
             box.sum -= box.window.poll().micros();
         }
-        double share = rules.coldShare() + (1 - rules.coldShare()) * age;
-        double most = rules.fallMultiple() * share * box.cores * rules.overloadMicros();
+        double share = rules.slowStartInitialShare() + (1 - rules.slowStartInitialShare()) * age;
+        double most = rules.overloadMultiple() * share * box.cores * rules.overloadWindowMicros();
         coldUsed = Math.max(coldUsed, box.sum / most);
         if (box.sum > most) {
             broke(
@@ -432,20 +436,20 @@
         }
         orderCount++;
         away(s, controller, "load order");
-        Loading loading = settings.loading();
-        if (loading.loadPeriodMicros() <= 0) {
+        Preloading loading = settings.preloading();
+        if (loading.preloadPeriodMicros() <= 0) {
             return;
         }
         ArrayDeque<Long> own = orders.computeIfAbsent(controller, c -> new ArrayDeque<>());
         ArrayDeque<Long> in = taken.computeIfAbsent(controller, c -> new ArrayDeque<>());
         own.add(s.t());
-        while (!own.isEmpty() && own.peek() < s.t() - loading.loadPeriodMicros() + seenLate) {
+        while (!own.isEmpty() && own.peek() < s.t() - loading.preloadPeriodMicros() + seenLate) {
             own.poll();
         }
-        while (!in.isEmpty() && in.peek() < s.t() - loading.loadPeriodMicros() - seenLate) {
+        while (!in.isEmpty() && in.peek() < s.t() - loading.preloadPeriodMicros() - seenLate) {
             in.poll();
         }
-        double may = loading.freeLoads() + loading.loadRatio() * in.size();
+        double may = loading.freePreloads() + loading.preloadsPerRequest() * in.size();
         ordersUsed = Math.max(ordersUsed, own.size() / Math.max(1, may));
         if (own.size() > may) {
             broke(
@@ -478,13 +482,15 @@
             oneAnswer(each.getKey(), call);
             noDoubleEffect(each.getKey(), call);
             RequestClass kind = settings.classes().get(call.requestClass);
-            asked += kind.worth();
+            asked += kind.priorityWeight();
             Try last = call.tries.lastEntry().getValue();
             ends.merge(kind.name() + " " + last.how, 1L, Long::sum);
             if (last.how.equals("200")) {
                 long took = last.endedAt - call.tries.firstEntry().getValue().sentAt;
                 latency.recordValue(Math.min(3_600_000_000L, took));
-                worth += kind.worth() * (took <= kind.aimMicros() ? 1 : kind.lateWorth());
+                worth +=
+                        kind.priorityWeight()
+                                * (took <= kind.objectiveMicros() ? 1 : kind.latePriorityWeight());
             }
         }
         return new Verdict(
@@ -519,7 +525,7 @@
                     if (!t.how.equals("left")
                             && t.endedAt
                                     > t.deadline
-                                            + settings.rules().answerSlackMicros()
+                                            + settings.rules().responseSlackMicros()
                                             + seenLate) {
                         broke(
                                 Rule.ONE_ANSWER,
@@ -546,14 +552,14 @@
     private void noDoubleEffect(String id, Call call) {
         RequestClass kind = settings.classes().get(call.requestClass);
         List<Visit> visits = call.visits;
-        visits.sort(java.util.Comparator.comparingLong(v -> v.from));
+        visits.sort(Comparator.comparingLong(v -> v.from));
         Visit first = null;
         for (Visit v : visits) {
             if (v.ranAt >= 0) {
-                if (first != null && kind.repeat() == Repeat.UNSAFE) {
+                if (first != null && kind.idempotency() == Idempotency.NON_IDEMPOTENT) {
                     broke(Rule.NO_DOUBLE_EFFECT, v.ranAt, "unsafe call " + id + " ran twice");
                 }
-                if (first != null && kind.repeat() == Repeat.KEYED) {
+                if (first != null && kind.idempotency() == Idempotency.KEYED) {
                     broke(
                             Rule.NO_DOUBLE_EFFECT,
                             v.ranAt,
@@ -563,8 +569,9 @@
             }
         }
         boolean freely =
-                kind.repeat() == Repeat.SAFE
-                        || (kind.repeat() == Repeat.KEYED && kind.group() == Group.ALL);
+                kind.idempotency() == Idempotency.IDEMPOTENT
+                        || (kind.idempotency() == Idempotency.KEYED
+                                && kind.deduplicationScope() == DeduplicationScope.ALL);
         if (first != null && !freely) {
             for (Try t : call.tries.values()) {
                 if (t.endedAt > first.ranAt && t.harmless) {
@@ -575,7 +582,7 @@
                 }
             }
         }
-        if (!settings.limits().overlap()) {
+        if (!settings.limits().mayHedge()) {
             for (int i = 1; i < visits.size(); i++) {
                 Visit before = visits.get(i - 1);
                 Visit v = visits.get(i);
--- a/src/main/java/waytrestle/wire/WireHost.java
+++ b/src/main/java/waytrestle/bench/BenchAdapter.java
@@ -1,4 +1,4 @@
-package waytrestle.wire;
+package waytrestle.bench;
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.BufferedReader;
@@ -12,38 +12,39 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import waytrestle.Control;
-import waytrestle.ControlApi;
-import waytrestle.ControlApi.Action;
-import waytrestle.ControlApi.Event;
-import waytrestle.ControlApi.Invoker;
-import waytrestle.ControlApi.Settings;
-import waytrestle.wire.Json.Malformed;
+import waytrestle.json.JsonObjectReader;
+import waytrestle.json.JsonObjectReader.Malformed;
+import waytrestle.scheduler.FinishTimeScheduler;
+import waytrestle.scheduler.InvokerEndpoint;
+import waytrestle.scheduler.RequestScheduler;
+import waytrestle.scheduler.SchedulerCommand;
+import waytrestle.scheduler.SchedulerEvent;
+import waytrestle.scheduler.SchedulerSettings;
 
 /** Hosts many isolated controllers on the wire: a batch a line in, a reply a line out. */
-public final class WireHost {
-    private record Instance(Settings settings, ControlApi control) {}
+public final class BenchAdapter {
+    private record Instance(SchedulerSettings settings, RequestScheduler control) {}
 
     private final Map<Long, Instance> instances = new HashMap<>();
-    private final Map<Integer, List<Invoker>> lists = new HashMap<>();
+    private final Map<Integer, List<InvokerEndpoint>> lists = new HashMap<>();
 
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("wirehost")) {
             System.err.println("usage: java -jar waytrestle.jar wirehost");
             System.exit(2);
         }
-        System.exit(new WireHost().run(System.in, System.out, System.err));
+        System.exit(new BenchAdapter().run(System.in, System.out, System.err));
     }
 
     int run(InputStream in, OutputStream out, PrintStream err) {
         try (BufferedReader lines =
                         new BufferedReader(
                                 new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
-                JsonGenerator json = Json.FACTORY.createGenerator(out)) {
+                JsonGenerator json = JsonObjectReader.FACTORY.createGenerator(out)) {
             json.setRootValueSeparator(null);
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
                 if (!line.isBlank()) {
-                    batch(Json.line(line), json);
+                    batch(JsonObjectReader.line(line), json);
                     json.writeRaw('\n');
                     json.flush();
                 }
@@ -59,35 +60,35 @@
     }
 
     private void batch(Map<String, Object> batch, JsonGenerator json) throws IOException {
-        long now = Json.required(batch, "now_us");
+        long now = JsonObjectReader.required(batch, "now_us");
         if (!batch.containsKey("controllers")) {
             throw new Malformed("controllers is missing");
         }
-        List<Object> controllers = Json.list(batch, "controllers");
+        List<Object> controllers = JsonObjectReader.list(batch, "controllers");
         List<Object[]> replies = new ArrayList<>();
         for (Object each : controllers) {
-            Map<String, Object> entry = Json.map(each, "controllers");
-            long number = Json.required(entry, "i");
-            List<Action> actions = new ArrayList<>();
-            Throwable crash = inbox(now, number, Json.list(entry, "inbox"), actions);
+            Map<String, Object> entry = JsonObjectReader.map(each, "controllers");
+            long number = JsonObjectReader.required(entry, "i");
+            List<SchedulerCommand> actions = new ArrayList<>();
+            Throwable crash = inbox(now, number, JsonObjectReader.list(entry, "inbox"), actions);
             replies.add(new Object[] {number, actions, crash});
         }
         json.writeStartObject();
         json.writeArrayFieldStart("controllers");
         for (Object[] reply : replies) {
             @SuppressWarnings("unchecked")
-            List<Action> actions = (List<Action>) reply[1];
+            List<SchedulerCommand> actions = (List<SchedulerCommand>) reply[1];
             if (actions.isEmpty() && reply[2] == null) {
                 continue;
             }
             json.writeStartObject();
             json.writeNumberField("i", (Long) reply[0]);
             json.writeArrayFieldStart("orders");
-            for (Action action : actions) {
-                Codec.write(json, action);
+            for (SchedulerCommand action : actions) {
+                BenchCodec.write(json, action);
             }
             if (reply[2] != null) {
-                Codec.writeCrash(json, (Throwable) reply[2]);
+                BenchCodec.writeCrash(json, (Throwable) reply[2]);
             }
             json.writeEndArray();
             json.writeEndObject();
@@ -97,16 +98,21 @@
     }
 
     /** Feeds one controller its events; returns what a decision threw, to be reported. */
-    private Throwable inbox(long now, long number, List<Object> inbox, List<Action> actions) {
+    private Throwable inbox(
+            long now, long number, List<Object> inbox, List<SchedulerCommand> actions) {
         for (Object each : inbox) {
-            Map<String, Object> e = Json.map(each, "inbox");
-            String what = Json.requiredText(e, "what");
+            Map<String, Object> e = JsonObjectReader.map(each, "inbox");
+            String what = JsonObjectReader.requiredText(e, "what");
             switch (what) {
                 case "UP" -> {
-                    Settings settings = Codec.settings(Json.mapOrEmpty(e, "params"));
+                    SchedulerSettings settings =
+                            BenchCodec.settings(JsonObjectReader.mapOrEmpty(e, "params"));
                     instances.put(
                             number,
-                            new Instance(settings, new Control(settings, Json.whole(e, "seed"))));
+                            new Instance(
+                                    settings,
+                                    new FinishTimeScheduler(
+                                            settings, JsonObjectReader.whole(e, "seed"))));
                 }
                 case "DOWN" -> {
                     instances.remove(number);
@@ -114,18 +120,18 @@
                 }
                 case "LEDGER" ->
                         lists.put(
-                                (int) Json.required(e, "roster_id"),
-                                Codec.invokers(Json.list(e, "entries")));
+                                (int) JsonObjectReader.required(e, "roster_id"),
+                                BenchCodec.invokers(JsonObjectReader.list(e, "entries")));
                 default -> {
                     Instance instance = instances.get(number);
                     if (instance == null) {
                         throw new Malformed(
                                 what + " came for controller " + number + ", which is not up");
                     }
-                    Event event = Codec.event(what, e, lists, instance.settings());
+                    SchedulerEvent event = BenchCodec.event(what, e, lists, instance.settings());
                     if (event != null) {
                         try {
-                            instance.control().on(now, event, actions::add);
+                            instance.control().handle(now, event, actions::add);
                         } catch (RuntimeException broken) {
                             return broken;
                         }
--- a/src/main/java/waytrestle/cli/Cli.java
+++ b/src/main/java/waytrestle/cli/Cli.java
@@ -6,7 +6,9 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import waytrestle.bench.BenchAdapter;
 import waytrestle.config.ConfigError;
+import waytrestle.platform.PlatformController;
 
 /**
  * The command line: its sub-commands and how each error ends (1 a verdict, 2 wrong use or settings,
@@ -40,7 +42,7 @@
     static final class WireHostCommand implements Callable<Integer> {
         @Override
         public Integer call() {
-            waytrestle.wire.WireHost.main(new String[] {"wirehost"});
+            BenchAdapter.main(new String[] {"wirehost"});
             return 0;
         }
     }
@@ -52,7 +54,7 @@
     static final class PlatformCommand implements Callable<Integer> {
         @Override
         public Integer call() throws InterruptedException {
-            waytrestle.gateway.platform.Node.main(new String[] {"platform"});
+            PlatformController.main(new String[] {"platform"});
             return 0;
         }
     }
--- a/src/main/java/waytrestle/cli/EmulateCommand.java
+++ b/src/main/java/waytrestle/cli/EmulateCommand.java
@@ -9,11 +9,11 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
-import waytrestle.Control;
 import waytrestle.audit.Audit;
 import waytrestle.emulator.Emulation;
 import waytrestle.play.RandomChoice;
 import waytrestle.play.Scenario;
+import waytrestle.scheduler.FinishTimeScheduler;
 
 /** Runs a scenario in simulated time and judges it like a play. */
 @Command(
@@ -52,7 +52,7 @@
                 new Emulation(
                         seed == null ? day : day.withSeed(seed),
                         out,
-                        policy.equals("random") ? RandomChoice::new : Control::new,
+                        policy.equals("random") ? RandomChoice::new : FinishTimeScheduler::new,
                         !noOverload);
         long took = emulation.run(new PrintWriter(Writer.nullWriter()));
         Audit.Verdict verdict = AuditCommand.judge(out);
--- a/src/main/java/waytrestle/cli/HuntCommand.java
+++ b/src/main/java/waytrestle/cli/HuntCommand.java
@@ -1,17 +1,19 @@
 package waytrestle.cli;
 
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
+import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
-import waytrestle.Control;
 import waytrestle.hunt.DayPlayer;
 import waytrestle.hunt.DayResult;
 import waytrestle.hunt.Hunt;
 import waytrestle.play.Scenario;
+import waytrestle.scheduler.FinishTimeScheduler;
 
 /** Draws days until a rule breaks. */
 @Command(
@@ -63,7 +65,7 @@
             description =
                     "Scenarios to play again instead, each told passed or failed; "
                             + "with --out a failing one is shrunk.")
-    private java.util.List<Path> again = java.util.List.of();
+    private List<Path> again = List.of();
 
     @Override
     public Integer call() throws Exception {
@@ -72,7 +74,7 @@
         if (!again.isEmpty()) {
             boolean passed = true;
             for (Path each : again) {
-                DayResult r = new DayPlayer(Control::new).play(Scenario.read(each));
+                DayResult r = new DayPlayer(FinishTimeScheduler::new).play(Scenario.read(each));
                 passed &= r.passed();
                 if (!r.passed() && dir != null && !whole) {
                     out.println(
@@ -82,7 +84,7 @@
                                             r,
                                             each.getFileName().toString(),
                                             dir,
-                                            Control::new));
+                                            FinishTimeScheduler::new));
                 }
                 out.printf(
                         "%s: %s, service %.3f, %d calls, %d attempts, cold budget %.0f%%%n",
@@ -97,13 +99,12 @@
             return passed ? 0 : 1;
         }
         if (dir == null) {
-            throw new picocli.CommandLine.ParameterException(
-                    spec.commandLine(), "--out is needed to hunt");
+            throw new CommandLine.ParameterException(spec.commandLine(), "--out is needed to hunt");
         }
         return new Hunt(
                                 new Hunt.Plan(seed, days, seconds, jobs, !chance, true, !whole),
                                 dir,
-                                Control::new)
+                                FinishTimeScheduler::new)
                         .run(out)
                 ? 0
                 : 1;
--- a/src/main/java/waytrestle/cli/PlayCommand.java
+++ b/src/main/java/waytrestle/cli/PlayCommand.java
@@ -1,6 +1,7 @@
 package waytrestle.cli;
 
 import java.io.PrintWriter;
+import java.io.Writer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
@@ -51,7 +52,7 @@
                         seed == null ? day : day.withSeed(seed),
                         out,
                         policy,
-                        quiet ? new PrintWriter(java.io.Writer.nullWriter()) : to);
+                        quiet ? new PrintWriter(Writer.nullWriter()) : to);
         to.print(verdict.text());
         to.flush();
         return verdict.kept() ? 0 : 1;
--- a/src/main/java/waytrestle/cli/Rig.java
+++ b/src/main/java/waytrestle/cli/Rig.java
@@ -1,9 +1,12 @@
 package waytrestle.cli;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.URI;
+import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
@@ -13,6 +16,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.UnaryOperator;
 import waytrestle.config.GatewayConfig;
 import waytrestle.load.LoadPlan;
 import waytrestle.net.Loop;
@@ -74,7 +78,7 @@
     }
 
     /** The same with the configuration changed, of another build where its jar is given. */
-    void gateway(java.util.function.UnaryOperator<String> change, Path jar) throws Exception {
+    void gateway(UnaryOperator<String> change, Path jar) throws Exception {
         if (gateway != null) {
             gateway.kill();
         }
@@ -144,15 +148,14 @@
     }
 
     private static int free() throws IOException {
-        try (java.net.ServerSocket s =
-                new java.net.ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return s.getLocalPort();
         }
     }
 
     private String config() throws IOException {
         String text;
-        try (java.io.InputStream in = Rig.class.getResourceAsStream("/demo.toml")) {
+        try (InputStream in = Rig.class.getResourceAsStream("/demo.toml")) {
             text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
         }
         StringBuilder out =
@@ -216,7 +219,7 @@
     }
 
     private static HttpResponse<String> get(int port, String path) throws Exception {
-        return java.net.http.HttpClient.newHttpClient()
+        return HttpClient.newHttpClient()
                 .send(
                         HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
                                 .build(),
--- a/src/main/java/waytrestle/cli/ServeCommand.java
+++ b/src/main/java/waytrestle/cli/ServeCommand.java
@@ -4,12 +4,12 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import waytrestle.Control;
 import waytrestle.config.GatewayConfig;
-import waytrestle.gateway.Controller;
+import waytrestle.controller.Controller;
 import waytrestle.gateway.Gateway;
-import waytrestle.net.ProcessSignals;
 import waytrestle.play.RandomChoice;
+import waytrestle.runtime.ProcessSignals;
+import waytrestle.scheduler.FinishTimeScheduler;
 
 /** Runs a gateway until it is told to stop. */
 @Command(
@@ -54,7 +54,8 @@
     public Integer call() throws Exception {
         Logs.to(log.equals("json"), level);
         GatewayConfig read = GatewayConfig.read(config);
-        Controller.ModuleMaker maker = policy == Policy.random ? RandomChoice::new : Control::new;
+        Controller.SchedulerFactory maker =
+                policy == Policy.random ? RandomChoice::new : FinishTimeScheduler::new;
         Gateway gateway = Gateway.start(read, maker);
         Thread onTerm =
                 new Thread(
--- a/src/main/java/waytrestle/config/GatewayConfig.java
+++ b/src/main/java/waytrestle/config/GatewayConfig.java
@@ -11,32 +11,32 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import waytrestle.ControlApi.Discovery;
-import waytrestle.ControlApi.Group;
-import waytrestle.ControlApi.Invoker;
-import waytrestle.ControlApi.Limits;
-import waytrestle.ControlApi.Loading;
-import waytrestle.ControlApi.Prices;
-import waytrestle.ControlApi.Repeat;
-import waytrestle.ControlApi.Reports;
-import waytrestle.ControlApi.RequestClass;
-import waytrestle.ControlApi.Rules;
-import waytrestle.ControlApi.Settings;
-import waytrestle.ControlApi.State;
-import waytrestle.ControlApi.Tenant;
 import waytrestle.access.FileAccessLog;
-import waytrestle.calls.IdMemory;
 import waytrestle.http.HttpLimits;
-import waytrestle.outcomes.Outcomes;
-import waytrestle.overload.Overload;
-import waytrestle.overload.TenantShares;
+import waytrestle.overload.OverloadControl;
+import waytrestle.overload.TenantQuotas;
+import waytrestle.requests.IdempotencyStore;
+import waytrestle.responses.HealthTrackingClassifier;
+import waytrestle.scheduler.DeduplicationScope;
+import waytrestle.scheduler.DiscoveryMode;
+import waytrestle.scheduler.EndpointState;
+import waytrestle.scheduler.Idempotency;
+import waytrestle.scheduler.InvokerEndpoint;
+import waytrestle.scheduler.LoadReportSource;
+import waytrestle.scheduler.SchedulerSettings;
+import waytrestle.scheduler.SchedulerSettings.Costs;
+import waytrestle.scheduler.SchedulerSettings.Limits;
+import waytrestle.scheduler.SchedulerSettings.Preloading;
+import waytrestle.scheduler.SchedulerSettings.RequestClass;
+import waytrestle.scheduler.SchedulerSettings.Rules;
+import waytrestle.scheduler.SchedulerSettings.Tenant;
 
 /**
  * The whole configuration of a gateway process, checked. Names and units are those of the annotated
  * example.
  */
 public record GatewayConfig(
-        Settings module,
+        SchedulerSettings module,
         long seed,
         List<String> zones,
         List<String> kinds,
@@ -45,7 +45,7 @@
         HttpLimits http,
         int maxConnections,
         long transitMicros,
-        IdMemory.Bounds ids,
+        IdempotencyStore.Bounds ids,
         List<Endpoint> endpoints,
         Map<String, Function> functions,
         Function unknownFunction,
@@ -54,11 +54,11 @@
         Peers peers,
         long stopGraceMicros,
         Faults faults,
-        Overload.Settings overload,
-        List<TenantShares.Bound> bounds,
+        OverloadControl.Settings overload,
+        List<TenantQuotas.Limit> bounds,
         Edge edge,
         Kserve kserve,
-        Outcomes.Settings outcomes,
+        HealthTrackingClassifier.Settings outcomes,
         FileAccessLog.Settings access) {
 
     /**
@@ -83,7 +83,7 @@
 
     /** Where the list of invokers comes from: fixed entries, or a health API at an address. */
     public record Roster(
-            List<Invoker> fixed,
+            List<InvokerEndpoint> fixed,
             InetSocketAddress at,
             String service,
             long waitMicros,
@@ -144,7 +144,7 @@
         }
         List<Tenant> tenants = new ArrayList<>();
         List<String> tenantNames = new ArrayList<>();
-        List<TenantShares.Bound> bounds = new ArrayList<>();
+        List<TenantQuotas.Limit> bounds = new ArrayList<>();
         for (Section t : root.each("tenant")) {
             unique(t, t.text("name"), tenantNames);
             tenants.add(
@@ -153,7 +153,7 @@
                             t.number("share", 0, 1),
                             t.number("quota_per_s", 0, 1e9)));
             bounds.add(
-                    new TenantShares.Bound(
+                    new TenantQuotas.Limit(
                             t.number("max_per_s", 0, 1e9, 0),
                             (int) t.whole("max_open", 0, 1_000_000, 0)));
         }
@@ -185,10 +185,10 @@
                     "must be below rules.drain_grace_ms: a connection begun before an "
                             + "invoker is told draining must not deliver after the grace");
         }
-        Loading loading = loading(root.sub("loading"), memory);
+        Preloading loading = loading(root.sub("loading"), memory);
         Section p = root.sub("prices");
-        Prices prices =
-                new Prices(
+        Costs prices =
+                new Costs(
                         price(p, "cross_zone"),
                         price(p, "waste"),
                         price(p, "probe"),
@@ -199,17 +199,18 @@
                         price(p, "handshake"),
                         price(p, "list_lines"));
         Section rosterTable = root.sub("roster");
-        Discovery discovery = rosterTable.choice("discovery", Discovery.class);
+        DiscoveryMode discovery =
+                rosterTable.choice("discovery", DiscoveryMode.class, GatewayConfig::word);
         Section reports = root.sub("reports");
         int count = (int) controller.whole("count", 1, 100_000);
-        Settings module =
-                new Settings(
+        SchedulerSettings module =
+                new SchedulerSettings(
                         (int) controller.whole("number", 0, 99_999),
                         count,
                         controller.among("zone", zones, "zone"),
                         controller.millis("tick_ms", 0.1, 1_000),
                         discovery,
-                        reports.choice("how", Reports.class),
+                        reports.choice("how", LoadReportSource.class, GatewayConfig::word),
                         controller.text("weight_kind"),
                         controller.number("over_share_worth", 0, 1),
                         List.copyOf(classes),
@@ -218,7 +219,7 @@
                         moduleRules,
                         loading,
                         prices);
-        if (module.me() >= count) {
+        if (module.controllerIndex() >= count) {
             controller.fault("number", "must be below controller.count, which is " + count);
         }
         Section ids = root.sub("ids");
@@ -247,7 +248,7 @@
                 http(root.sub("http")),
                 (int) listen.whole("max_connections", 1, 1_000_000, 10_000),
                 listen.millis("transit_ms", 0, 60_000, 5),
-                new IdMemory.Bounds(
+                new IdempotencyStore.Bounds(
                         (int) ids.whole("entries", 1, 50_000_000, 200_000),
                         ids.whole("bytes", 1_024, 1L << 40, 256L << 20),
                         ids.whole("tolerance_s", 1, 86_400, 300)),
@@ -273,6 +274,29 @@
                 access(root.sub("access_log")));
     }
 
+    private static String word(DiscoveryMode mode) {
+        return switch (mode) {
+            case PUSH -> "pushed";
+            case POLL -> "asked";
+        };
+    }
+
+    private static String word(LoadReportSource source) {
+        return switch (source) {
+            case RESPONSES -> "answers";
+            case HEALTH_CHECKS -> "probes";
+            case NONE -> "none";
+        };
+    }
+
+    private static String word(Idempotency idempotency) {
+        return switch (idempotency) {
+            case IDEMPOTENT -> "safe";
+            case KEYED -> "keyed";
+            case NON_IDEMPOTENT -> "unsafe";
+        };
+    }
+
     private static List<String> named(Section s, String key) {
         List<String> names = s.texts(key);
         if (names.isEmpty()) {
@@ -298,8 +322,8 @@
 
     private static RequestClass requestClass(Section c, List<String> names) {
         unique(c, c.text("name"), names);
-        Repeat repeat = c.choice("repeat", Repeat.class);
-        boolean keyed = repeat == Repeat.KEYED;
+        Idempotency repeat = c.choice("repeat", Idempotency.class, GatewayConfig::word);
+        boolean keyed = repeat == Idempotency.KEYED;
         if (!keyed && (c.has("group") || c.has("window_ms"))) {
             c.fault(c.has("group") ? "group" : "window_ms", "only a keyed class has one");
         }
@@ -308,7 +332,8 @@
         if (aim > deadline) {
             c.fault("aim_ms", "must not be over deadline_ms");
         }
-        Group group = keyed ? c.choice("group", Group.class) : Group.ALL;
+        DeduplicationScope group =
+                keyed ? c.choice("group", DeduplicationScope.class) : DeduplicationScope.ALL;
         long window = keyed ? c.millis("window_ms", 1, DAY) : 0;
         return new RequestClass(
                 names.get(names.size() - 1),
@@ -323,8 +348,8 @@
                 false);
     }
 
-    private static Loading loading(Section s, List<Double> memory) {
-        return new Loading(
+    private static Preloading loading(Section s, List<Double> memory) {
+        return new Preloading(
                 s.flag("miss_answers"),
                 s.flag("orders"),
                 s.flag("tells_start"),
@@ -419,16 +444,16 @@
         return all;
     }
 
-    private static Overload.Settings overload(Section s) {
-        return new Overload.Settings(
+    private static OverloadControl.Settings overload(Section s) {
+        return new OverloadControl.Settings(
                 s.flag("on", true),
                 (int) s.whole("least_open", 1, 1_000_000, 32),
                 s.number("retry_share", 0, 10, 0.2),
                 s.number("retries_per_s", 0, 1e6, 10));
     }
 
-    private static Outcomes.Settings outcomes(Section s) {
-        return new Outcomes.Settings(
+    private static HealthTrackingClassifier.Settings outcomes(Section s) {
+        return new HealthTrackingClassifier.Settings(
                 s.number("attempts_per_call", 1, 100, 2),
                 (int) s.whole("failed_tries", 1, 100, 2),
                 s.number("eject_share", 0, 1, 0.3),
@@ -493,7 +518,7 @@
     }
 
     private static Roster roster(Section r, Section root, List<String> zones, List<String> kinds) {
-        List<Invoker> fixed = new ArrayList<>();
+        List<InvokerEndpoint> fixed = new ArrayList<>();
         Set<String> ids = new HashSet<>();
         for (Section i : root.each("invoker")) {
             InetSocketAddress at = address(i, "address", null);
@@ -502,12 +527,12 @@
                 i.fault("address", "is given twice: " + id);
             }
             fixed.add(
-                    new Invoker(
+                    new InvokerEndpoint(
                             id,
                             i.among("zone", zones, "zone"),
                             (int) i.whole("cell", 0, 1_000_000, 0),
                             i.among("kind", kinds, "kind"),
-                            State.READY,
+                            EndpointState.READY,
                             i.number("weight", 0, 1e6, 1),
                             0));
         }
--- a/src/main/java/waytrestle/config/Section.java
+++ b/src/main/java/waytrestle/config/Section.java
@@ -1,12 +1,12 @@
 package waytrestle.config;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.function.Function;
 import org.tomlj.TomlArray;
 import org.tomlj.TomlPosition;
 import org.tomlj.TomlTable;
@@ -204,21 +204,23 @@
         return Math.round(number(key, least, most, otherwise) * 1_000);
     }
 
+    /** One of an enum's constants by its name in lower case. */
     public <E extends Enum<E>> E choice(String key, Class<E> type) {
+        return choice(key, type, each -> each.name().toLowerCase(Locale.ROOT));
+    }
+
+    /** One of an enum's constants by the word that the settings have for it. */
+    public <E extends Enum<E>> E choice(String key, Class<E> type, Function<E, String> word) {
         String given = text(key);
+        List<String> words = new ArrayList<>();
         for (E each : type.getEnumConstants()) {
-            if (each.name().toLowerCase(Locale.ROOT).equals(given)) {
+            if (word.apply(each).equals(given)) {
                 return each;
             }
+            words.add(word.apply(each));
         }
         if (!given.isEmpty()) {
-            fault(
-                    key,
-                    "must be one of "
-                            + Arrays.toString(type.getEnumConstants()).toLowerCase(Locale.ROOT)
-                            + ", not \""
-                            + given
-                            + "\"");
+            fault(key, "must be one of " + words + ", not \"" + given + "\"");
         }
         return type.getEnumConstants()[0];
     }
--- a/src/main/java/waytrestle/config/TomlFile.java
+++ b/src/main/java/waytrestle/config/TomlFile.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
 import org.tomlj.Toml;
@@ -48,8 +49,8 @@
     }
 
     /** The names of an array of tables, for what must know them before the whole is checked. */
-    public static java.util.List<String> names(String text, String key) {
-        java.util.List<String> all = new java.util.ArrayList<>();
+    public static List<String> names(String text, String key) {
+        List<String> all = new ArrayList<>();
         new Section(Toml.parse(text), "", 1, new Section.Faults(""))
                 .each(key)
                 .forEach(s -> all.add(s.text("name")));
--- a/src/main/java/waytrestle/config/platform/PlatformConfig.java
+++ b/src/main/java/waytrestle/config/platform/PlatformConfig.java
@@ -8,12 +8,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import waytrestle.ControlApi.Settings;
-import waytrestle.roster.board.Notice;
-import waytrestle.roster.board.NoticeReader;
-import waytrestle.wire.Codec;
-import waytrestle.wire.Json;
-import waytrestle.wire.Json.Malformed;
+import waytrestle.bench.BenchCodec;
+import waytrestle.discovery.watch.WatchEvent;
+import waytrestle.discovery.watch.WatchEventReader;
+import waytrestle.json.JsonObjectReader;
+import waytrestle.json.JsonObjectReader.Malformed;
+import waytrestle.scheduler.SchedulerSettings;
 
 /**
  * What the platform tells a controller, the JSON file that {@code BALANCER_CONFIG} names. The
@@ -30,9 +30,9 @@
         InetSocketAddress peersAll,
         InetSocketAddress board,
         long lastNotice,
-        List<Notice> known,
-        NoticeReader notices,
-        Settings settings,
+        List<WatchEvent> known,
+        WatchEventReader notices,
+        SchedulerSettings settings,
         long idleMicros) {
 
     /** A wrong file: its name, the field and what is wrong. */
@@ -46,7 +46,7 @@
 
     public static PlatformConfig read(Path file) throws Wrong {
         try {
-            return from(Json.object(Files.readString(file), "the configuration"));
+            return from(JsonObjectReader.object(Files.readString(file), "the configuration"));
         } catch (IOException e) {
             throw new Wrong(file, "cannot be read: " + e.getMessage());
         } catch (Malformed e) {
@@ -55,41 +55,44 @@
     }
 
     private static PlatformConfig from(Map<String, Object> root) {
-        Map<String, Object> raw = Json.mapOrEmpty(root, "settings");
-        NoticeReader reader = new NoticeReader(texts(raw, "azs"), texts(raw, "shapes"));
-        Settings settings = Codec.settings(raw);
+        Map<String, Object> raw = JsonObjectReader.mapOrEmpty(root, "settings");
+        WatchEventReader reader = new WatchEventReader(texts(raw, "azs"), texts(raw, "shapes"));
+        SchedulerSettings settings = BenchCodec.settings(raw);
         if (settings.classes().isEmpty()) {
             throw new Malformed("settings.lanes is missing or empty");
         }
-        Map<String, Object> known = Json.mapOrEmpty(root, "known");
-        List<Notice> notices = new ArrayList<>();
-        for (Object each : Json.list(known, "notices")) {
-            notices.add(reader.notice(Json.map(each, "known.notices")));
+        Map<String, Object> known = JsonObjectReader.mapOrEmpty(root, "known");
+        List<WatchEvent> notices = new ArrayList<>();
+        for (Object each : JsonObjectReader.list(known, "notices")) {
+            notices.add(reader.readEvent(JsonObjectReader.map(each, "known.notices")));
         }
         Map<Integer, InetSocketAddress> peers = new LinkedHashMap<>();
         for (String each : texts(root, "peers")) {
-            peers.put(peers.size(), NoticeReader.address(each, "peers"));
+            peers.put(peers.size(), WatchEventReader.address(each, "peers"));
         }
-        peers.remove(settings.me());
+        peers.remove(settings.controllerIndex());
         return new PlatformConfig(
-                Json.text(root, "name"),
+                JsonObjectReader.text(root, "name"),
                 address(root, "listen", true),
                 seed(root),
-                (int) Json.required(Json.mapOrEmpty(root, "limits"), "sockets"),
+                (int)
+                        JsonObjectReader.required(
+                                JsonObjectReader.mapOrEmpty(root, "limits"), "sockets"),
                 address(root, "peer_listen", false),
                 peers,
                 address(root, "peers_all", false),
                 address(root, "board", true),
-                Json.whole(known, "rev"),
+                JsonObjectReader.whole(known, "rev"),
                 notices,
                 reader,
                 settings,
-                Json.whole(Json.mapOrEmpty(raw, "limits"), "idle_close_us"));
+                JsonObjectReader.whole(
+                        JsonObjectReader.mapOrEmpty(raw, "limits"), "idle_close_us"));
     }
 
     private static long seed(Map<String, Object> root) {
         try {
-            return Long.parseUnsignedLong(Json.requiredText(root, "seed"), 16);
+            return Long.parseUnsignedLong(JsonObjectReader.requiredText(root, "seed"), 16);
         } catch (NumberFormatException e) {
             throw new Malformed("seed is not a number of up to 16 hex digits");
         }
@@ -97,13 +100,16 @@
 
     private static InetSocketAddress address(
             Map<String, Object> root, String field, boolean needed) {
-        String text = needed ? Json.requiredText(root, field) : Json.text(root, field);
-        return text.isEmpty() ? null : NoticeReader.address(text, field);
+        String text =
+                needed
+                        ? JsonObjectReader.requiredText(root, field)
+                        : JsonObjectReader.text(root, field);
+        return text.isEmpty() ? null : WatchEventReader.address(text, field);
     }
 
     private static List<String> texts(Map<String, Object> in, String field) {
         List<String> all = new ArrayList<>();
-        for (Object each : Json.list(in, field)) {
+        for (Object each : JsonObjectReader.list(in, field)) {
             if (!(each instanceof String text)) {
                 throw new Malformed(field + " must hold texts");
             }
--- a/src/main/java/waytrestle/gateway/FaultRule.java
+++ b/src/main/java/waytrestle/controller/FailureThreshold.java
@@ -1,4 +1,4 @@
-package waytrestle.gateway;
+package waytrestle.controller;
 
 import java.util.ArrayDeque;
 
@@ -8,22 +8,22 @@
  * better. Guards against a module that throws at each event while its process looks alive to
  * whoever spreads the clients.
  */
-public final class FaultRule {
+public final class FailureThreshold {
     private final int most;
     private final long span;
     private final ArrayDeque<Long> times = new ArrayDeque<>();
 
-    public FaultRule(int most, long spanMicros) {
+    public FailureThreshold(int most, long spanMicros) {
         this.most = most;
         this.span = spanMicros;
     }
 
-    String text() {
+    String description() {
         return most + " decisions failed within " + span / 1_000 + " ms";
     }
 
     /** Counts a fault; true when the process should stop. */
-    public boolean stopAfter(long now) {
+    public boolean exceededBy(long now) {
         times.add(now);
         while (times.peek() < now - span) {
             times.poll();
--- a/src/main/java/waytrestle/roster/HealthApi.java
+++ b/src/main/java/waytrestle/discovery/ConsulPoller.java
@@ -1,4 +1,4 @@
-package waytrestle.roster;
+package waytrestle.discovery;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -6,16 +6,19 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
-import waytrestle.ControlApi.Invoker;
-import waytrestle.ControlApi.State;
+import java.util.function.LongSupplier;
 import waytrestle.config.GatewayConfig;
 import waytrestle.http.HttpClient;
 import waytrestle.http.HttpLimits;
 import waytrestle.http.HttpMessage;
 import waytrestle.http.HttpWriter;
+import waytrestle.invoker.InferProtocol;
 import waytrestle.net.Loop;
 import waytrestle.net.TimerHeap;
+import waytrestle.scheduler.EndpointState;
+import waytrestle.scheduler.InvokerEndpoint;
 
 /**
  * Follows a Consul-compatible health API: {@code GET /v1/health/service/NAME} as a blocking query
@@ -23,7 +26,7 @@
  * service's Meta, its weight in Weights, its start in Meta {@code started_ms} (Unix time). An
  * instance in maintenance or with a critical check drains.
  */
-public final class HealthApi {
+public final class ConsulPoller {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final long SLACK =
             2_000_000; // micros beyond the agreed wait: the API may add a sixteenth of it
@@ -34,24 +37,24 @@
     private final List<String> zones, kinds;
     private final int controller;
     private final HttpClient client;
-    private final RosterBook book;
-    private final RosterBook.Actions told;
-    private final java.util.function.LongSupplier wallMillis;
+    private final EndpointDirectory book;
+    private final EndpointDirectory.CommandSink told;
+    private final LongSupplier wallMillis;
     private boolean subscribed;
     private TimerHeap.Timer next;
 
     /** Told hears Tell and TellFailed; asking is seen to here. */
-    public HealthApi(
+    public ConsulPoller(
             Loop loop,
             GatewayConfig config,
-            RosterBook book,
-            RosterBook.Actions told,
-            java.util.function.LongSupplier wallMillis) {
+            EndpointDirectory book,
+            EndpointDirectory.CommandSink told,
+            LongSupplier wallMillis) {
         this.loop = loop;
         this.config = config.roster();
         this.zones = config.zones();
         this.kinds = config.kinds();
-        this.controller = config.module().me();
+        this.controller = config.module().controllerIndex();
         this.book = book;
         this.told = told;
         this.wallMillis = wallMillis;
@@ -103,7 +106,7 @@
                                 : "");
         ByteBuffer head =
                 HttpWriter.request("GET", target, GatewayConfig.id(config.at()))
-                        .header(waytrestle.invoker.InferProtocol.CONTROLLER, controller)
+                        .header(InferProtocol.CONTROLLER, controller)
                         .head(0);
         client.call(
                 config.waitMicros() + SLACK,
@@ -111,31 +114,32 @@
                     @Override
                     public void answered(HttpMessage m) {
                         String at = m.header("x-consul-index");
-                        List<RosterBook.Listed> entries =
+                        List<EndpointDirectory.RegisteredEndpoint> entries =
                                 m.status() == 200 && at != null && at.matches("\\d{1,18}")
                                         ? read(m.body())
                                         : null;
                         on(
                                 entries == null
-                                        ? new RosterBook.Failed()
-                                        : new RosterBook.Answered(Long.parseLong(at), entries),
+                                        ? new EndpointDirectory.PollFailed()
+                                        : new EndpointDirectory.SnapshotReceived(
+                                                Long.parseLong(at), entries),
                                 repeated);
                     }
 
                     @Override
                     public void broken(HttpClient.Break how, String why) {
-                        on(new RosterBook.Failed(), repeated);
+                        on(new EndpointDirectory.PollFailed(), repeated);
                     }
                 },
                 head);
     }
 
-    private void on(RosterBook.Event event, boolean repeated) {
-        book.on(
+    private void on(EndpointDirectory.Event event, boolean repeated) {
+        book.handle(
                 Loop.now(),
                 event,
                 action -> {
-                    if (action instanceof RosterBook.Ask ask) {
+                    if (action instanceof EndpointDirectory.Poll ask) {
                         if (repeated) {
                             next = loop.after(ask.afterMicros(), () -> ask(ask.index(), true));
                         }
@@ -146,15 +150,15 @@
     }
 
     /** The instances listed, null where the answer is no such list. */
-    private List<RosterBook.Listed> read(byte[] body) {
+    private List<EndpointDirectory.RegisteredEndpoint> read(byte[] body) {
         try {
             JsonNode root = JSON.readTree(body);
             if (!root.isArray()) {
                 return null;
             }
-            List<RosterBook.Listed> all = new ArrayList<>();
+            List<EndpointDirectory.RegisteredEndpoint> all = new ArrayList<>();
             for (JsonNode each : root) {
-                RosterBook.Listed listed = instance(each);
+                EndpointDirectory.RegisteredEndpoint listed = instance(each);
                 if (listed != null) {
                     all.add(listed);
                 }
@@ -169,7 +173,7 @@
      * An instance without an address in figures cannot be reached without a look-up and is left
      * out.
      */
-    private RosterBook.Listed instance(JsonNode each) {
+    private EndpointDirectory.RegisteredEndpoint instance(JsonNode each) {
         JsonNode service = each.path("Service");
         JsonNode meta = service.path("Meta");
         String host = service.path("Address").asText("");
@@ -182,10 +186,10 @@
         if (at == null) {
             return null;
         }
-        State state = State.READY;
+        EndpointState state = EndpointState.READY;
         for (JsonNode check : each.path("Checks")) {
             if (check.path("Status").asText().equals("critical")) {
-                state = State.DRAINING;
+                state = EndpointState.DRAINING;
             }
         }
         long started = meta.path("started_ms").asLong(0);
@@ -193,8 +197,8 @@
                 started == 0
                         ? 0
                         : Math.max(1, Loop.now() - (wallMillis.getAsLong() - started) * 1_000);
-        Invoker entry =
-                new Invoker(
+        InvokerEndpoint entry =
+                new InvokerEndpoint(
                         GatewayConfig.id(at),
                         Math.max(0, zones.indexOf(meta.path("zone").asText())),
                         meta.path("cell").asInt(0),
@@ -202,13 +206,13 @@
                         state,
                         service.path("Weights").path("Passing").asDouble(1),
                         steady(GatewayConfig.id(at), started, up));
-        return new RosterBook.Listed(
+        return new EndpointDirectory.RegisteredEndpoint(
                 entry, service.path("CreateIndex").asLong(each.path("CreateIndex").asLong(0)));
     }
 
     private record Start(long told, long micros) {}
 
-    private final java.util.HashMap<String, Start> starts = new java.util.HashMap<>();
+    private final HashMap<String, Start> starts = new HashMap<>();
 
     /**
      * The same told start stays the same moment here, however the two clocks drift between answers.
--- a/src/main/java/waytrestle/roster/board/BoardLink.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchClient.java
@@ -1,4 +1,4 @@
-package waytrestle.roster.board;
+package waytrestle.discovery.watch;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -6,34 +6,34 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
+import waytrestle.json.JsonObjectReader.Malformed;
 import waytrestle.net.Connection;
 import waytrestle.net.Loop;
 import waytrestle.net.TimerHeap;
-import waytrestle.wire.Json.Malformed;
 
 /** Follows a notice board over TCP; what its lines come to is the book's. */
-public final class BoardLink {
+public final class WatchClient {
     private static final long LOOK =
             200_000; // micros between looks at its silence: a fraction of that
     private static final int LINE = 4 << 20; // bytes of one event: some 20,000 invokers
     private static final int READ = 64 * 1024; // bytes kept unread
 
     private final Loop loop;
-    private final NoticeReader reader;
-    private final BoardBook book;
-    private final Consumer<Notice> told;
+    private final WatchEventReader reader;
+    private final WatchState book;
+    private final Consumer<WatchEvent> told;
     private final Runnable isCurrent;
     private final Consumer<String> said;
     private InetSocketAddress at;
     private Reader current;
     private TimerHeap.Timer next;
 
-    public BoardLink(
+    public WatchClient(
             Loop loop,
             InetSocketAddress at,
-            NoticeReader reader,
-            BoardBook book,
-            Consumer<Notice> told,
+            WatchEventReader reader,
+            WatchState book,
+            Consumer<WatchEvent> told,
             Runnable isCurrent,
             Consumer<String> said) {
         this.loop = loop;
@@ -47,38 +47,41 @@
 
     /** Begins to follow, on the loop. */
     public void start() {
-        on(new BoardBook.Moved());
+        on(new WatchState.AddressChanged());
         look();
     }
 
     /** Follows the board at another address from now on; the same one is asked again. */
-    public void moved(InetSocketAddress to) {
+    public void addressChanged(InetSocketAddress to) {
         at = to;
-        on(new BoardBook.Moved());
+        on(new WatchState.AddressChanged());
     }
 
     private void look() {
-        on(new BoardBook.Look());
+        on(new WatchState.SilenceCheckDue());
         loop.after(LOOK, this::look);
     }
 
-    private void on(BoardBook.Event event) {
-        book.on(
+    private void on(WatchState.Event event) {
+        book.handle(
                 Loop.now(),
                 event,
                 action -> {
-                    if (action instanceof BoardBook.Tell tell) {
-                        told.accept(tell.notice());
-                    } else if (action instanceof BoardBook.Current) {
+                    if (action instanceof WatchState.PublishEvent tell) {
+                        told.accept(tell.event());
+                    } else if (action instanceof WatchState.Current) {
                         isCurrent.run();
-                    } else if (action instanceof BoardBook.Ask ask) {
+                    } else if (action instanceof WatchState.Reconnect ask) {
                         if (current != null) {
                             current.drop();
                         }
                         if (next != null) {
                             next.cancel();
                         }
-                        next = loop.after(ask.inMicros(), () -> current = new Reader(ask.after()));
+                        next =
+                                loop.after(
+                                        ask.delayMicros(),
+                                        () -> current = new Reader(ask.afterRevision()));
                     }
                 });
     }
@@ -120,7 +123,7 @@
                 line.reset();
                 if (!text.isBlank()) {
                     try {
-                        on(new BoardBook.Line(reader.line(text)));
+                        on(new WatchState.LineReceived(reader.readLine(text)));
                     } catch (Malformed e) {
                         broke(e.getMessage());
                     }
@@ -131,14 +134,14 @@
 
         private void broke(String why) {
             said.accept("notice board: " + why);
-            on(new BoardBook.Broke());
+            on(new WatchState.ConnectionBroke());
         }
 
         @Override
         public void closed(IOException why) {
             if (!dropped) {
                 dropped = true;
-                on(new BoardBook.Broke());
+                on(new WatchState.ConnectionBroke());
             }
         }
     }
--- a/src/main/java/waytrestle/roster/board/Notice.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchEvent.java
@@ -1,19 +1,19 @@
-package waytrestle.roster.board;
+package waytrestle.discovery.watch;
 
 import java.net.InetSocketAddress;
 import java.util.List;
-import waytrestle.ControlApi.State;
+import waytrestle.scheduler.EndpointState;
 
 /** One numbered event of the notice board: the full list of invokers, or those that changed. */
-public record Notice(long number, boolean whole, List<Host> hosts) {
+public record WatchEvent(long revision, boolean snapshot, List<Endpoint> endpoints) {
     /** An invoker as listed; bornMillis is the Unix time of a late start, or 0. */
-    public record Host(
+    public record Endpoint(
             String id,
-            InetSocketAddress at,
+            InetSocketAddress address,
             int zone,
             int cell,
             int kind,
-            State state,
+            EndpointState state,
             double weight,
-            long bornMillis) {}
+            long startedAtUnixMillis) {}
 }
--- a/src/main/java/waytrestle/roster/board/BoardBook.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchState.java
@@ -1,4 +1,4 @@
-package waytrestle.roster.board;
+package waytrestle.discovery.watch;
 
 /**
  * What comes of a notice board's lines: numbers, order and gaps. Free of I/O, clock and threads.
@@ -8,7 +8,7 @@
  * one that stays open and says nothing is taken to have stopped, for it says its last number each
  * second.
  */
-public final class BoardBook {
+public final class WatchState {
     // ---- Tuned numbers, micros. ----
     private static final long SILENCE = 1_700_000; // between lines: one number may be late, not two
     private static final long RETRY = 20_000; // first pause after a failure, doubling ...
@@ -21,44 +21,44 @@
     public sealed interface Event {}
 
     /** A line came; hosts are null in one that holds a number alone. */
-    public record Line(Notice notice) implements Event {}
+    public record LineReceived(WatchEvent event) implements Event {}
 
     /** The connection ended, was not made, or a line could not be read. */
-    public record Broke() implements Event {}
+    public record ConnectionBroke() implements Event {}
 
     /** The board is at another address now. */
-    public record Moved() implements Event {}
+    public record AddressChanged() implements Event {}
 
     /** Time has passed. */
-    public record Look() implements Event {}
+    public record SilenceCheckDue() implements Event {}
 
     /** What is to be done. */
-    public sealed interface Action {}
+    public sealed interface Command {}
 
-    public record Tell(Notice notice) implements Action {}
+    public record PublishEvent(WatchEvent event) implements Command {}
 
     /**
      * The board has answered for the first time: what was known at the start is complete, but for
      * what is told next.
      */
-    public record Current() implements Action {}
+    public record Current() implements Command {}
 
     /**
      * Drop the connection, if there is one, and after a while ask on a new one for all after this
      * event.
      */
-    public record Ask(long after, long inMicros) implements Action {}
+    public record Reconnect(long afterRevision, long delayMicros) implements Command {}
 
     /** Takes the actions in order. */
-    public interface Actions {
-        void add(Action action);
+    public interface CommandSink {
+        void add(Command action);
     }
 
     private static final long UNTOLD_GRACE =
             1_000_000; // where the settings tell none: the usual one
 
     private final long longestStep;
-    private long last, heardAt;
+    private long lastRevision, heardAt;
     private int failures;
     private boolean current;
 
@@ -66,8 +66,8 @@
      * Last is the number of the last event that is known already; grace is the time in which an
      * event must be obeyed.
      */
-    public BoardBook(long last, long graceMicros) {
-        this.last = last;
+    public WatchState(long last, long graceMicros) {
+        this.lastRevision = last;
         this.longestStep = (graceMicros > 0 ? graceMicros : UNTOLD_GRACE) / GRACE_PARTS;
     }
 
@@ -76,16 +76,16 @@
         return longestStep;
     }
 
-    public long last() {
-        return last;
+    public long lastRevision() {
+        return lastRevision;
     }
 
-    public void on(long now, Event event, Actions actions) {
-        if (event instanceof Line line) {
-            line(now, line.notice(), actions);
-        } else if (event instanceof Broke) {
+    public void handle(long now, Event event, CommandSink actions) {
+        if (event instanceof LineReceived line) {
+            line(now, line.event(), actions);
+        } else if (event instanceof ConnectionBroke) {
             again(now, actions);
-        } else if (event instanceof Moved) {
+        } else if (event instanceof AddressChanged) {
             failures = 0;
             again(now, actions);
         } else if (now - heardAt > SILENCE) {
@@ -93,31 +93,31 @@
         }
     }
 
-    private void line(long now, Notice notice, Actions actions) {
-        boolean told = notice.hosts() != null;
-        if (!told && notice.number() < last) {
+    private void line(long now, WatchEvent notice, CommandSink actions) {
+        boolean told = notice.endpoints() != null;
+        if (!told && notice.revision() < lastRevision) {
             return; // a board that is behind what was told here tells nothing: as good as silent
         }
         heardAt = now;
-        if (notice.number() > last + (told ? 1 : 0)) {
+        if (notice.revision() > lastRevision + (told ? 1 : 0)) {
             again(now, actions);
             return;
         }
         failures = 0;
-        if (!current && notice.number() >= last) {
+        if (!current && notice.revision() >= lastRevision) {
             current = true;
             actions.add(new Current());
         }
-        if (told && notice.number() == last + 1) {
-            last = notice.number();
-            actions.add(new Tell(notice));
+        if (told && notice.revision() == lastRevision + 1) {
+            lastRevision = notice.revision();
+            actions.add(new PublishEvent(notice));
         }
     }
 
-    private void again(long now, Actions actions) {
+    private void again(long now, CommandSink actions) {
         long pause = failures == 0 ? 0 : Math.min(longestStep, RETRY << Math.min(10, failures));
         failures++;
         heardAt = now + pause;
-        actions.add(new Ask(last, pause));
+        actions.add(new Reconnect(lastRevision, pause));
     }
 }
--- a/src/main/java/waytrestle/emulator/Emulation.java
+++ b/src/main/java/waytrestle/emulator/Emulation.java
@@ -8,37 +8,42 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.SplittableRandom;
 import waytrestle.Bytes;
-import waytrestle.ControlApi;
-import waytrestle.ControlApi.Discovery;
-import waytrestle.ControlApi.Invoker;
-import waytrestle.ControlApi.InvokerList;
-import waytrestle.ControlApi.RequestClass;
-import waytrestle.ControlApi.Settings;
-import waytrestle.ControlApi.State;
 import waytrestle.access.AccessLog;
-import waytrestle.calls.Gate;
-import waytrestle.calls.IdMemory;
-import waytrestle.calls.Intake;
 import waytrestle.config.ConfigError;
 import waytrestle.config.GatewayConfig;
 import waytrestle.config.TomlFile;
+import waytrestle.controller.Controller;
+import waytrestle.controller.ControllerEnvironment;
+import waytrestle.discovery.EndpointDirectory;
 import waytrestle.front.Fronts;
-import waytrestle.gateway.Controller;
-import waytrestle.gateway.GatewayWatch;
+import waytrestle.gateway.GatewayControllerListener;
 import waytrestle.http.HttpClient.Break;
 import waytrestle.metrics.Metrics;
-import waytrestle.overload.Overload;
+import waytrestle.overload.OverloadControl;
 import waytrestle.play.Cast;
 import waytrestle.play.Clients;
 import waytrestle.play.Evidence;
 import waytrestle.play.Scenario;
 import waytrestle.play.Troubles;
-import waytrestle.roster.RosterBook;
+import waytrestle.requests.AdmissionControl;
+import waytrestle.requests.IdempotencyStore;
+import waytrestle.requests.RequestHandler;
+import waytrestle.scheduler.DiscoveryMode;
+import waytrestle.scheduler.EndpointState;
+import waytrestle.scheduler.InvokerEndpoint;
+import waytrestle.scheduler.RequestScheduler;
+import waytrestle.scheduler.SchedulerCommand.Sink;
+import waytrestle.scheduler.SchedulerEvent;
+import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
+import waytrestle.scheduler.SchedulerSettings;
+import waytrestle.scheduler.SchedulerSettings.RequestClass;
 import waytrestle.standin.InvokerBody;
 import waytrestle.standin.InvokerModel;
 import waytrestle.standin.Sightings;
@@ -57,7 +62,7 @@
     private static final long START_UP = 400_000; // a controller's process until it takes calls
 
     private final Scenario scenario;
-    private final Controller.ModuleMaker maker;
+    private final Controller.SchedulerFactory maker;
     private final boolean overload;
     private final SimClock clock = new SimClock();
     private final Random random;
@@ -68,7 +73,7 @@
     private final SimController[] controllers;
     private final Map<String, InvokerBody> invokers = new LinkedHashMap<>();
     private final Map<String, Scenario.Fleet> fleetOf = new HashMap<>();
-    private final Map<String, RosterBook.Listed> listed = new LinkedHashMap<>();
+    private final Map<String, EndpointDirectory.RegisteredEndpoint> listed = new LinkedHashMap<>();
     private final Map<String, InvokerModel.Function> functions = new HashMap<>();
     private final StoreModel store;
     private Clients clients;
@@ -82,10 +87,11 @@
 
     /** What is left when a day is over, of the controllers that are still up. */
     public record Leftovers(
-            long failedDecisions, long held, String text, List<ControlApi> modules) {}
+            long failedDecisions, long held, String text, List<RequestScheduler> modules) {}
 
     /** Writes its evidence and the controllers' configurations into a directory. */
-    public Emulation(Scenario scenario, Path dir, Controller.ModuleMaker maker, boolean overload)
+    public Emulation(
+            Scenario scenario, Path dir, Controller.SchedulerFactory maker, boolean overload)
             throws IOException, ConfigError {
         this(scenario, Files.createDirectories(dir), maker, overload, null);
     }
@@ -94,7 +100,7 @@
     public Emulation(
             Scenario scenario,
             Path dir,
-            Controller.ModuleMaker maker,
+            Controller.SchedulerFactory maker,
             boolean overload,
             Witness witness)
             throws IOException, ConfigError {
@@ -134,33 +140,34 @@
     }
 
     /** The settings that all controllers share but for their number and zone. */
-    public Settings settings() {
+    public SchedulerSettings settings() {
         return configs[0].module();
     }
 
     public double attemptsPerCall() {
-        return configs[0].outcomes().attemptsPerCall();
+        return configs[0].outcomes().attemptsPerRequest();
     }
 
     /** What is held though all calls are over; asked after {@link #run}. */
     public Leftovers leftovers() {
         long held = 0;
         StringBuilder text = new StringBuilder();
-        List<ControlApi> modules = new ArrayList<>();
+        List<RequestScheduler> modules = new ArrayList<>();
         for (SimController c : controllers) {
             if (c.up) {
                 modules.add(c.module);
-                int here = c.controller.held() + c.controller.open() + c.host.open();
+                int here =
+                        c.controller.retainedEntries() + c.controller.inFlight() + c.host.connect();
                 held += here;
                 if (here > 0 && text.length() < 200) {
                     text.append("controller ")
                             .append(c.number)
                             .append(": ")
-                            .append(c.controller.held())
+                            .append(c.controller.retainedEntries())
                             .append(" held, ")
-                            .append(c.controller.open())
+                            .append(c.controller.inFlight())
                             .append(" open, ")
-                            .append(c.host.open())
+                            .append(c.host.connect())
                             .append(" attempts; ");
                 }
             }
@@ -169,7 +176,7 @@
     }
 
     /** The work of a call as its payload tells it, in micros. */
-    static long workOf(Intake.Incoming call) {
+    static long workOf(RequestHandler.IncomingRequest call) {
         String text = new String(call.payload().array(), StandardCharsets.US_ASCII);
         int at = text.indexOf("\"work_ms\":");
         return at < 0
@@ -197,7 +204,7 @@
     /** Runs the whole day; the wall time that it took is in the answer. */
     public long run(PrintWriter progress) throws IOException {
         long began = System.nanoTime();
-        Settings s = configs[0].module();
+        SchedulerSettings s = configs[0].module();
         List<Double> weights = new ArrayList<>();
         List<Clients.Target> targets = Cast.targets(scenario, s, functions, weights);
         int number = 0;
@@ -289,31 +296,33 @@
         private final int number;
         private final Controller controller;
         private final SimHost host;
-        private final RosterBook book;
+        private final EndpointDirectory book;
         private final Map<String, String> told = new HashMap<>();
         private boolean up = true, stopping, subscribed;
-        private ControlApi module;
-        private final java.util.Set<Runnable> cuts = new java.util.LinkedHashSet<>();
+        private RequestScheduler module;
+        private final Set<Runnable> cuts = new LinkedHashSet<>();
 
         private SimController(int number) {
             this.number = number;
             GatewayConfig c = configs[number];
             host = new SimHost(clock, (from, to) -> delay(far(from, to)), number, invokers::get);
-            Overload modules =
-                    new Overload(
+            OverloadControl modules =
+                    new OverloadControl(
                             c.overload(),
-                            c.module().limits().maxOpen(),
+                            c.module().limits().maxInFlight(),
                             c.module().tenants(),
                             c.bounds(),
                             c.module().classes());
-            GatewayWatch watch =
-                    new GatewayWatch(
+            GatewayControllerListener watch =
+                    new GatewayControllerListener(
                             c,
                             (settings, seed) -> {
-                                module = maker.make(settings, seed);
+                                module = maker.create(settings, seed);
                                 return watched(module);
                             },
-                            overload && c.overload().on() ? modules : Gate.OPEN,
+                            overload && c.overload().enabled()
+                                    ? modules
+                                    : AdmissionControl.ADMIT_ALL,
                             new Metrics(false),
                             (clock.now() + stepped) / 1_000_000);
             controller =
@@ -323,7 +332,7 @@
                             () -> (clock.now() + stepped) / 1_000,
                             watch,
                             AccessLog.OFF,
-                            new Controller.Outside() {
+                            new ControllerEnvironment() {
                                 @Override
                                 public void subscribe(boolean on) {
                                     subscribed = on;
@@ -331,23 +340,23 @@
                                 }
 
                                 @Override
-                                public void fetchList() {
+                                public void fetchEndpoints() {
                                     news();
                                 }
 
                                 @Override
-                                public void tellPeer(int peer, byte[] message) {}
+                                public void sendGossip(int peer, byte[] message) {}
 
                                 @Override
-                                public void broken(String why) {
+                                public void schedulerFailed(String why) {
                                     Emulation.this.broken = new IllegalStateException(why);
                                 }
                             });
-            subscribed = c.module().discovery() == Discovery.PUSHED;
-            book = new RosterBook(200_000, 5_000_000, !subscribed, c.seed());
+            subscribed = c.module().discovery() == DiscoveryMode.PUSH;
+            book = new EndpointDirectory(200_000, 5_000_000, !subscribed, c.seed());
             evidence.saw("play", "controller_up", "controller", number);
             if (!subscribed) { // the module subscribes once it has been told its list, empty as yet
-                controller.invokers(new InvokerList(true, true, List.of()));
+                controller.endpointsUpdated(new EndpointsUpdated(true, true, List.of()));
             }
             news();
         }
@@ -365,18 +374,18 @@
                                 (id, l) ->
                                         now.put(
                                                 id,
-                                                l.entry().state() == State.READY
+                                                l.endpoint().state() == EndpointState.READY
                                                         ? "passing"
                                                         : "critical"));
                         told.keySet().forEach(id -> now.putIfAbsent(id, "gone"));
                         now.forEach(
                                 (id, state) -> {
-                                    RosterBook.Listed entry = listed.get(id);
+                                    EndpointDirectory.RegisteredEndpoint entry = listed.get(id);
                                     String news =
                                             state
                                                     + (entry == null
                                                             ? ""
-                                                            : entry.entry().upSinceMicros());
+                                                            : entry.endpoint().startedAtMicros());
                                     if (!news.equals(told.put(id, news))) {
                                         evidence.saw(
                                                 "roster",
@@ -389,12 +398,13 @@
                                                 state);
                                     }
                                 });
-                        book.on(
+                        book.handle(
                                 clock.now(),
-                                new RosterBook.Answered(index, List.copyOf(listed.values())),
+                                new EndpointDirectory.SnapshotReceived(
+                                        index, List.copyOf(listed.values())),
                                 action -> {
-                                    if (action instanceof RosterBook.Tell tell) {
-                                        controller.invokers(tell.list());
+                                    if (action instanceof EndpointDirectory.PublishUpdate tell) {
+                                        controller.endpointsUpdated(tell.update());
                                     }
                                 });
                     });
@@ -417,13 +427,15 @@
             GatewayConfig c = configs[0];
             listed.put(
                     id,
-                    new RosterBook.Listed(
-                            new Invoker(
+                    new EndpointDirectory.RegisteredEndpoint(
+                            new InvokerEndpoint(
                                     id,
                                     Math.max(0, c.zones().indexOf(f.zone())),
                                     f.cell(),
                                     Math.max(0, c.kinds().indexOf(f.kind())),
-                                    state.equals("passing") ? State.READY : State.DRAINING,
+                                    state.equals("passing")
+                                            ? EndpointState.READY
+                                            : EndpointState.DRAINING,
                                     1,
                                     startedAt),
                             0));
@@ -447,7 +459,7 @@
             c.kill();
         } else {
             c.stopping = true;
-            c.controller.stopTaking();
+            c.controller.startShutdown();
         }
         restart(number, c, backAfter + START_UP);
     }
@@ -458,12 +470,12 @@
         clock.after(
                 after,
                 () -> {
-                    if (old.up && old.controller.open() > 0 && clock.now() < until) {
+                    if (old.up && old.controller.inFlight() > 0 && clock.now() < until) {
                         restart(number, old, 50_000);
                         return;
                     }
                     if (old.up) {
-                        old.controller.closeAll();
+                        old.controller.shutdownGraceExpired();
                         old.kill();
                     }
                     controllers[number] = new SimController(number);
@@ -471,12 +483,12 @@
     }
 
     /** Counts decisions that threw; the controller survives them as in service. */
-    private ControlApi watched(ControlApi module) {
-        return new ControlApi() {
+    private RequestScheduler watched(RequestScheduler module) {
+        return new RequestScheduler() {
             @Override
-            public void on(long now, Event event, Actions out) {
+            public void handle(long now, SchedulerEvent event, Sink out) {
                 try {
-                    module.on(now, event, out);
+                    module.handle(now, event, out);
                 } catch (RuntimeException | StackOverflowError e) {
                     failedDecisions++;
                     throw e;
@@ -536,7 +548,7 @@
         @Override
         public void call(int number, Clients.Call call, long within, Clients.Handler handler) {
             boolean[] over = {false};
-            Intake.Ticket[] ticket = {null};
+            RequestHandler.PendingResponse[] ticket = {null};
             RequestClass kind = classes.get(call.target().requestClass());
             clock.after(
                     delay(false),
@@ -560,14 +572,14 @@
                         String key = Clients.seenId(call, classes);
                         ticket[0] =
                                 c.controller.accept(
-                                        new Intake.Incoming(
+                                        new RequestHandler.IncomingRequest(
                                                 call.target().requestClass(),
                                                 -1,
                                                 call.target().function(),
-                                                new IdMemory.Arrival(
+                                                new IdempotencyStore.KeyedRequest(
                                                         key,
-                                                        kind.repeat(),
-                                                        kind.windowMicros(),
+                                                        kind.idempotency(),
+                                                        kind.deduplicationWindowMicros(),
                                                         c.controller.wallSeconds() + 1,
                                                         1),
                                                 key.hashCode() | 1L << 40,
@@ -604,7 +616,7 @@
                                     over,
                                     () -> {
                                         if (ticket[0] != null) {
-                                            ticket[0].left();
+                                            ticket[0].clientDisconnected();
                                         }
                                         handler.broken(Break.TIMEOUT);
                                     }));
--- a/src/main/java/waytrestle/emulator/SimHost.java
+++ b/src/main/java/waytrestle/emulator/SimHost.java
@@ -1,17 +1,23 @@
 package waytrestle.emulator;
 
+import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
 import waytrestle.Bytes;
-import waytrestle.ControlApi.Start;
-import waytrestle.calls.End.Served;
-import waytrestle.calls.Intake.Incoming;
-import waytrestle.gateway.Host;
+import waytrestle.controller.AttemptResult;
+import waytrestle.controller.InvokerClient;
+import waytrestle.controller.InvokerClient.AttemptListener;
+import waytrestle.controller.InvokerClient.OperationListener;
+import waytrestle.controller.Transport;
 import waytrestle.invoker.LoadMetrics;
-import waytrestle.outcomes.Reply;
-import waytrestle.outcomes.Reply.How;
+import waytrestle.requests.RequestHandler.IncomingRequest;
+import waytrestle.requests.RequestOutcome.Served;
+import waytrestle.responses.ExchangeResult;
+import waytrestle.responses.ExchangeResult.Kind;
+import waytrestle.scheduler.StartKind;
 import waytrestle.standin.InvokerBody;
 import waytrestle.standin.InvokerModel;
 
@@ -19,7 +25,7 @@
  * One controller's host in the emulator: simulated time, and invoker models behind a network of
  * delays.
  */
-final class SimHost implements Host {
+final class SimHost implements Transport {
     private static final byte[] ANSWER = {};
     private static final long YOUNG =
             4_000_000; // micros for which a kept connection proves its process's end
@@ -29,8 +35,8 @@
     private final int controller;
     private final Function<String, InvokerBody> invokers;
     private final Set<Attempt> open = new LinkedHashSet<>();
-    private final Map<String, Runnable> losses = new java.util.HashMap<>();
-    private final Map<String, Long> usedAt = new java.util.HashMap<>();
+    private final Map<String, Runnable> losses = new HashMap<>();
+    private final Map<String, Long> usedAt = new HashMap<>();
     private boolean dead;
 
     /** Micros from one part to another, one way. */
@@ -55,7 +61,7 @@
     }
 
     @Override
-    public void after(long micros, Runnable task) {
+    public void schedule(long micros, Runnable task) {
         clock.after(
                 micros,
                 () -> {
@@ -66,44 +72,44 @@
     }
 
     /** Attempts out. */
-    int open() {
+    int connect() {
         return open.size();
     }
 
     /** The controller's process is gone: its connections close, nothing of it happens any more. */
     void die() {
         dead = true;
-        java.util.List.copyOf(open).forEach(a -> a.close(null));
+        List.copyOf(open).forEach(a -> a.close(null));
     }
 
     /** An invoker's process is gone: what was out there is reset. */
     void broke(String invoker) {
         Long used = usedAt.remove(invoker);
         if (used != null && clock.now() - used < YOUNG && losses.containsKey(invoker)) {
-            after(network.delay(controller, invoker), losses.get(invoker));
+            schedule(network.delay(controller, invoker), losses.get(invoker));
         }
-        for (Attempt a : java.util.List.copyOf(open)) {
+        for (Attempt a : List.copyOf(open)) {
             if (a.invoker.equals(invoker)) {
                 clock.after(
                         network.delay(controller, invoker),
-                        () -> a.close(a.arrived ? How.CUT : How.UNREACHED));
+                        () -> a.close(a.arrived ? Kind.CONNECTION_LOST : Kind.NOT_CONNECTED));
             }
         }
     }
 
     @Override
-    public Wire open(String invoker, Runnable lost) {
+    public InvokerClient connect(String invoker, Runnable lost) {
         return new SimWire(invoker, lost);
     }
 
     /** An attempt out. */
     private final class Attempt implements InvokerBody.Reply {
         final String invoker;
-        final Ended ended;
+        final AttemptListener ended;
         InvokerBody.Underway underway;
         boolean over, arrived, answered;
 
-        Attempt(String invoker, Ended ended) {
+        Attempt(String invoker, AttemptListener ended) {
             this.invoker = invoker;
             this.ended = ended;
             open.add(this);
@@ -119,19 +125,19 @@
             underway = null;
             answered = true;
             usedAt.put(invoker, clock.now());
-            Reply reply =
+            ExchangeResult reply =
                     garbled
-                            ? Reply.of(How.UNREADABLE)
+                            ? ExchangeResult.of(Kind.MALFORMED)
                             : r.status() == 200
-                                    ? Reply.of(How.ANSWER)
-                                    : new Reply(How.STATUS, r.status());
+                                    ? ExchangeResult.of(Kind.RESPONSE)
+                                    : new ExchangeResult(Kind.STATUS, r.status());
             clock.after(
                     network.delay(controller, invoker),
                     () ->
                             end(
-                                    new Came(
+                                    new AttemptResult(
                                             reply,
-                                            reply.how() == How.ANSWER
+                                            reply.kind() == Kind.RESPONSE
                                                     ? new Served("application/json", ANSWER)
                                                     : null,
                                             "application/json",
@@ -140,19 +146,19 @@
                                                     r.report(), r.start(), r.company(), -1))));
         }
 
-        private void end(Came came) {
+        private void end(AttemptResult came) {
             if (over) {
                 return;
             }
             over = true;
             open.remove(this);
             if (!dead) {
-                ended.ended(came);
+                ended.completed(came);
             }
         }
 
         /** Ends from this side or by a break; the invoker sees it after the network's delay. */
-        void close(How how) {
+        void close(Kind how) {
             if (over) {
                 return;
             }
@@ -164,12 +170,12 @@
                 over = true;
                 open.remove(this);
             } else {
-                end(Came.of(how));
+                end(AttemptResult.of(how));
             }
         }
     }
 
-    private final class SimWire implements Wire {
+    private final class SimWire implements InvokerClient {
         private final String id;
 
         private SimWire(String id, Runnable lost) {
@@ -183,7 +189,8 @@
         }
 
         @Override
-        public Runnable infer(Incoming call, String key, int attempt, long within, Ended ended) {
+        public Runnable sendAttempt(
+                IncomingRequest call, String key, int attempt, long within, AttemptListener ended) {
             Attempt a = new Attempt(id, ended);
             long work = Emulation.workOf(call);
             clock.after(
@@ -196,7 +203,7 @@
                         if (body == null) {
                             clock.after(
                                     network.delay(controller, id),
-                                    () -> a.end(Came.of(How.UNREACHED)));
+                                    () -> a.end(AttemptResult.of(Kind.NOT_CONNECTED)));
                             return;
                         }
                         a.arrived = true;
@@ -207,12 +214,12 @@
                             a.underway = a.open() ? underway : null;
                         }
                     });
-            after(within, () -> a.close(How.TIMEOUT));
-            return () -> clock.after(0, () -> a.close(How.CANCELLED));
+            schedule(within, () -> a.close(Kind.TIMEOUT));
+            return () -> clock.after(0, () -> a.close(Kind.CANCELLED));
         }
 
         @Override
-        public void order(String function, int copies, long within, Told told) {
+        public void preload(String function, int copies, long within, OperationListener told) {
             boolean[] over = {false};
             clock.after(
                     network.delay(controller, id),
@@ -220,7 +227,7 @@
                         InvokerBody body = there();
                         if (body == null || body.isCutOff(controller)) {
                             if (body == null) {
-                                answer(over, told, Reply.of(How.UNREACHED), 0);
+                                answer(over, told, ExchangeResult.of(Kind.NOT_CONNECTED), 0);
                             }
                             return;
                         }
@@ -228,7 +235,7 @@
                             answer(
                                     over,
                                     told,
-                                    Reply.of(How.ANSWER),
+                                    ExchangeResult.of(Kind.RESPONSE),
                                     body.model().standing(function));
                             return;
                         }
@@ -241,34 +248,35 @@
                                                 over,
                                                 told,
                                                 standing >= 0
-                                                        ? Reply.of(How.ANSWER)
-                                                        : new Reply(
-                                                                How.STATUS,
+                                                        ? ExchangeResult.of(Kind.RESPONSE)
+                                                        : new ExchangeResult(
+                                                                Kind.STATUS,
                                                                 standing == InvokerBody.UNKNOWN
                                                                         ? 404
                                                                         : 503),
                                                 Math.max(0, standing)));
                     });
-            after(
+            schedule(
                     within,
                     () -> {
                         if (!over[0]) {
                             over[0] = true;
-                            told.told(Reply.of(How.TIMEOUT), 0, LoadMetrics.NONE);
+                            told.completed(ExchangeResult.of(Kind.TIMEOUT), 0, LoadMetrics.NONE);
                         }
                     });
         }
 
-        private void answer(boolean[] over, Told told, Reply reply, int copies) {
-            after(
+        private void answer(
+                boolean[] over, OperationListener told, ExchangeResult reply, int copies) {
+            schedule(
                     network.delay(controller, id),
                     () -> {
                         if (!over[0]) {
                             over[0] = true;
-                            told.told(
+                            told.completed(
                                     reply,
                                     copies,
-                                    new LoadMetrics(Map.of(), Start.UNKNOWN, -1, copies));
+                                    new LoadMetrics(Map.of(), StartKind.UNKNOWN, -1, copies));
                         }
                     });
         }
@@ -285,19 +293,20 @@
         }
 
         @Override
-        public void probe(long within, Told told) {
-            after(
+        public void checkHealth(long within, OperationListener told) {
+            schedule(
                     2 * network.delay(controller, id),
                     () -> {
                         InvokerBody body = there();
-                        told.told(
-                                Reply.of(body == null ? How.UNREACHED : How.ANSWER),
+                        told.completed(
+                                ExchangeResult.of(
+                                        body == null ? Kind.NOT_CONNECTED : Kind.RESPONSE),
                                 0,
                                 body == null
                                         ? LoadMetrics.NONE
                                         : new LoadMetrics(
                                                 Map.copyOf(body.model().report()),
-                                                Start.UNKNOWN,
+                                                StartKind.UNKNOWN,
                                                 -1,
                                                 -1));
                     });
--- a/src/main/java/waytrestle/front/Fronts.java
+++ b/src/main/java/waytrestle/front/Fronts.java
@@ -3,10 +3,10 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import waytrestle.Bytes;
-import waytrestle.ControlApi.RequestClass;
-import waytrestle.calls.End;
 import waytrestle.http.HttpServer;
 import waytrestle.net.Loop;
+import waytrestle.requests.RequestOutcome;
+import waytrestle.scheduler.SchedulerSettings.RequestClass;
 
 /** What fronts over HTTP share: names, the client's time, and the status of each end. */
 public final class Fronts {
@@ -44,27 +44,32 @@
         return whole - transitMicros - (Loop.now() - e.since());
     }
 
-    public static int status(End end) {
-        if (end instanceof End.Refused refused) {
-            return switch (refused.why()) {
-                case TOO_MANY_OPEN, MEMORY_FULL, OVER_BOUND, OVER_SHARE, OVER_RETRIES -> 429;
-                case NO_SUCH_FUNCTION -> 404;
-                case TIME_UP -> 504;
-                case FUNCTION_FAILING -> said(refused.tried().last());
+    public static int status(RequestOutcome end) {
+        if (end instanceof RequestOutcome.Rejected refused) {
+            return switch (refused.reason()) {
+                case TOO_MANY_IN_FLIGHT,
+                        IDEMPOTENCY_STORE_FULL,
+                        TENANT_LIMIT_REACHED,
+                        TENANT_QUOTA_EXCEEDED,
+                        RETRY_BUDGET_EXHAUSTED ->
+                        429;
+                case FUNCTION_NOT_FOUND -> 404;
+                case DEADLINE_EXCEEDED -> 504;
+                case CIRCUIT_OPEN -> said(refused.attempts().lastResponse());
                 default -> 503;
             };
         }
-        return end instanceof End.Failed failed
-                ? switch (failed.why()) {
-                    case TIME_UP, STILL_OPEN -> 504;
-                    case SIGNED_BEFORE_MEMORY, WINDOW_PASSED -> 409;
-                    case NO_SUCH_FUNCTION -> 404;
-                    case ANSWER_LET_GO -> 410;
-                    case OTHER_PAYLOAD -> 422;
-                    case INTERNAL -> 500;
+        return end instanceof RequestOutcome.Failed failed
+                ? switch (failed.reason()) {
+                    case DEADLINE_EXCEEDED, STILL_IN_FLIGHT -> 504;
+                    case SIGNED_BEFORE_STORE, DEDUPLICATION_WINDOW_PASSED -> 409;
+                    case FUNCTION_NOT_FOUND -> 404;
+                    case RESPONSE_EVICTED -> 410;
+                    case PAYLOAD_MISMATCH -> 422;
+                    case INTERNAL_ERROR -> 500;
                     default -> 502;
                 }
-                : end instanceof End.Answered answered ? answered.status() : 200;
+                : end instanceof RequestOutcome.FunctionError answered ? answered.status() : 200;
     }
 
     /** The status that a function last said of itself; 502 where what came was none. */
@@ -72,36 +77,41 @@
         return last.matches("5\\d\\d") ? Integer.parseInt(last) : 502;
     }
 
-    public static End.Tried tried(End end) {
-        return end instanceof End.Refused refused
-                ? refused.tried()
-                : end instanceof End.Failed failed
-                        ? failed.tried()
-                        : end instanceof End.Answered answered ? answered.tried() : End.Tried.NONE;
+    public static RequestOutcome.AttemptSummary tried(RequestOutcome end) {
+        return end instanceof RequestOutcome.Rejected refused
+                ? refused.attempts()
+                : end instanceof RequestOutcome.Failed failed
+                        ? failed.attempts()
+                        : end instanceof RequestOutcome.FunctionError answered
+                                ? answered.attempts()
+                                : RequestOutcome.AttemptSummary.NONE;
     }
 
-    public static End.Why why(End end) {
-        return end instanceof End.Refused refused ? refused.why() : ((End.Failed) end).why();
+    public static RequestOutcome.Reason why(RequestOutcome end) {
+        return end instanceof RequestOutcome.Rejected refused
+                ? refused.reason()
+                : ((RequestOutcome.Failed) end).reason();
     }
 
-    public static String kind(End end) {
-        return why(end).word();
+    public static String kind(RequestOutcome end) {
+        return why(end).code();
     }
 
     /** Whether coming again is proved to do no harm. */
-    public static boolean harmless(End end) {
-        return end instanceof End.Refused
-                || (end instanceof End.Failed failed && !failed.mayHaveRun())
-                || (end instanceof End.Answered answered && !answered.mayHaveRun());
+    public static boolean harmless(RequestOutcome end) {
+        return end instanceof RequestOutcome.Rejected
+                || (end instanceof RequestOutcome.Failed failed && !failed.mayHaveRun())
+                || (end instanceof RequestOutcome.FunctionError answered && !answered.mayHaveRun());
     }
 
     /**
      * Milliseconds after which a refused client may come again; 0 for other ends, and where that
      * cannot help.
      */
-    public static long comeBackMillis(End end) {
-        return end instanceof End.Refused refused && refused.why() != End.Why.NO_SUCH_FUNCTION
-                ? Math.max(1, refused.comeBackAfterMicros() / 1_000)
+    public static long comeBackMillis(RequestOutcome end) {
+        return end instanceof RequestOutcome.Rejected refused
+                        && refused.reason() != RequestOutcome.Reason.FUNCTION_NOT_FOUND
+                ? Math.max(1, refused.retryAfterMicros() / 1_000)
                 : 0;
     }
 
--- a/src/main/java/waytrestle/front/kserve/KserveFront.java
+++ b/src/main/java/waytrestle/front/kserve/KserveFront.java
@@ -15,16 +15,16 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.regex.Pattern;
-import waytrestle.ControlApi.RequestClass;
-import waytrestle.calls.End;
-import waytrestle.calls.IdMemory;
-import waytrestle.calls.Intake;
 import waytrestle.config.GatewayConfig.Kserve;
 import waytrestle.front.Front;
 import waytrestle.front.Fronts;
 import waytrestle.http.HttpError;
 import waytrestle.http.HttpMessage;
 import waytrestle.http.HttpServer;
+import waytrestle.requests.IdempotencyStore;
+import waytrestle.requests.RequestHandler;
+import waytrestle.requests.RequestOutcome;
+import waytrestle.scheduler.SchedulerSettings.RequestClass;
 
 /**
  * The front for the Open Inference Protocol (KServe v2) over HTTP. An infer request is checked as a
@@ -45,7 +45,7 @@
     private final TreeSet<String> models;
     private final long transit;
     private final Predicate<String> known;
-    private final Intake intake;
+    private final RequestHandler intake;
     private final Map<String, Long> turnedAway = new HashMap<>();
 
     public KserveFront(
@@ -54,7 +54,7 @@
             Iterable<String> models,
             long transitMicros,
             Predicate<String> known,
-            Intake intake) {
+            RequestHandler intake) {
         this.config = config;
         this.classes = classes;
         this.models = new TreeSet<>();
@@ -295,22 +295,22 @@
         long digest = Fronts.digest(m.content());
         // Nothing is signed here, so a call counts as signed just now, after whatever this gateway
         // may have forgotten.
-        IdMemory.Arrival arrival =
+        IdempotencyStore.KeyedRequest arrival =
                 key == null
                         ? null
-                        : new IdMemory.Arrival(
+                        : new IdempotencyStore.KeyedRequest(
                                 "kserve " + tenant + " " + model + " " + key,
-                                requestClass.repeat(),
-                                requestClass.windowMicros(),
+                                requestClass.idempotency(),
+                                requestClass.deduplicationWindowMicros(),
                                 intake.wallSeconds() + 1,
                                 digest);
         long mark =
                 arrival != null
                         ? arrival.key().hashCode() | 1L << 41
                         : checked.id() == null ? 0 : digest ^ checked.id().hashCode() ^ tenant;
-        Intake.Ticket ticket =
+        RequestHandler.PendingResponse ticket =
                 intake.accept(
-                        new Intake.Incoming(
+                        new RequestHandler.IncomingRequest(
                                 kind,
                                 tenant,
                                 model,
@@ -322,30 +322,30 @@
                                 (int) jsonBytes),
                         end -> ended(e, end));
         if (e.open()) {
-            e.whenGone(ticket::left);
+            e.whenGone(ticket::clientDisconnected);
         }
     }
 
-    private static void ended(HttpServer.Exchange e, End end) {
+    private static void ended(HttpServer.Exchange e, RequestOutcome end) {
         if (!e.open()) {
             return;
         }
-        if (end instanceof End.Served served) {
+        if (end instanceof RequestOutcome.Served served) {
             if (served.jsonBytes() >= 0) {
                 e.answer(
                         200,
-                        served.type(),
+                        served.contentType(),
                         served.body(),
                         "Inference-Header-Content-Length",
                         Integer.toString(served.jsonBytes()));
             } else {
-                e.answer(200, served.type(), served.body());
+                e.answer(200, served.contentType(), served.body());
             }
             return;
         }
         long millis = Fronts.comeBackMillis(end);
         String harmless = Boolean.toString(Fronts.harmless(end));
-        if (end instanceof End.Answered own) {
+        if (end instanceof RequestOutcome.FunctionError own) {
             String text = FunctionError.text(own.body());
             if (text == null) { // an error object of the protocol already
                 e.answer(own.status(), TYPE, own.body(), "Waytrestle-Harmless", harmless);
@@ -364,14 +364,14 @@
             }
             return;
         }
-        End.Tried tried = Fronts.tried(end);
+        RequestOutcome.AttemptSummary tried = Fronts.tried(end);
         Fields fields =
                 g -> {
-                    g.writeStringField("error", Fronts.why(end).text());
+                    g.writeStringField("error", Fronts.why(end).description());
                     g.writeStringField("reason", Fronts.kind(end));
-                    if (!tried.last().isEmpty()) {
+                    if (!tried.lastResponse().isEmpty()) {
                         g.writeNumberField("attempts", tried.attempts());
-                        g.writeStringField("last", tried.last());
+                        g.writeStringField("last", tried.lastResponse());
                     }
                     if (millis > 0) {
                         g.writeNumberField("retry_after_ms", millis);
--- a/src/main/java/waytrestle/front/platform/DoFront.java
+++ b/src/main/java/waytrestle/front/platform/PlatformFrontEnd.java
@@ -6,23 +6,23 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import waytrestle.ControlApi.Loading;
-import waytrestle.ControlApi.RequestClass;
-import waytrestle.calls.End;
-import waytrestle.calls.Intake;
-import waytrestle.calls.Intake.Facts;
 import waytrestle.front.Front;
 import waytrestle.front.Fronts;
 import waytrestle.http.HttpError;
 import waytrestle.http.HttpMessage;
 import waytrestle.http.HttpServer;
 import waytrestle.net.Loop;
+import waytrestle.requests.RequestHandler;
+import waytrestle.requests.RequestHandler.FunctionHints;
+import waytrestle.requests.RequestOutcome;
+import waytrestle.scheduler.SchedulerSettings.Preloading;
+import waytrestle.scheduler.SchedulerSettings.RequestClass;
 
 /**
  * The platform's calls: reads and checks {@code POST /do/FUNCTION/call}, brings it to the core and
  * words its end. What an invoker could not be asked, or no client could mean, is turned away here.
  */
-public final class DoFront implements Front {
+public final class PlatformFrontEnd implements Front {
     private static final String CALLS = "/do/", CHECK = "/check", TEXT = "text/plain";
     private static final int ID = 16; // hex digits of ids and functions
     private static final int LONGEST = 10; // deadlines of a class: a longer one is out of any range
@@ -44,12 +44,12 @@
     private final Map<String, Integer> classes = new HashMap<>();
     private final List<RequestClass> kinds;
     private final double mostMemory;
-    private final Intake intake;
+    private final RequestHandler intake;
     private final Set<String> open = new HashSet<>();
     private final Map<String, Long> turnedAway = new HashMap<>();
     private boolean ready, stopping;
 
-    public DoFront(List<RequestClass> kinds, Loading loading, Intake intake) {
+    public PlatformFrontEnd(List<RequestClass> kinds, Preloading loading, RequestHandler intake) {
         this.kinds = kinds;
         this.intake = intake;
         for (int i = 0; i < kinds.size(); i++) {
@@ -136,13 +136,13 @@
                                 most,
                                 true,
                                 "X-Deadline-Ms is out of range");
-        Facts facts = facts(m);
+        FunctionHints facts = facts(m);
         if (!open.add(id)) {
             throw new Unfit(409, "a call of this id is open");
         }
-        Intake.Ticket ticket =
+        RequestHandler.PendingResponse ticket =
                 intake.accept(
-                        new Intake.Incoming(
+                        new RequestHandler.IncomingRequest(
                                 kind,
                                 -1,
                                 function,
@@ -154,15 +154,15 @@
                                 -1,
                                 facts,
                                 id),
-                        new Intake.Client() {
+                        new RequestHandler.ResponseListener() {
                             @Override
-                            public void ended(End end) {
+                            public void completed(RequestOutcome end) {
                                 open.remove(id);
                                 answer(e, end);
                             }
 
                             @Override
-                            public void look() {
+                            public void checkConnected() {
                                 e.look();
                             }
                         });
@@ -170,7 +170,7 @@
             e.whenGone(
                     () -> {
                         open.remove(id);
-                        ticket.left();
+                        ticket.clientDisconnected();
                     });
         }
     }
@@ -230,7 +230,7 @@
         throw new Unfit(400, why);
     }
 
-    private Facts facts(HttpMessage m) throws Unfit {
+    private FunctionHints facts(HttpMessage m) throws Unfit {
         boolean resent = m.count("x-resent") > 0;
         if (resent && !one(m, "x-resent").equals("1")) {
             throw new Unfit(400, "X-Resent is not 1");
@@ -266,7 +266,7 @@
                 }
             }
         }
-        return new Facts(
+        return new FunctionHints(
                 memory, (int) lanes, Math.round(load * 1_000), Math.round(work * 1_000), resent);
     }
 
@@ -278,21 +278,21 @@
      * Served as the invoker gave it; a refusal says that coming again is harmless, any other end
      * that it may not be.
      */
-    private static void answer(HttpServer.Exchange e, End end) {
+    private static void answer(HttpServer.Exchange e, RequestOutcome end) {
         if (!e.open()) {
             return;
         }
-        if (end instanceof End.Served served) {
-            e.answer(200, served.type(), served.body());
+        if (end instanceof RequestOutcome.Served served) {
+            e.answer(200, served.contentType(), served.body());
             return;
         }
         byte[] why = text(Fronts.kind(end));
-        if (!(end instanceof End.Refused refused)) {
+        if (!(end instanceof RequestOutcome.Rejected refused)) {
             e.answer(Fronts.status(end), TEXT, why);
             return;
         }
-        long millis = refused.comeBackAfterMicros() / 1_000;
-        int status = refused.why() == End.Why.TOO_MANY_OPEN ? 429 : 503;
+        long millis = refused.retryAfterMicros() / 1_000;
+        int status = refused.reason() == RequestOutcome.Reason.TOO_MANY_IN_FLIGHT ? 429 : 503;
         if (millis > 0) {
             e.answer(status, TEXT, why, "X-Pushback-Ms", Long.toString(millis));
         } else {
--- a/src/main/java/waytrestle/front/webhook/WebhookFront.java
+++ b/src/main/java/waytrestle/front/webhook/WebhookFront.java
@@ -5,16 +5,16 @@
 import java.util.Map;
 import java.util.function.Predicate;
 import java.util.regex.Pattern;
-import waytrestle.ControlApi.RequestClass;
-import waytrestle.calls.End;
-import waytrestle.calls.IdMemory;
-import waytrestle.calls.Intake;
 import waytrestle.config.GatewayConfig.Endpoint;
 import waytrestle.front.Front;
 import waytrestle.front.Fronts;
 import waytrestle.http.HttpMessage;
 import waytrestle.http.HttpServer;
 import waytrestle.http.Problem;
+import waytrestle.requests.IdempotencyStore;
+import waytrestle.requests.RequestHandler;
+import waytrestle.requests.RequestOutcome;
+import waytrestle.scheduler.SchedulerSettings.RequestClass;
 
 /**
  * The front for signed webhooks: checks that a message is signed as the Standard Webhooks
@@ -29,7 +29,7 @@
 
     private final Map<String, Door> doors = new HashMap<>();
     private final long toleranceSeconds, transit;
-    private final Intake intake;
+    private final RequestHandler intake;
     private final Predicate<String> known;
     private final Map<String, Long> turnedAway = new HashMap<>();
 
@@ -39,7 +39,7 @@
             long toleranceSeconds,
             long transitMicros,
             Predicate<String> known,
-            Intake intake) {
+            RequestHandler intake) {
         for (Endpoint e : endpoints) {
             doors.put(
                     e.path(),
@@ -145,17 +145,17 @@
                     "no function of this name is configured: " + function);
             return;
         }
-        IdMemory.Arrival arrival =
-                new IdMemory.Arrival(
+        IdempotencyStore.KeyedRequest arrival =
+                new IdempotencyStore.KeyedRequest(
                         door.endpoint().path() + " " + id,
-                        door.kind().repeat(),
-                        door.kind().windowMicros(),
+                        door.kind().idempotency(),
+                        door.kind().deduplicationWindowMicros(),
                         signedAt,
                         Fronts.digest(m.content()));
         String type = m.header("content-type");
-        Intake.Ticket ticket =
+        RequestHandler.PendingResponse ticket =
                 intake.accept(
-                        new Intake.Incoming(
+                        new RequestHandler.IncomingRequest(
                                 door.endpoint().requestClass(),
                                 door.endpoint().tenant(),
                                 function,
@@ -167,7 +167,7 @@
                                 -1),
                         end -> answer(e, end));
         if (e.open()) {
-            e.whenGone(ticket::left);
+            e.whenGone(ticket::clientDisconnected);
         }
     }
 
@@ -177,18 +177,18 @@
         e.answer(status, Problem.TYPE, Problem.of(status, kind, detail, true).bytes(), headers);
     }
 
-    private static void answer(HttpServer.Exchange e, End end) {
+    private static void answer(HttpServer.Exchange e, RequestOutcome end) {
         if (!e.open()) {
             return;
         }
-        if (end instanceof End.Served served) {
-            e.answer(200, served.type(), served.body());
+        if (end instanceof RequestOutcome.Served served) {
+            e.answer(200, served.contentType(), served.body());
             return;
         }
-        if (end instanceof End.Answered own && own.body().size() > 0) {
+        if (end instanceof RequestOutcome.FunctionError own && own.body().size() > 0) {
             e.answer(
                     own.status(),
-                    own.type(),
+                    own.contentType(),
                     own.body(),
                     "Waytrestle-Harmless",
                     Boolean.toString(!own.mayHaveRun()));
@@ -196,9 +196,9 @@
         }
         int status = Fronts.status(end);
         long millis = Fronts.comeBackMillis(end);
-        End.Tried tried = Fronts.tried(end);
+        RequestOutcome.AttemptSummary tried = Fronts.tried(end);
         Problem problem =
-                end instanceof End.Answered
+                end instanceof RequestOutcome.FunctionError
                         ? new Problem(
                                 status,
                                 "function",
@@ -206,15 +206,15 @@
                                 Fronts.harmless(end),
                                 0,
                                 tried.attempts(),
-                                tried.last())
+                                tried.lastResponse())
                         : new Problem(
                                 status,
                                 Fronts.kind(end),
-                                Fronts.why(end).text(),
+                                Fronts.why(end).description(),
                                 Fronts.harmless(end),
                                 millis,
                                 tried.attempts(),
-                                tried.last());
+                                tried.lastResponse());
         if (millis > 0) {
             e.answer(
                     status,
--- a/src/main/java/waytrestle/gateway/Door.java
+++ b/src/main/java/waytrestle/gateway/ConnectionGuard.java
@@ -6,19 +6,19 @@
 import waytrestle.config.Networks;
 import waytrestle.http.Doorkeeper;
 import waytrestle.overload.ByteBudget;
-import waytrestle.overload.ConnectionGate;
-import waytrestle.overload.ConnectionGate.Standing;
+import waytrestle.overload.ConnectionAdmission;
+import waytrestle.overload.ConnectionAdmission.TrustLevel;
 
 /** Puts connections and bodies before the modules that bound them. */
-final class Door implements Doorkeeper {
+final class ConnectionGuard implements Doorkeeper {
     private final GatewayConfig.Edge edge;
-    private final ConnectionGate gate;
+    private final ConnectionAdmission gate;
     private final ByteBudget budget;
     private final Networks trusted, barred;
 
-    Door(GatewayConfig config) {
+    ConnectionGuard(GatewayConfig config) {
         edge = config.edge();
-        gate = new ConnectionGate(config.maxConnections(), edge.perNetwork());
+        gate = new ConnectionAdmission(config.maxConnections(), edge.perNetwork());
         budget = new ByteBudget(edge.bodyBytes());
         trusted = new Networks(edge.trusted());
         barred = new Networks(edge.barred());
@@ -30,11 +30,11 @@
 
     @Override
     public String take(InetAddress from) {
-        Standing standing =
+        TrustLevel standing =
                 barred.contains(from)
-                        ? Standing.BARRED
-                        : trusted.contains(from) ? Standing.TRUSTED : Standing.ORDINARY;
-        ConnectionGate.Reason reason = gate.take(network(from), standing);
+                        ? TrustLevel.BARRED
+                        : trusted.contains(from) ? TrustLevel.TRUSTED : TrustLevel.ORDINARY;
+        ConnectionAdmission.Reason reason = gate.tryAdmit(network(from), standing);
         return reason == null
                 ? null
                 : switch (reason) {
@@ -46,22 +46,22 @@
 
     @Override
     public void closed(InetAddress from) {
-        gate.closed(network(from));
+        gate.release(network(from));
     }
 
     @Override
     public boolean possible(long bytes) {
-        return budget.possible(bytes);
+        return budget.isGrantable(bytes);
     }
 
     @Override
     public boolean ask(long connection, long bytes) {
-        return budget.ask(connection, bytes);
+        return budget.tryReserve(connection, bytes);
     }
 
     @Override
     public void add(long connection, long bytes) {
-        budget.add(connection, bytes);
+        budget.reserve(connection, bytes);
     }
 
     @Override
--- a/src/main/java/waytrestle/gateway/LoopHost.java
+++ b/src/main/java/waytrestle/gateway/EventLoopTransport.java
@@ -1,12 +1,13 @@
 package waytrestle.gateway;
 
+import waytrestle.controller.Transport;
 import waytrestle.net.Loop;
 
 /** A host whose time is a loop's. */
-public abstract class LoopHost implements Host {
+public abstract class EventLoopTransport implements Transport {
     protected final Loop loop;
 
-    protected LoopHost(Loop loop) {
+    protected EventLoopTransport(Loop loop) {
         this.loop = loop;
     }
 
@@ -16,7 +17,7 @@
     }
 
     @Override
-    public void after(long micros, Runnable task) {
+    public void schedule(long micros, Runnable task) {
         loop.after(micros, task);
     }
 }
--- a/src/main/java/waytrestle/gateway/Gateway.java
+++ b/src/main/java/waytrestle/gateway/Gateway.java
@@ -1,5 +1,7 @@
 package waytrestle.gateway;
 
+import com.sun.management.OperatingSystemMXBean;
+import com.sun.management.ThreadMXBean;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
@@ -13,13 +15,14 @@
 import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import waytrestle.ControlApi.Discovery;
-import waytrestle.ControlApi.InvokerList;
 import waytrestle.access.AccessLog;
 import waytrestle.access.FileAccessLog;
-import waytrestle.calls.Gate;
 import waytrestle.config.GatewayConfig;
 import waytrestle.config.SecretsFile;
+import waytrestle.controller.Controller;
+import waytrestle.controller.ControllerEnvironment;
+import waytrestle.discovery.ConsulPoller;
+import waytrestle.discovery.EndpointDirectory;
 import waytrestle.front.Front;
 import waytrestle.front.Router;
 import waytrestle.front.kserve.KserveFront;
@@ -28,9 +31,10 @@
 import waytrestle.http.Problem;
 import waytrestle.metrics.Metrics;
 import waytrestle.net.Loop;
-import waytrestle.overload.Overload;
-import waytrestle.roster.HealthApi;
-import waytrestle.roster.RosterBook;
+import waytrestle.overload.OverloadControl;
+import waytrestle.requests.AdmissionControl;
+import waytrestle.scheduler.DiscoveryMode;
+import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
 
 /** A running gateway: one loop with its controller, fronts, roster and pages. */
 public final class Gateway {
@@ -51,34 +55,34 @@
     private WebhookFront webhooks;
     private FileAccessLog access;
     private HttpServer server, admin;
-    private HealthApi roster;
-    private PeerLink peers;
+    private ConsulPoller roster;
+    private GossipSocket peers;
     private boolean stopping;
 
     private Gateway(GatewayConfig config) throws IOException {
         this.config = config;
         this.loop =
                 new Loop(
-                        "controller-" + config.module().me(),
+                        "controller-" + config.module().controllerIndex(),
                         e -> LOG.error("a handler failed", e));
     }
 
-    public static Gateway start(GatewayConfig config, Controller.ModuleMaker maker)
+    public static Gateway start(GatewayConfig config, Controller.SchedulerFactory maker)
             throws IOException {
         return start(config, maker, System::currentTimeMillis);
     }
 
     /** Starts on ports as configured; the wall clock serves signing times and told starts alone. */
     public static Gateway start(
-            GatewayConfig config, Controller.ModuleMaker maker, LongSupplier wallMillis)
+            GatewayConfig config, Controller.SchedulerFactory maker, LongSupplier wallMillis)
             throws IOException {
         Gateway made = new Gateway(config);
         made.assemble(maker, wallMillis);
         made.loop.start();
         LOG.info(
                 "controller {} of {} takes calls on {}:{}, pages on port {}",
-                config.module().me(),
-                config.module().controllers(),
+                config.module().controllerIndex(),
+                config.module().controllerCount(),
                 config.listen().getAddress().getHostAddress(),
                 made.port(),
                 made.admin.port());
@@ -86,16 +90,16 @@
     }
 
     /** Before the loop runs, so nothing here races with it. */
-    private void assemble(Controller.ModuleMaker maker, LongSupplier wallMillis)
+    private void assemble(Controller.SchedulerFactory maker, LongSupplier wallMillis)
             throws IOException {
-        Overload overload =
-                new Overload(
+        OverloadControl overload =
+                new OverloadControl(
                         config.overload(),
-                        config.module().limits().maxOpen(),
+                        config.module().limits().maxInFlight(),
                         config.module().tenants(),
                         config.bounds(),
                         config.module().classes());
-        Gate gate = config.overload().on() ? overload : Gate.OPEN;
+        AdmissionControl gate = config.overload().enabled() ? overload : AdmissionControl.ADMIT_ALL;
         if (!config.access().file().isEmpty()) {
             access =
                     new FileAccessLog(
@@ -112,17 +116,17 @@
                         out.sample("end=\"dropped\"", access.dropped());
                     });
         }
-        GatewayWatch watch =
-                new GatewayWatch(
+        GatewayControllerListener watch =
+                new GatewayControllerListener(
                         config, maker, gate, metrics, Math.floorDiv(wallMillis.getAsLong(), 1_000));
         controller =
                 new Controller(
-                        new SocketHost(loop, config),
+                        new SocketTransport(loop, config),
                         watch.parts(),
                         wallMillis,
                         watch,
                         access == null ? AccessLog.OFF : access,
-                        new Controller.Outside() {
+                        new ControllerEnvironment() {
                             @Override
                             public void subscribe(boolean on) {
                                 if (roster != null) {
@@ -131,24 +135,25 @@
                             }
 
                             @Override
-                            public void fetchList() {
+                            public void fetchEndpoints() {
                                 if (roster != null) {
                                     roster.fetch();
                                 } else {
-                                    controller.invokers(
-                                            new InvokerList(true, false, config.roster().fixed()));
+                                    controller.endpointsUpdated(
+                                            new EndpointsUpdated(
+                                                    true, false, config.roster().fixed()));
                                 }
                             }
 
                             @Override
-                            public void tellPeer(int peer, byte[] message) {
+                            public void sendGossip(int peer, byte[] message) {
                                 if (peers != null) {
-                                    peers.tell(peer, message);
+                                    peers.send(peer, message);
                                 }
                             }
 
                             @Override
-                            public void broken(String why) {
+                            public void schedulerFailed(String why) {
                                 LOG.error("stopping: {}", why);
                                 exit.set(3);
                                 stop();
@@ -181,7 +186,7 @@
                                 controller));
             }
             router = new Router(fronts);
-            Door door = new Door(config);
+            ConnectionGuard door = new ConnectionGuard(config);
             server = new HttpServer(loop, config.listen(), config.http(), door, router);
             metrics.gauge("waytrestle_body_bytes", "", door::bytes);
             metrics.gauge("waytrestle_bodies_waiting", "", door::waiting);
@@ -211,12 +216,12 @@
             process();
             if (config.peers().listen() != null) {
                 peers =
-                        new PeerLink(
+                        new GossipSocket(
                                 loop,
-                                config.module().me(),
+                                config.module().controllerIndex(),
                                 config.peers().listen(),
                                 config.peers().others(),
-                                controller::peerSaid);
+                                controller::gossipReceived);
             }
         } catch (IOException | RuntimeException e) {
             loop.stop();
@@ -237,12 +242,10 @@
         metrics.help(
                 "waytrestle_loop_allocated_bytes",
                 "Bytes that the loop's thread has allocated since its start.");
-        if (ManagementFactory.getOperatingSystemMXBean()
-                instanceof com.sun.management.OperatingSystemMXBean os) {
+        if (ManagementFactory.getOperatingSystemMXBean() instanceof OperatingSystemMXBean os) {
             metrics.gauge("waytrestle_process_cpu_seconds", "", () -> os.getProcessCpuTime() / 1e9);
         }
-        if (ManagementFactory.getThreadMXBean()
-                instanceof com.sun.management.ThreadMXBean threads) {
+        if (ManagementFactory.getThreadMXBean() instanceof ThreadMXBean threads) {
             metrics.gauge(
                     "waytrestle_loop_allocated_bytes",
                     "",
@@ -252,32 +255,32 @@
 
     private void follow(LongSupplier wallMillis) {
         if (config.roster().at() == null) {
-            controller.invokers(new InvokerList(true, false, config.roster().fixed()));
+            controller.endpointsUpdated(new EndpointsUpdated(true, false, config.roster().fixed()));
             return;
         }
-        boolean asked = config.module().discovery() == Discovery.ASKED;
-        RosterBook book =
-                new RosterBook(
+        boolean asked = config.module().discovery() == DiscoveryMode.POLL;
+        EndpointDirectory book =
+                new EndpointDirectory(
                         config.roster().retryMicros(),
                         config.roster().retryMostMicros(),
                         asked,
                         config.seed());
         metrics.gauge("waytrestle_roster_age_seconds", "", () -> book.age(Loop.now()) / 1e6);
         roster =
-                new HealthApi(
+                new ConsulPoller(
                         loop,
                         config,
                         book,
                         action -> {
-                            if (action instanceof RosterBook.Tell tell) {
-                                controller.invokers(tell.list());
+                            if (action instanceof EndpointDirectory.PublishUpdate tell) {
+                                controller.endpointsUpdated(tell.update());
                             } else {
-                                controller.listFailed();
+                                controller.endpointUpdateFailed();
                             }
                         },
                         wallMillis);
         if (asked) { // the module subscribes once it has been told its list, empty as yet
-            controller.invokers(new InvokerList(true, true, List.of()));
+            controller.endpointsUpdated(new EndpointsUpdated(true, true, List.of()));
         } else {
             roster.subscribe(true);
         }
@@ -336,21 +339,21 @@
                         return;
                     }
                     stopping = true;
-                    LOG.info("stopping: {} calls open", controller.open());
+                    LOG.info("stopping: {} calls open", controller.inFlight());
                     server.stopTaking();
-                    controller.stopTaking();
+                    controller.startShutdown();
                     await(Loop.now() + LINGER, Loop.now() + config.stopGraceMicros());
                 });
     }
 
     private void await(long linger, long until) {
         boolean lingering = server.connections() > 0 && Loop.now() < linger;
-        if ((lingering || controller.open() > 0) && Loop.now() < until) {
+        if ((lingering || controller.inFlight() > 0) && Loop.now() < until) {
             loop.after(LOOK, () -> await(linger, until));
             return;
         }
         server.closeIdle();
-        controller.closeAll();
+        controller.shutdownGraceExpired();
         loop.after(
                 FLUSH,
                 () -> {
--- a/src/main/java/waytrestle/gateway/GatewayWatch.java
+++ b/src/main/java/waytrestle/gateway/GatewayControllerListener.java
@@ -4,78 +4,83 @@
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import waytrestle.ControlApi.Code;
-import waytrestle.ControlApi.Event;
-import waytrestle.calls.Desk;
-import waytrestle.calls.Gate;
-import waytrestle.calls.IdMemory;
-import waytrestle.calls.Intake.Facts;
-import waytrestle.calls.Intake.Incoming;
 import waytrestle.config.GatewayConfig;
+import waytrestle.controller.Controller;
+import waytrestle.controller.ControllerDependencies;
+import waytrestle.controller.ControllerListener;
+import waytrestle.controller.FailureThreshold;
 import waytrestle.metrics.Metrics;
-import waytrestle.outcomes.Outcomes;
-import waytrestle.outcomes.Reply;
+import waytrestle.requests.AdmissionControl;
+import waytrestle.requests.IdempotencyStore;
+import waytrestle.requests.PendingRequests;
+import waytrestle.requests.RequestHandler.FunctionHints;
+import waytrestle.requests.RequestHandler.IncomingRequest;
+import waytrestle.responses.ClassifierCommand;
+import waytrestle.responses.ExchangeResult;
+import waytrestle.responses.HealthTrackingClassifier;
+import waytrestle.scheduler.ResponseCode;
+import waytrestle.scheduler.SchedulerEvent;
 
 /**
  * What a gateway's controller is made of by its configuration, and what it counts and logs of
  * itself.
  */
-public final class GatewayWatch implements Watch {
+public final class GatewayControllerListener implements ControllerListener {
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
 
     private final GatewayConfig config;
     private final Metrics metrics;
-    private final Desk desk;
-    private final Outcomes outcomes;
-    private final Controller.Parts parts;
+    private final PendingRequests desk;
+    private final HealthTrackingClassifier outcomes;
+    private final ControllerDependencies parts;
 
-    public GatewayWatch(
+    public GatewayControllerListener(
             GatewayConfig config,
-            Controller.ModuleMaker maker,
-            Gate gate,
+            Controller.SchedulerFactory maker,
+            AdmissionControl gate,
             Metrics metrics,
             long wallSeconds) {
         this.config = config;
         this.metrics = metrics;
         this.outcomes =
-                new Outcomes(
+                new HealthTrackingClassifier(
                         config.outcomes(),
-                        config.module().loading(),
-                        config.module().reports(),
-                        config.module().controllers());
+                        config.module().preloading(),
+                        config.module().loadReports(),
+                        config.module().controllerCount());
         this.desk =
-                new Desk(
+                new PendingRequests(
                         config.module().classes(),
-                        config.module().limits().maxOpen(),
+                        config.module().limits().maxInFlight(),
                         config.module().tickMicros(),
-                        new IdMemory(config.ids(), wallSeconds),
+                        new IdempotencyStore(config.ids(), wallSeconds),
                         gate,
-                        config.module().limits().cancel());
+                        config.module().limits().mayCancel());
         this.parts =
-                new Controller.Parts(
+                new ControllerDependencies(
                         config.module(),
-                        maker.make(config.module(), config.seed()),
+                        maker.create(config.module(), config.seed()),
                         desk,
                         outcomes,
                         gate,
                         this::configured,
-                        new FaultRule(config.faults().most(), config.faults().spanMicros()));
+                        new FailureThreshold(config.faults().most(), config.faults().spanMicros()));
     }
 
-    public Controller.Parts parts() {
+    public ControllerDependencies parts() {
         return parts;
     }
 
-    private Facts configured(String function) {
+    private FunctionHints configured(String function) {
         GatewayConfig.Function f =
                 config.functions().getOrDefault(function, config.unknownFunction());
         return f == null
-                ? Facts.NONE
-                : new Facts(f.memoryMb(), f.lanes(), f.loadMicros(), f.workMicros(), false);
+                ? FunctionHints.NONE
+                : new FunctionHints(f.memoryMb(), f.lanes(), f.loadMicros(), f.workMicros(), false);
     }
 
     /** Names what is counted, once the controller stands. */
-    public GatewayWatch gauges(Controller controller) {
+    public GatewayControllerListener gauges(Controller controller) {
         metrics.help(
                 "waytrestle_calls_total",
                 "Answers given, by class and end: served, refused (coming again is "
@@ -113,12 +118,12 @@
                 "Ids in the memory that keeps repeats from running again.");
         metrics.help("waytrestle_ids_bytes", "Bytes of these ids and their remembered answers.");
         metrics.help("waytrestle_invoker_connections", "Open connections to all invokers.");
-        metrics.gauge("waytrestle_open_calls", "", desk::open);
+        metrics.gauge("waytrestle_open_calls", "", desk::inFlight);
         metrics.gauge("waytrestle_invokers_ready", "", controller::readyInvokers);
-        metrics.gauge("waytrestle_invokers_ejected", "", outcomes::ejected);
-        metrics.gauge("waytrestle_functions_blamed", "", outcomes::blamed);
-        metrics.gauge("waytrestle_ids_remembered", "", () -> desk.memory().size());
-        metrics.gauge("waytrestle_ids_bytes", "", () -> desk.memory().bytes());
+        metrics.gauge("waytrestle_invokers_ejected", "", outcomes::ejectedInvokers);
+        metrics.gauge("waytrestle_functions_blamed", "", outcomes::openCircuits);
+        metrics.gauge("waytrestle_ids_remembered", "", () -> desk.idempotencyStore().size());
+        metrics.gauge("waytrestle_ids_bytes", "", () -> desk.idempotencyStore().bytes());
         metrics.gauge("waytrestle_invoker_connections", "", controller::connections);
         metrics.family(
                 "waytrestle_promises_total",
@@ -126,13 +131,13 @@
                 "Answers by which an invoker kept, broke or left untold "
                         + "what a setting promises of it.",
                 out ->
-                        outcomes.promises(
+                        outcomes.capabilities(
                                 (invoker, promise, untold, kept, broken) -> {
                                     String labels =
                                             "invoker=\""
                                                     + invoker
                                                     + "\",promise=\""
-                                                    + promise.word()
+                                                    + promise.label()
                                                     + "\",seen=\"";
                                     out.sample(labels + "untold\"", untold);
                                     out.sample(labels + "kept\"", kept);
@@ -141,7 +146,7 @@
         return this;
     }
 
-    private String labels(Incoming call, String end) {
+    private String labels(IncomingRequest call, String end) {
         return "class=\""
                 + config.module().classes().get(call.requestClass()).name()
                 + "\",end=\""
@@ -150,7 +155,7 @@
     }
 
     @Override
-    public void ended(Incoming call, String end, String reason, long micros) {
+    public void requestCompleted(IncomingRequest call, String end, String reason, long micros) {
         String labels = labels(call, end);
         metrics.counter("waytrestle_calls_total", labels).add();
         if (end.equals("left")) {
@@ -163,51 +168,62 @@
         metrics.latency("waytrestle_call_seconds", labels, micros);
     }
 
+    /** The code as metrics have always named it. */
+    private static String label(ResponseCode code) {
+        return switch (code) {
+            case NOT_SENT -> "MOOT";
+            case NOT_LOADED -> "MISS";
+            default -> code.name();
+        };
+    }
+
     @Override
-    public void attempt(Code code, String invoker, Reply said, long micros) {
-        metrics.counter("waytrestle_attempts_total", "code=\"" + code + "\"").add();
-        if (code != Code.MOOT) {
+    public void attemptCompleted(
+            ResponseCode code, String invoker, ExchangeResult said, long micros) {
+        metrics.counter("waytrestle_attempts_total", "code=\"" + label(code) + "\"").add();
+        if (code != ResponseCode.NOT_SENT) {
             metrics.counter(
                             "waytrestle_replies_total",
                             "invoker=\"" + invoker + "\",reply=\"" + said.text() + "\"")
                     .add();
         }
-        metrics.latency("waytrestle_attempt_seconds", "code=\"" + code + "\"", micros);
+        metrics.latency("waytrestle_attempt_seconds", "code=\"" + label(code) + "\"", micros);
     }
 
     @Override
-    public void ordered() {
+    public void preloadSent() {
         metrics.counter("waytrestle_orders_total", "").add();
     }
 
     @Override
-    public void ejected(String invoker, long micros) {
+    public void invokerEjected(String invoker, long micros) {
         metrics.counter("waytrestle_ejections_total", "").add();
         LOG.warn("invoker {} alone errs and gets nothing for {} ms", invoker, micros / 1_000);
     }
 
     @Override
-    public void readmitted(String invoker) {
+    public void invokerReadmitted(String invoker) {
         LOG.info("invoker {} gets calls again", invoker);
     }
 
     @Override
-    public void warned(Outcomes.Warned a) {
+    public void capabilityWarning(ClassifierCommand.WarnOfCapability a) {
         LOG.warn(
                 "invoker {} {} what {} promises: that it {}",
                 a.invoker(),
-                a.untold() ? "never tells" : "breaks",
-                a.promise().setting(),
-                a.promise().text());
+                a.unreported() ? "never tells" : "breaks",
+                a.capability().setting(),
+                a.capability().description());
     }
 
     @Override
-    public void forgotten(String invoker) {
+    public void invokerRemoved(String invoker) {
         metrics.forget("invoker=\"" + invoker + "\"");
     }
 
     @Override
-    public void decisionFailed(Event event, Collection<Event> before, Throwable why) {
+    public void decisionFailed(
+            SchedulerEvent event, Collection<SchedulerEvent> before, Throwable why) {
         LOG.error(
                 "a decision failed; seed {}, settings {}, event {}, events before it {}",
                 config.seed(),
@@ -219,7 +235,7 @@
     }
 
     @Override
-    public void said(String text) {
+    public void message(String text) {
         LOG.info("{}", text);
     }
 }
--- a/src/main/java/waytrestle/gateway/PeerLink.java
+++ b/src/main/java/waytrestle/gateway/GossipSocket.java
@@ -15,7 +15,7 @@
  * is not a controller's is dropped. Framed ones begin with a mark and the sender's number; plain
  * ones are the message alone, told apart by their sender's address.
  */
-public final class PeerLink {
+public final class GossipSocket {
     public static final int MOST = 256; // bytes of a message, as the module is promised
     private static final int MARK = 0x77747231;
 
@@ -27,7 +27,7 @@
     private InetSocketAddress all;
     private long dropped;
 
-    PeerLink(
+    GossipSocket(
             Loop loop,
             int me,
             InetSocketAddress listen,
@@ -38,7 +38,7 @@
     }
 
     /** Plain datagrams; what is for all goes to one address, where there is one. */
-    public static PeerLink plain(
+    public static GossipSocket plain(
             Loop loop,
             int me,
             InetSocketAddress listen,
@@ -46,10 +46,10 @@
             InetSocketAddress all,
             BiConsumer<Integer, byte[]> said)
             throws IOException {
-        return new PeerLink(loop, me, listen, peers, all, false, said);
+        return new GossipSocket(loop, me, listen, peers, all, false, said);
     }
 
-    private PeerLink(
+    private GossipSocket(
             Loop loop,
             int me,
             InetSocketAddress listen,
@@ -109,7 +109,7 @@
     }
 
     /** The others are at these addresses from now on. */
-    public void moved(Map<Integer, InetSocketAddress> to, InetSocketAddress toAll) {
+    public void updatePeers(Map<Integer, InetSocketAddress> to, InetSocketAddress toAll) {
         peers = to;
         all = toAll;
     }
@@ -119,7 +119,7 @@
     }
 
     /** Peer -1 addresses all; what the kernel does not take now is lost, as promised. */
-    public void tell(int peer, byte[] message) {
+    public void send(int peer, byte[] message) {
         if (message.length > MOST) {
             dropped++;
             return;
--- a/src/main/java/waytrestle/gateway/HttpWire.java
+++ b/src/main/java/waytrestle/gateway/HttpInvokerClient.java
@@ -3,15 +3,16 @@
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import waytrestle.controller.InvokerClient;
 import waytrestle.http.HttpClient;
 import waytrestle.http.HttpMessage;
-import waytrestle.outcomes.Reply.How;
+import waytrestle.responses.ExchangeResult.Kind;
 
 /** What the ways to invokers over HTTP share, whatever protocol is spoken on them. */
-public abstract class HttpWire implements Host.Wire {
+public abstract class HttpInvokerClient implements InvokerClient {
     private final HttpClient client;
 
-    protected HttpWire(HttpClient client) {
+    protected HttpInvokerClient(HttpClient client) {
         this.client = client;
     }
 
@@ -19,7 +20,7 @@
     protected final HttpClient.Call exchange(
             long within,
             Consumer<HttpMessage> answered,
-            Consumer<How> broken,
+            Consumer<Kind> broken,
             ByteBuffer... request) {
         return exchange(within, () -> null, answered, broken, request);
     }
@@ -30,16 +31,16 @@
      */
     protected final HttpClient.Call exchange(
             long within,
-            Supplier<How> withdrawn,
+            Supplier<Kind> withdrawn,
             Consumer<HttpMessage> answered,
-            Consumer<How> broken,
+            Consumer<Kind> broken,
             ByteBuffer... request) {
         HttpClient.Withdrawal withdrawal =
                 () -> {
-                    How how = withdrawn.get();
+                    Kind how = withdrawn.get();
                     return how == null
                             ? null
-                            : how == How.CANCELLED
+                            : how == Kind.CANCELLED
                                     ? HttpClient.Break.CANCELLED
                                     : HttpClient.Break.NO_ROOM;
                 };
@@ -63,14 +64,14 @@
     /**
      * The line is the first byte of the request: before it the invoker cannot have run anything.
      */
-    private static How of(HttpClient.Break how) {
+    private static Kind of(HttpClient.Break how) {
         return switch (how) {
-            case NO_CONNECTION, BEFORE_FIRST_BYTE -> How.UNREACHED;
-            case AFTER_FIRST_BYTE -> How.CUT;
-            case MALFORMED -> How.UNREADABLE; // something answered; whether it ran is unknown
-            case TIMEOUT -> How.TIMEOUT;
-            case CANCELLED -> How.CANCELLED;
-            case NO_ROOM -> How.NO_ROOM;
+            case NO_CONNECTION, BEFORE_FIRST_BYTE -> Kind.NOT_CONNECTED;
+            case AFTER_FIRST_BYTE -> Kind.CONNECTION_LOST;
+            case MALFORMED -> Kind.MALFORMED; // something answered; whether it ran is unknown
+            case TIMEOUT -> Kind.TIMEOUT;
+            case CANCELLED -> Kind.CANCELLED;
+            case NO_ROOM -> Kind.NO_CAPACITY;
         };
     }
 
--- a/src/main/java/waytrestle/gateway/SocketHost.java
+++ b/src/main/java/waytrestle/gateway/SocketTransport.java
@@ -1,9 +1,11 @@
 package waytrestle.gateway;
 
 import java.nio.ByteBuffer;
-import waytrestle.calls.End.Served;
-import waytrestle.calls.Intake.Incoming;
 import waytrestle.config.GatewayConfig;
+import waytrestle.controller.AttemptResult;
+import waytrestle.controller.InvokerClient;
+import waytrestle.controller.InvokerClient.AttemptListener;
+import waytrestle.controller.InvokerClient.OperationListener;
 import waytrestle.http.Held;
 import waytrestle.http.HttpClient;
 import waytrestle.http.HttpLimits;
@@ -11,18 +13,20 @@
 import waytrestle.invoker.InferProtocol;
 import waytrestle.invoker.LoadMetrics;
 import waytrestle.net.Loop;
-import waytrestle.outcomes.Reply;
-import waytrestle.outcomes.Reply.How;
+import waytrestle.requests.RequestHandler.IncomingRequest;
+import waytrestle.requests.RequestOutcome.Served;
+import waytrestle.responses.ExchangeResult;
+import waytrestle.responses.ExchangeResult.Kind;
 
 /**
  * Invokers over sockets: the Open Inference Protocol on kept connections, on the controller's loop.
  */
-final class SocketHost extends LoopHost {
+final class SocketTransport extends EventLoopTransport {
     private final GatewayConfig config;
     private final HttpLimits bounds;
     private final Held held;
 
-    SocketHost(Loop loop, GatewayConfig config) {
+    SocketTransport(Loop loop, GatewayConfig config) {
         super(loop);
         this.config = config;
         this.held = new Held(config.invokers().allAnswerBytes());
@@ -40,11 +44,11 @@
     }
 
     @Override
-    public Wire open(String invoker, Runnable lost) {
+    public InvokerClient connect(String invoker, Runnable lost) {
         return new Link(invoker, lost);
     }
 
-    private final class Link extends HttpWire {
+    private final class Link extends HttpInvokerClient {
         private final InferProtocol protocol;
 
         private Link(String id, Runnable lost) {
@@ -58,11 +62,12 @@
                                     config.invokers().idleMicros(),
                                     held)
                             .lost(lost));
-            protocol = new InferProtocol(id, config.module().me());
+            protocol = new InferProtocol(id, config.module().controllerIndex());
         }
 
         @Override
-        public Runnable infer(Incoming in, String id, int attempt, long within, Ended ended) {
+        public Runnable sendAttempt(
+                IncomingRequest in, String id, int attempt, long within, AttemptListener ended) {
             ByteBuffer[] request =
                     in.jsonBytes() >= 0
                             ? protocol.passed(
@@ -72,7 +77,7 @@
             HttpClient.Call exchange =
                     exchange(
                             within,
-                            ended::withdrawn,
+                            ended::withdrawal,
                             m -> {
                                 Served served =
                                         m.status() != 200
@@ -81,20 +86,21 @@
                                                         ? InferProtocol.whole(m)
                                                         : InferProtocol.answer(m, id);
                                 String type = m.header("content-type");
-                                ended.ended(
-                                        new Came(
+                                ended.completed(
+                                        new AttemptResult(
                                                 m.status() != 200
-                                                        ? new Reply(How.STATUS, m.status())
-                                                        : Reply.of(
+                                                        ? new ExchangeResult(
+                                                                Kind.STATUS, m.status())
+                                                        : ExchangeResult.of(
                                                                 served == null
-                                                                        ? How.UNREADABLE
-                                                                        : How.ANSWER),
+                                                                        ? Kind.MALFORMED
+                                                                        : Kind.RESPONSE),
                                                 served,
                                                 type == null ? "application/octet-stream" : type,
                                                 m.content(),
                                                 metrics(m)));
                             },
-                            how -> ended.ended(Came.of(how)),
+                            how -> ended.completed(AttemptResult.of(how)),
                             request);
             return exchange::cancel;
         }
@@ -107,23 +113,26 @@
             int of(HttpMessage m);
         }
 
-        private void ask(long within, Copies copies, Told told, ByteBuffer... request) {
+        private void ask(
+                long within, Copies copies, OperationListener told, ByteBuffer... request) {
             exchange(
                     within,
-                    told::withdrawn,
+                    told::withdrawal,
                     m -> {
                         boolean ok = m.status() == 200;
-                        told.told(
-                                ok ? Reply.of(How.ANSWER) : new Reply(How.STATUS, m.status()),
+                        told.completed(
+                                ok
+                                        ? ExchangeResult.of(Kind.RESPONSE)
+                                        : new ExchangeResult(Kind.STATUS, m.status()),
                                 ok ? copies.of(m) : 0,
                                 metrics(m));
                     },
-                    how -> told.told(Reply.of(how), 0, LoadMetrics.NONE),
+                    how -> told.completed(ExchangeResult.of(how), 0, LoadMetrics.NONE),
                     request);
         }
 
         @Override
-        public void order(String function, int copies, long within, Told told) {
+        public void preload(String function, int copies, long within, OperationListener told) {
             if (copies == 0) {
                 ask(within, m -> InferProtocol.copies(m, function), told, protocol.index());
                 return;
@@ -146,7 +155,7 @@
         }
 
         @Override
-        public void probe(long within, Told told) {
+        public void checkHealth(long within, OperationListener told) {
             ask(within, m -> 0, told, protocol.ready());
         }
     }
--- a/src/main/java/waytrestle/hunt/DayPlayer.java
+++ b/src/main/java/waytrestle/hunt/DayPlayer.java
@@ -6,11 +6,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import waytrestle.ControlApi;
 import waytrestle.audit.Audit;
+import waytrestle.controller.Controller;
 import waytrestle.emulator.Emulation;
-import waytrestle.gateway.Controller;
 import waytrestle.play.Scenario;
+import waytrestle.scheduler.RequestScheduler;
 
 /** Plays a day in simulated time and says everything that is wrong with it. */
 public final class DayPlayer {
@@ -21,9 +21,9 @@
             200; // attempts over the bound on attempts a call that its budget may hold, by
     // controller
 
-    private final Controller.ModuleMaker maker;
+    private final Controller.SchedulerFactory maker;
 
-    public DayPlayer(Controller.ModuleMaker maker) {
+    public DayPlayer(Controller.SchedulerFactory maker) {
         this.maker = maker;
     }
 
@@ -97,8 +97,8 @@
      * Maps by call in a module must be empty once all calls have ended, those of the controllers
      * still up.
      */
-    private static void leaks(List<ControlApi> modules, List<String> faults) {
-        for (ControlApi module : modules) {
+    private static void leaks(List<RequestScheduler> modules, List<String> faults) {
+        for (RequestScheduler module : modules) {
             for (Field field : module.getClass().getDeclaredFields()) {
                 if (!Map.class.isAssignableFrom(field.getType())) {
                     continue;
--- a/src/main/java/waytrestle/hunt/Hunt.java
+++ b/src/main/java/waytrestle/hunt/Hunt.java
@@ -11,13 +11,14 @@
 import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import waytrestle.config.ConfigError;
 import waytrestle.config.TomlFile;
-import waytrestle.gateway.Controller;
+import waytrestle.controller.Controller;
 import waytrestle.play.Scenario;
 
 /**
@@ -46,7 +47,7 @@
 
     private final Plan plan;
     private final Path dir;
-    private final Controller.ModuleMaker maker;
+    private final Controller.SchedulerFactory maker;
     private final AtomicLong next = new AtomicLong();
     private final List<Object[]> pool = new ArrayList<>(); // day and its nearness
     private final TreeMap<String, Integer> coverage = new TreeMap<>();
@@ -54,7 +55,7 @@
     private long played, failed, calls;
     private double serviceSum, nearest;
 
-    public Hunt(Plan plan, Path dir, Controller.ModuleMaker maker) throws IOException {
+    public Hunt(Plan plan, Path dir, Controller.SchedulerFactory maker) throws IOException {
         this.plan = plan;
         this.dir = Files.createDirectories(dir);
         this.maker = maker;
@@ -91,7 +92,11 @@
 
     /** Shrinks a failing day and writes the least into a directory; says how large that is. */
     public static String shrunk(
-            Scenario day, DayResult result, String name, Path dir, Controller.ModuleMaker maker)
+            Scenario day,
+            DayResult result,
+            String name,
+            Path dir,
+            Controller.SchedulerFactory maker)
             throws IOException {
         DayPlayer player = new DayPlayer(maker);
         Scenario least = new Shrink(player::play).least(day, result.kind());
@@ -234,8 +239,7 @@
     private void cover(Scenario day) {
         List<String> all =
                 new ArrayList<>(
-                        new java.util.TreeSet<>(
-                                day.troubles().stream().map(t -> t.kind().name()).toList()));
+                        new TreeSet<>(day.troubles().stream().map(t -> t.kind().name()).toList()));
         for (int i = 0; i < all.size(); i++) {
             coverage.merge("trouble " + all.get(i), 1, Integer::sum);
             for (int k = i + 1; k < all.size(); k++) {
--- a/src/main/java/waytrestle/invoker/InferProtocol.java
+++ b/src/main/java/waytrestle/invoker/InferProtocol.java
@@ -14,10 +14,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import waytrestle.Bytes;
-import waytrestle.calls.End.Served;
 import waytrestle.http.HttpMessage;
 import waytrestle.http.HttpWriter;
+import waytrestle.requests.RequestOutcome.Served;
 
 /**
  * The Open Inference Protocol (KServe v2) over HTTP as this gateway uses it: a payload is one BYTES
@@ -220,7 +221,7 @@
      * cannot be.
      */
     public static int jsonBytes(HttpMessage m) {
-        String given = m.header(JSON_LENGTH.toLowerCase(java.util.Locale.ROOT));
+        String given = m.header(JSON_LENGTH.toLowerCase(Locale.ROOT));
         if (given == null) {
             return Math.toIntExact(m.content().size());
         }
--- a/src/main/java/waytrestle/invoker/LoadMetrics.java
+++ b/src/main/java/waytrestle/invoker/LoadMetrics.java
@@ -5,15 +5,15 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
-import waytrestle.ControlApi.Start;
+import waytrestle.scheduler.StartKind;
 
 /**
  * The ORCA load report of an answer, {@code endpoint-load-metrics}, in its TEXT or JSON form. The
  * module's names are {@code named_metrics}; cpu_utilization is its util, rps_fractional its qps.
  */
-public record LoadMetrics(Map<String, Double> report, Start start, int company, int copies) {
+public record LoadMetrics(Map<String, Double> report, StartKind start, int company, int copies) {
     public static final String HEADER = "endpoint-load-metrics";
-    public static final LoadMetrics NONE = new LoadMetrics(Map.of(), Start.UNKNOWN, -1, -1);
+    public static final LoadMetrics NONE = new LoadMetrics(Map.of(), StartKind.UNKNOWN, -1, -1);
     private static final int MOST = 64; // values of one report
 
     /** Loaded with the first report in JSON: the reader is a library that most never need. */
@@ -61,7 +61,9 @@
         int start = raw.getOrDefault("named_metrics.start", 0.0).intValue();
         return new LoadMetrics(
                 report,
-                start >= 0 && start < Start.values().length ? Start.values()[start] : Start.UNKNOWN,
+                start >= 0 && start < StartKind.values().length
+                        ? StartKind.values()[start]
+                        : StartKind.UNKNOWN,
                 raw.getOrDefault("named_metrics.company", -1.0).intValue(),
                 raw.getOrDefault("named_metrics.copies", -1.0).intValue());
     }
--- a/src/main/java/waytrestle/invoker/platform/FetchProtocol.java
+++ b/src/main/java/waytrestle/invoker/platform/PlatformInvokerProtocol.java
@@ -6,16 +6,16 @@
 import java.util.List;
 import java.util.Map;
 import waytrestle.Bytes;
-import waytrestle.ControlApi.Start;
-import waytrestle.calls.End.Served;
 import waytrestle.http.HttpMessage;
 import waytrestle.http.HttpWriter;
 import waytrestle.invoker.LoadMetrics;
-import waytrestle.outcomes.Reply;
-import waytrestle.outcomes.Reply.How;
+import waytrestle.requests.RequestOutcome.Served;
+import waytrestle.responses.ExchangeResult;
+import waytrestle.responses.ExchangeResult.Kind;
+import waytrestle.scheduler.StartKind;
 
 /** What the platform's invokers are asked, and what their answers say. */
-public final class FetchProtocol {
+public final class PlatformInvokerProtocol {
     private static final String UNRUN = "x-unrun",
             GAUGES = "x-gauges",
             AHEAD = "x-ahead",
@@ -25,7 +25,7 @@
     private final String host;
     private final boolean tellsCompany;
 
-    public FetchProtocol(String host, boolean tellsCompany) {
+    public PlatformInvokerProtocol(String host, boolean tellsCompany) {
         this.host = host;
         this.tellsCompany = tellsCompany;
     }
@@ -66,15 +66,15 @@
      * A refusal without its mark proves nothing, so it counts as unreadable; so does an answer
      * without a told end.
      */
-    public static Reply reply(HttpMessage m) {
+    public static ExchangeResult reply(HttpMessage m) {
         if (m.status() == 200 || m.status() == 204) {
-            return Reply.of(m.untilClose() ? How.UNREADABLE : How.ANSWER);
+            return ExchangeResult.of(m.untilClose() ? Kind.MALFORMED : Kind.RESPONSE);
         }
         boolean marked = "1".equals(m.header(UNRUN));
         boolean claims = m.status() == 503 || m.status() == 504;
         return (claims && !marked) || m.untilClose()
-                ? Reply.of(How.UNREADABLE)
-                : new Reply(How.STATUS, m.status());
+                ? ExchangeResult.of(Kind.MALFORMED)
+                : new ExchangeResult(Kind.STATUS, m.status());
     }
 
     public static Served served(HttpMessage m) {
@@ -93,7 +93,7 @@
                 tellsCompany && companion
                         ? (int) Math.min(1_000_000, Math.max(0, whole(m.header(AHEAD), 0)))
                         : -1;
-        return new LoadMetrics(gauges(m.header(GAUGES)), Start.UNKNOWN, company, -1);
+        return new LoadMetrics(gauges(m.header(GAUGES)), StartKind.UNKNOWN, company, -1);
     }
 
     private static long whole(String text, long otherwise) {
--- a/src/main/java/waytrestle/wire/Json.java
+++ b/src/main/java/waytrestle/json/JsonObjectReader.java
@@ -1,9 +1,10 @@
-package waytrestle.wire;
+package waytrestle.json;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamWriteFeature;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,18 +12,19 @@
 import java.util.Map;
 
 /** Reads one JSON line into maps and lists, with typed look-ups that name what is malformed. */
-public final class Json {
-    static final JsonFactory FACTORY =
+public final class JsonObjectReader {
+    /** Reads and writes whatever the length of a line. */
+    public static final JsonFactory FACTORY =
             JsonFactory.builder()
                     .streamReadConstraints(
                             StreamReadConstraints.builder()
                                     .maxStringLength(Integer.MAX_VALUE)
                                     .maxDocumentLength(-1)
                                     .build())
-                    .disable(com.fasterxml.jackson.core.StreamWriteFeature.AUTO_CLOSE_TARGET)
+                    .disable(StreamWriteFeature.AUTO_CLOSE_TARGET)
                     .build();
 
-    private Json() {}
+    private JsonObjectReader() {}
 
     /** Says in one line what was wrong with the input. */
     public static final class Malformed extends RuntimeException {
@@ -33,7 +35,8 @@
         }
     }
 
-    static Map<String, Object> line(String text) {
+    /** One line of the bench. */
+    public static Map<String, Object> line(String text) {
         return object(text, "a batch");
     }
 
--- a/src/main/java/waytrestle/load/LoadRun.java
+++ b/src/main/java/waytrestle/load/LoadRun.java
@@ -2,17 +2,20 @@
 
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import org.HdrHistogram.Histogram;
+import waytrestle.Bytes;
 import waytrestle.config.GatewayConfig;
 import waytrestle.front.webhook.Signatures;
 import waytrestle.http.HttpClient;
@@ -199,7 +202,7 @@
                                         id,
                                         at,
                                         tries,
-                                        how.name().toLowerCase(java.util.Locale.ROOT));
+                                        how.name().toLowerCase(Locale.ROOT));
                             }
                         },
                         request(s, to, function, id));
@@ -269,7 +272,7 @@
                             .header("Inference-Header-Content-Length", json.length)
                             .head(json.length + 4 + payload.length),
                     ByteBuffer.allocate(json.length + 4)
-                            .order(java.nio.ByteOrder.LITTLE_ENDIAN)
+                            .order(ByteOrder.LITTLE_ENDIAN)
                             .put(json)
                             .putInt(payload.length)
                             .flip(),
@@ -278,7 +281,7 @@
             }
             default -> {
                 return new InferProtocol(host, 0)
-                        .infer(function, id, 0, "application/json", waytrestle.Bytes.of(payload));
+                        .infer(function, id, 0, "application/json", Bytes.of(payload));
             }
         }
     }
--- a/src/main/java/waytrestle/net/Connection.java
+++ b/src/main/java/waytrestle/net/Connection.java
@@ -1,6 +1,7 @@
 package waytrestle.net;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.SocketTimeoutException;
 import java.net.StandardSocketOptions;
@@ -8,6 +9,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
+import java.util.function.Function;
 
 /**
  * A TCP connection on a loop. Input the handler does not take is kept, up to {@code keep} bytes,
@@ -86,10 +88,7 @@
 
     /** Takes over an accepted channel; the handler is made knowing its connection. */
     public static Connection accepted(
-            Loop loop,
-            SocketChannel channel,
-            int keep,
-            java.util.function.Function<Connection, Handler> maker)
+            Loop loop, SocketChannel channel, int keep, Function<Connection, Handler> maker)
             throws IOException {
         Late late = new Late();
         Connection made = new Connection(loop, channel, keep, late);
@@ -231,7 +230,7 @@
         return kept.remaining();
     }
 
-    public java.net.InetAddress address() {
+    public InetAddress address() {
         try {
             return channel.getRemoteAddress() instanceof InetSocketAddress at
                     ? at.getAddress()
--- a/src/main/java/waytrestle/net/Listener.java
+++ b/src/main/java/waytrestle/net/Listener.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
@@ -42,7 +43,7 @@
         this.source = source;
         server = ServerSocketChannel.open();
         try {
-            server.setOption(java.net.StandardSocketOptions.SO_REUSEADDR, true);
+            server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             server.bind(at, backlog);
         } catch (IOException e) {
             server.close();
--- a/src/main/java/waytrestle/net/Loop.java
+++ b/src/main/java/waytrestle/net/Loop.java
@@ -1,6 +1,7 @@
 package waytrestle.net;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
@@ -204,7 +205,7 @@
                             try {
                                 ((Ready) key.attachment()).ready(key);
                             } catch (IOException e) {
-                                throw new java.io.UncheckedIOException(e);
+                                throw new UncheckedIOException(e);
                             }
                         });
             }
--- a/src/main/java/waytrestle/overload/ByteBudget.java
+++ b/src/main/java/waytrestle/overload/ByteBudget.java
@@ -41,7 +41,7 @@
     }
 
     /** A body larger than what large ones may use together can never be granted. */
-    public boolean possible(long bytes) {
+    public boolean isGrantable(long bytes) {
         return bytes <= room(bytes);
     }
 
@@ -50,7 +50,7 @@
     }
 
     /** True when granted now; else it waits and is granted by a later release. */
-    public boolean ask(long id, long bytes) {
+    public boolean tryReserve(long id, long bytes) {
         if ((line.isEmpty() || bytes <= SMALL) && used + bytes <= room(bytes)) {
             grant(id, bytes);
             return true;
@@ -67,7 +67,7 @@
     /**
      * More is held under an id than was asked for: an answer's body, known only once it has come.
      */
-    public void add(long id, long bytes) {
+    public void reserve(long id, long bytes) {
         grant(id, bytes);
     }
 
--- a/src/main/java/waytrestle/overload/ConcurrencyLimit.java
+++ b/src/main/java/waytrestle/overload/ConcurrencyLimit.java
@@ -63,7 +63,7 @@
     }
 
     /** The number now open, told at each change. */
-    public void open(long now, int open) {
+    public void inFlight(long now, int open) {
         peak = Math.max(peak, open);
         step(now);
     }
--- a/src/main/java/waytrestle/overload/ConnectionGate.java
+++ b/src/main/java/waytrestle/overload/ConnectionAdmission.java
@@ -11,7 +11,7 @@
  * <p>Guards against one place holding all connections, idle, slow or half-open, with or without ill
  * will.
  */
-public final class ConnectionGate {
+public final class ConnectionAdmission {
     /** Why a connection is turned away. */
     public enum Reason {
         TOTAL,
@@ -20,7 +20,7 @@
     }
 
     /** What the address sets say of a source. */
-    public enum Standing {
+    public enum TrustLevel {
         TRUSTED,
         ORDINARY,
         BARRED
@@ -30,7 +30,7 @@
     private final Map<String, Integer> open = new HashMap<>();
     private int all;
 
-    public ConnectionGate(int total, int eachNetwork) {
+    public ConnectionAdmission(int total, int eachNetwork) {
         this.total = total;
         this.each = eachNetwork;
     }
@@ -40,15 +40,15 @@
     }
 
     /** Takes a connection (null) or says why not. */
-    public Reason take(String network, Standing standing) {
-        if (standing == Standing.BARRED) {
+    public Reason tryAdmit(String network, TrustLevel standing) {
+        if (standing == TrustLevel.BARRED) {
             return Reason.BARRED;
         }
         if (all >= total) {
             return Reason.TOTAL;
         }
         int now = open.getOrDefault(network, 0);
-        if (standing == Standing.ORDINARY && now >= each) {
+        if (standing == TrustLevel.ORDINARY && now >= each) {
             return Reason.NETWORK;
         }
         open.put(network, now + 1);
@@ -56,7 +56,7 @@
         return null;
     }
 
-    public void closed(String network) {
+    public void release(String network) {
         all--;
         open.computeIfPresent(network, (n, count) -> count > 1 ? count - 1 : null);
     }
--- a/src/main/java/waytrestle/overload/RetryBudget.java
+++ b/src/main/java/waytrestle/overload/RetryBudget.java
@@ -21,7 +21,7 @@
     private static final long RECOGNISED = 30_000_000; // micros for which one is
 
     private final double share, alwaysPerSecond;
-    private final LinkedHashMap<Long, Long> refused = new LinkedHashMap<>();
+    private final LinkedHashMap<Long, Long> rejected = new LinkedHashMap<>();
     private double balance;
     private double paidPerSecond;
     private long at;
@@ -33,17 +33,17 @@
     }
 
     /** Whether this is a client's repeat of what was refused before. */
-    public boolean recognised(long now, long mark) {
-        Long when = mark == 0 ? null : refused.get(mark);
+    public boolean isRetry(long now, long mark) {
+        Long when = mark == 0 ? null : rejected.get(mark);
         return when != null && now - when < RECOGNISED;
     }
 
-    public void refused(long now, long mark) {
+    public void rejected(long now, long mark) {
         if (mark != 0) {
-            refused.remove(mark);
-            refused.put(mark, now);
-            if (refused.size() > REMEMBERED) {
-                Iterator<Long> oldest = refused.keySet().iterator();
+            rejected.remove(mark);
+            rejected.put(mark, now);
+            if (rejected.size() > REMEMBERED) {
+                Iterator<Long> oldest = rejected.keySet().iterator();
                 oldest.next();
                 oldest.remove();
             }
@@ -61,14 +61,14 @@
     }
 
     /** A first call was taken. */
-    public void paid(long now) {
+    public void deposit(long now) {
         pass(now);
         balance += share;
         paidPerSecond += share; // fades within a second: the sum of a second's payments
     }
 
     /** Whether one more repeat may go; takes it from the budget. */
-    public boolean take(long now) {
+    public boolean tryWithdraw(long now) {
         pass(now);
         if (balance < 1) {
             return false;
--- a/src/main/java/waytrestle/overload/StartRation.java
+++ b/src/main/java/waytrestle/overload/StartupPreloadLimit.java
@@ -7,13 +7,13 @@
  * the ration against restarts; the decision module keeps it from then on. It can hurt a first
  * start, which has no predecessor: its first loads come by calls alone.
  */
-public final class StartRation {
+public final class StartupPreloadLimit {
     private final long startedAt, period;
     private final double ratio;
-    private int taken, given;
+    private int requestAccepted, given;
 
     /** A period of 0 rations nothing. */
-    public StartRation(long now, long periodMicros, double ordersPerCall) {
+    public StartupPreloadLimit(long now, long periodMicros, double ordersPerCall) {
         this.startedAt = now;
         this.period = periodMicros;
         this.ratio = ordersPerCall;
@@ -23,13 +23,13 @@
         return now - startedAt > period;
     }
 
-    public void taken(long now) {
-        taken += over(now) ? 0 : 1;
+    public void requestAccepted(long now) {
+        requestAccepted += over(now) ? 0 : 1;
     }
 
     /** Whether an order may be given; counts it. */
-    public boolean take(long now) {
-        if (over(now) || given + 1 <= ratio * taken) {
+    public boolean tryAcquire(long now) {
+        if (over(now) || given + 1 <= ratio * requestAccepted) {
             given++;
             return true;
         }
--- a/src/main/java/waytrestle/overload/TenantShares.java
+++ b/src/main/java/waytrestle/overload/TenantQuotas.java
@@ -1,8 +1,8 @@
 package waytrestle.overload;
 
 import java.util.List;
-import waytrestle.ControlApi.RequestClass;
-import waytrestle.ControlApi.Tenant;
+import waytrestle.scheduler.SchedulerSettings.RequestClass;
+import waytrestle.scheduler.SchedulerSettings.Tenant;
 
 /**
  * Who gives way when the limit is reached. Each tenant may always fill its share of the limit; what
@@ -13,46 +13,48 @@
  * <p>Guards against one tenant's flood, a runaway client or a retry storm, taking the others'
  * service.
  */
-public final class TenantShares {
+public final class TenantQuotas {
     // ---- Tuned numbers, of the limit. ----
     private static final double LENT =
             0.75; // lent to the class worth most: the rest is for those below a share
     private static final double LENT_LEAST = 0.45; // lent to a worthless class
 
     /** Hard bounds of a tenant at this controller; 0 for none. */
-    public record Bound(double perSecond, int open) {}
+    public record Limit(double requestsPerSecond, int inFlight) {}
 
     private final double[] share;
-    private final Bound[] bounds;
+    private final Limit[] bounds;
     private final double[] lent;
     private final int[] open;
     private final double[] tokens;
     private final long[] filledAt;
 
-    public TenantShares(List<Tenant> tenants, List<Bound> bounds, List<RequestClass> classes) {
+    public TenantQuotas(List<Tenant> tenants, List<Limit> bounds, List<RequestClass> classes) {
         int n = Math.max(1, tenants.size());
         share = new double[n];
         open = new int[n];
         tokens = new double[n];
         filledAt = new long[n];
-        this.bounds = new Bound[n];
-        double sum = tenants.stream().mapToDouble(Tenant::share).sum();
+        this.bounds = new Limit[n];
+        double sum = tenants.stream().mapToDouble(Tenant::quota).sum();
         for (int i = 0; i < n; i++) {
             share[i] =
                     tenants.isEmpty() || sum <= 0
                             ? 1.0 / n
-                            : tenants.get(i).share() / Math.max(1, sum);
-            this.bounds[i] = i < bounds.size() ? bounds.get(i) : new Bound(0, 0);
-            tokens[i] = this.bounds[i].perSecond();
+                            : tenants.get(i).quota() / Math.max(1, sum);
+            this.bounds[i] = i < bounds.size() ? bounds.get(i) : new Limit(0, 0);
+            tokens[i] = this.bounds[i].requestsPerSecond();
         }
-        double most = classes.stream().mapToDouble(RequestClass::worth).max().orElse(0);
+        double most = classes.stream().mapToDouble(RequestClass::priorityWeight).max().orElse(0);
         lent =
                 classes.stream()
                         .mapToDouble(
                                 c ->
                                         LENT_LEAST
                                                 + (LENT - LENT_LEAST)
-                                                        * (most > 0 ? c.worth() / most : 1))
+                                                        * (most > 0
+                                                                ? c.priorityWeight() / most
+                                                                : 1))
                         .toArray();
     }
 
@@ -61,20 +63,20 @@
     }
 
     /** Whether a bound of the tenant's own is reached; takes one of its tokens where not. */
-    public boolean overBound(long now, int tenant) {
+    public boolean exceedsLimit(long now, int tenant) {
         int t = at(tenant);
-        Bound bound = bounds[t];
-        if (bound.open() > 0 && open[t] >= bound.open()) {
+        Limit bound = bounds[t];
+        if (bound.inFlight() > 0 && open[t] >= bound.inFlight()) {
             return true;
         }
-        if (bound.perSecond() <= 0) {
+        if (bound.requestsPerSecond() <= 0) {
             return false;
         }
         if (filledAt[t] != 0) {
             tokens[t] =
                     Math.min(
-                            Math.max(1, bound.perSecond()),
-                            tokens[t] + (now - filledAt[t]) / 1e6 * bound.perSecond());
+                            Math.max(1, bound.requestsPerSecond()),
+                            tokens[t] + (now - filledAt[t]) / 1e6 * bound.requestsPerSecond());
         }
         filledAt[t] = now;
         if (tokens[t] < 1) {
@@ -85,16 +87,16 @@
     }
 
     /** Whether there is room for one more call of the tenant and class with so many open in all. */
-    public boolean room(int tenant, int requestClass, int all, int limit) {
+    public boolean hasCapacity(int tenant, int requestClass, int all, int limit) {
         return open[at(tenant)] < Math.max(1, share[at(tenant)] * limit)
                 || all < lent[requestClass] * limit;
     }
 
-    public void began(int tenant) {
+    public void requestStarted(int tenant) {
         open[at(tenant)]++;
     }
 
-    public void over(int tenant) {
+    public void requestCompleted(int tenant) {
         open[at(tenant)]--;
     }
 }
