--- a/src/main/java/waytrestle/gateway/platform/Node.java
+++ b/src/main/java/waytrestle/platform/PlatformController.java
@@ -1,6 +1,7 @@
-package waytrestle.gateway.platform;
+package waytrestle.platform;
 
 import java.io.IOException;
+import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,33 +13,35 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import waytrestle.Control;
-import waytrestle.ControlApi.Invoker;
-import waytrestle.ControlApi.InvokerList;
-import waytrestle.ControlApi.Settings;
-import waytrestle.ControlApi.State;
 import waytrestle.access.AccessLog;
-import waytrestle.calls.Desk;
-import waytrestle.calls.Gate;
-import waytrestle.calls.IdMemory;
-import waytrestle.calls.Intake.Facts;
 import waytrestle.config.platform.PlatformConfig;
-import waytrestle.front.platform.DoFront;
-import waytrestle.gateway.Controller;
-import waytrestle.gateway.FaultRule;
-import waytrestle.gateway.PeerLink;
+import waytrestle.controller.Controller;
+import waytrestle.controller.ControllerDependencies;
+import waytrestle.controller.ControllerEnvironment;
+import waytrestle.controller.FailureThreshold;
+import waytrestle.discovery.watch.WatchClient;
+import waytrestle.discovery.watch.WatchEvent;
+import waytrestle.discovery.watch.WatchState;
+import waytrestle.front.platform.PlatformFrontEnd;
+import waytrestle.gateway.GossipSocket;
 import waytrestle.http.Doorkeeper;
 import waytrestle.http.HttpLimits;
 import waytrestle.http.HttpServer;
-import waytrestle.invoker.platform.Proof;
+import waytrestle.invoker.platform.PlatformResponseClassifier;
 import waytrestle.net.Loop;
-import waytrestle.net.ProcessSignals;
-import waytrestle.roster.board.BoardBook;
-import waytrestle.roster.board.BoardLink;
-import waytrestle.roster.board.Notice;
+import waytrestle.requests.AdmissionControl;
+import waytrestle.requests.IdempotencyStore;
+import waytrestle.requests.PendingRequests;
+import waytrestle.requests.RequestHandler.FunctionHints;
+import waytrestle.runtime.ProcessSignals;
+import waytrestle.scheduler.EndpointState;
+import waytrestle.scheduler.FinishTimeScheduler;
+import waytrestle.scheduler.InvokerEndpoint;
+import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
+import waytrestle.scheduler.SchedulerSettings;
 
 /** A controller on the platform: one loop with its front, invokers, notice board and peers. */
-public final class Node {
+public final class PlatformController {
     // ---- Bounds. ----
     private static final int OWN_FILES =
             48; // descriptors of the runtime, listener, board and peers
@@ -72,16 +75,16 @@
     private static final long FLUSH = 100_000; // micros at the end for last answers to leave
 
     private final PlatformConfig config;
-    private final NodeWatch watch;
+    private final PlatformLog watch;
     private final LongSupplier wallMillis;
     private final Loop loop;
-    private final PlatformHost host;
+    private final PlatformTransport host;
     private final Map<String, Born> born = new HashMap<>();
     private Controller controller;
-    private DoFront front;
+    private PlatformFrontEnd front;
     private HttpServer server;
-    private BoardLink board;
-    private PeerLink peers;
+    private WatchClient board;
+    private GossipSocket peers;
     private final AtomicLong reloads = new AtomicLong();
     private long reloaded; // number of the reading that counts
     private long openAt; // when a call was open last, after TERM
@@ -90,52 +93,52 @@
     /** A told start, and the same moment on the loop's clock. */
     private record Born(long millis, long micros) {}
 
-    private Node(PlatformConfig config, NodeWatch watch, LongSupplier wallMillis)
+    private PlatformController(PlatformConfig config, PlatformLog watch, LongSupplier wallMillis)
             throws IOException {
         this.config = config;
         this.watch = watch;
         this.wallMillis = wallMillis;
         this.loop =
                 new Loop(
-                        "controller-" + config.settings().me(),
+                        "controller-" + config.settings().controllerIndex(),
                         e -> {
-                            watch.said("a handler failed: " + e);
+                            watch.message("a handler failed: " + e);
                             watch.trace(e);
                         });
         int others = Math.max(2, config.sockets() - OWN_FILES);
         int clients = (int) Math.max(1, CLIENTS * others);
         this.host =
-                new PlatformHost(loop, config.settings(), config.idleMicros(), others - clients);
+                new PlatformTransport(
+                        loop, config.settings(), config.idleMicros(), others - clients);
         assemble(clients);
     }
 
-    public static Node start(
-            PlatformConfig config, LongSupplier wallMillis, java.io.PrintStream log)
-            throws IOException {
-        Node made = new Node(config, new NodeWatch(log), wallMillis);
+    public static PlatformController start(
+            PlatformConfig config, LongSupplier wallMillis, PrintStream log) throws IOException {
+        PlatformController made = new PlatformController(config, new PlatformLog(log), wallMillis);
         made.loop.start();
         return made;
     }
 
     private void assemble(int clients) throws IOException {
-        Settings s = config.settings();
-        Desk desk =
-                new Desk(
+        SchedulerSettings s = config.settings();
+        PendingRequests desk =
+                new PendingRequests(
                         s.classes(),
-                        s.limits().maxOpen(),
+                        s.limits().maxInFlight(),
                         s.tickMicros(),
-                        new IdMemory(new IdMemory.Bounds(0, 0, 0), 0),
-                        Gate.OPEN,
-                        s.limits().cancel());
-        Controller.Parts parts =
-                new Controller.Parts(
+                        new IdempotencyStore(new IdempotencyStore.Bounds(0, 0, 0), 0),
+                        AdmissionControl.ADMIT_ALL,
+                        s.limits().mayCancel());
+        ControllerDependencies parts =
+                new ControllerDependencies(
                         s,
-                        new Control(s, config.seed()),
+                        new FinishTimeScheduler(s, config.seed()),
                         desk,
-                        new Proof(),
-                        Gate.OPEN,
-                        function -> Facts.NONE,
-                        new FaultRule(FAULTS, FAULTS_SPAN));
+                        new PlatformResponseClassifier(),
+                        AdmissionControl.ADMIT_ALL,
+                        function -> FunctionHints.NONE,
+                        new FailureThreshold(FAULTS, FAULTS_SPAN));
         controller =
                 new Controller(
                         host,
@@ -143,48 +146,48 @@
                         wallMillis,
                         watch,
                         AccessLog.OFF,
-                        new Controller.Outside() {
+                        new ControllerEnvironment() {
                             @Override
                             public void subscribe(
                                     boolean on) {} // the board tells all there is, asked or not
 
                             @Override
-                            public void fetchList() {}
+                            public void fetchEndpoints() {}
 
                             @Override
-                            public void tellPeer(int peer, byte[] message) {
+                            public void sendGossip(int peer, byte[] message) {
                                 if (peers != null) {
-                                    peers.tell(peer, message);
+                                    peers.send(peer, message);
                                 }
                             }
 
                             @Override
-                            public void broken(String why) {
-                                watch.said(
+                            public void schedulerFailed(String why) {
+                                watch.message(
                                         why); // to end would lose every open call for the sake of
                                 // some
                             }
                         });
-        front = new DoFront(s.classes(), s.loading(), controller);
-        BoardBook book = new BoardBook(config.lastNotice(), s.rules().drainGraceMicros());
+        front = new PlatformFrontEnd(s.classes(), s.preloading(), controller);
+        WatchState book = new WatchState(config.lastNotice(), s.rules().drainGraceMicros());
         board =
-                new BoardLink(
+                new WatchClient(
                         loop,
                         config.board(),
                         config.notices(),
                         book,
                         this::notice,
                         this::serve,
-                        watch::said);
-        if (s.limits().peers() && config.peerListen() != null) {
+                        watch::message);
+        if (s.limits().mayGossip() && config.peerListen() != null) {
             peers =
-                    PeerLink.plain(
+                    GossipSocket.plain(
                             loop,
-                            s.me(),
+                            s.controllerIndex(),
                             config.peerListen(),
                             config.peers(),
                             config.peersAll(),
-                            controller::peerSaid);
+                            controller::gossipReceived);
         }
         server =
                 new HttpServer(loop, config.listen(), HTTP, Doorkeeper.upTo(clients), front)
@@ -212,11 +215,11 @@
         front.ready();
     }
 
-    private void notice(Notice notice) {
-        List<Invoker> entries = new ArrayList<>(notice.hosts().size());
-        for (Notice.Host h : notice.hosts()) {
+    private void notice(WatchEvent notice) {
+        List<InvokerEndpoint> entries = new ArrayList<>(notice.endpoints().size());
+        for (WatchEvent.Endpoint h : notice.endpoints()) {
             entries.add(
-                    new Invoker(
+                    new InvokerEndpoint(
                             h.id(),
                             h.zone(),
                             h.cell(),
@@ -224,19 +227,19 @@
                             h.state(),
                             h.weight(),
                             upSince(h)));
-            if (h.state() != State.GONE && host.at(h.id(), h.at())) {
-                controller.moved(h.id());
+            if (h.state() != EndpointState.GONE && host.at(h.id(), h.address())) {
+                controller.addressChanged(h.id());
             }
         }
-        controller.invokers(new InvokerList(notice.whole(), false, entries));
-        if (notice.whole()) {
+        controller.endpointsUpdated(new EndpointsUpdated(notice.snapshot(), false, entries));
+        if (notice.snapshot()) {
             Set<String> ids = new HashSet<>();
             entries.forEach(each -> ids.add(each.id()));
             host.only(ids);
             born.keySet().retainAll(ids);
         }
-        for (Notice.Host h : notice.hosts()) {
-            if (h.state() == State.GONE) {
+        for (WatchEvent.Endpoint h : notice.endpoints()) {
+            if (h.state() == EndpointState.GONE) {
                 host.gone(h.id());
                 born.remove(h.id());
             }
@@ -244,19 +247,20 @@
     }
 
     /** The same told start stays the same moment here, however the two clocks drift. */
-    private long upSince(Notice.Host h) {
-        if (h.bornMillis() <= 0) {
+    private long upSince(WatchEvent.Endpoint h) {
+        if (h.startedAtUnixMillis() <= 0) {
             return 0;
         }
         Born known = born.get(h.id());
-        if (known == null || known.millis() != h.bornMillis()) {
+        if (known == null || known.millis() != h.startedAtUnixMillis()) {
             known =
                     new Born(
-                            h.bornMillis(),
+                            h.startedAtUnixMillis(),
                             Math.max(
                                     1,
                                     Loop.now()
-                                            - (wallMillis.getAsLong() - h.bornMillis()) * 1_000));
+                                            - (wallMillis.getAsLong() - h.startedAtUnixMillis())
+                                                    * 1_000));
             born.put(h.id(), known);
         }
         return known.micros();
@@ -277,7 +281,9 @@
                 return;
             } catch (PlatformConfig.Wrong e) {
                 loop.execute(
-                        () -> watch.said("the configuration stays as it was: " + e.getMessage()));
+                        () ->
+                                watch.message(
+                                        "the configuration stays as it was: " + e.getMessage()));
             }
             try {
                 Thread.sleep(READ_PAUSE);
@@ -293,10 +299,10 @@
             return;
         }
         reloaded = number;
-        watch.said("a new configuration: the notice board is at " + read.board());
-        board.moved(read.board());
+        watch.message("a new configuration: the notice board is at " + read.board());
+        board.addressChanged(read.board());
         if (peers != null) {
-            peers.moved(read.peers(), read.peersAll());
+            peers.updatePeers(read.peers(), read.peersAll());
         }
     }
 
@@ -329,8 +335,8 @@
      */
     private void await() {
         long now = Loop.now();
-        openAt = controller.open() > 0 ? now : openAt;
-        if (controller.open() > 0 || (server.busy() > 0 && now - openAt < PIECES)) {
+        openAt = controller.inFlight() > 0 ? now : openAt;
+        if (controller.inFlight() > 0 || (server.busy() > 0 && now - openAt < PIECES)) {
             loop.after(LOOK, this::await);
             return;
         }
@@ -348,7 +354,7 @@
                         told.accept(
                                 Map.of(
                                         "calls",
-                                        controller.held(),
+                                        controller.retainedEntries(),
                                         "ids",
                                         front.open(),
                                         "addresses",
@@ -356,7 +362,7 @@
                                         "starts",
                                         born.size(),
                                         "ways",
-                                        controller.ways(),
+                                        controller.invokerClients(),
                                         "clients",
                                         server.connections(),
                                         "timers",
@@ -377,7 +383,7 @@
                             + " configuration");
             System.exit(2);
         }
-        CompletableFuture<Node> started =
+        CompletableFuture<PlatformController> started =
                 new CompletableFuture<>(); // a signal may come before there is a node
         if (!ProcessSignals.handle(
                 ProcessSignals.RELOAD, () -> started.join().reload(Path.of(file)))) {
@@ -385,7 +391,7 @@
                     "HUP is ignored by whoever started this, so no new configuration will be read");
         }
         ProcessSignals.handle(ProcessSignals.SHUTDOWN, () -> started.join().stop());
-        Node node = null;
+        PlatformController node = null;
         try {
             node = start(PlatformConfig.read(Path.of(file)), System::currentTimeMillis, System.err);
         } catch (PlatformConfig.Wrong | IOException e) {
--- a/src/main/java/waytrestle/gateway/platform/NodeWatch.java
+++ b/src/main/java/waytrestle/platform/PlatformLog.java
@@ -1,13 +1,13 @@
-package waytrestle.gateway.platform;
+package waytrestle.platform;
 
 import java.io.PrintStream;
 import java.util.Collection;
-import waytrestle.ControlApi.Event;
-import waytrestle.gateway.Watch;
+import waytrestle.controller.ControllerListener;
 import waytrestle.net.Loop;
+import waytrestle.scheduler.SchedulerEvent;
 
 /** Lines for the platform's log, so many a second at most: its disk is the controller's memory. */
-final class NodeWatch implements Watch {
+final class PlatformLog implements ControllerListener {
     private static final int A_SECOND =
             20; // lines: enough for any one event, few enough for any flood
 
@@ -15,24 +15,25 @@
     private long second;
     private int lines;
 
-    NodeWatch(PrintStream out) {
+    PlatformLog(PrintStream out) {
         this.out = out;
     }
 
     @Override
-    public void decisionFailed(Event event, Collection<Event> before, Throwable why) {
-        said("a decision failed at " + event + ": " + why);
+    public void decisionFailed(
+            SchedulerEvent event, Collection<SchedulerEvent> before, Throwable why) {
+        message("a decision failed at " + event + ": " + why);
         trace(why);
     }
 
     void trace(Throwable why) {
         for (StackTraceElement each : why.getStackTrace()) {
-            said("  at " + each);
+            message("  at " + each);
         }
     }
 
     @Override
-    public void said(String text) {
+    public void message(String text) {
         long now = Loop.now() / 1_000_000;
         lines = now == second ? lines + 1 : 1;
         second = now;
--- a/src/main/java/waytrestle/gateway/platform/PlatformHost.java
+++ b/src/main/java/waytrestle/platform/PlatformTransport.java
@@ -1,4 +1,4 @@
-package waytrestle.gateway.platform;
+package waytrestle.platform;
 
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -6,27 +6,31 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import waytrestle.ControlApi.Reports;
-import waytrestle.ControlApi.RequestClass;
-import waytrestle.ControlApi.Settings;
-import waytrestle.calls.Intake.Incoming;
-import waytrestle.gateway.HttpWire;
-import waytrestle.gateway.LoopHost;
+import waytrestle.controller.AttemptResult;
+import waytrestle.controller.InvokerClient;
+import waytrestle.controller.InvokerClient.AttemptListener;
+import waytrestle.controller.InvokerClient.OperationListener;
+import waytrestle.gateway.EventLoopTransport;
+import waytrestle.gateway.HttpInvokerClient;
 import waytrestle.http.Held;
 import waytrestle.http.HttpClient;
 import waytrestle.http.HttpLimits;
 import waytrestle.http.Slots;
 import waytrestle.invoker.LoadMetrics;
-import waytrestle.invoker.platform.FetchProtocol;
+import waytrestle.invoker.platform.PlatformInvokerProtocol;
 import waytrestle.net.Loop;
-import waytrestle.outcomes.Reply;
-import waytrestle.outcomes.Reply.How;
+import waytrestle.requests.RequestHandler.IncomingRequest;
+import waytrestle.responses.ExchangeResult;
+import waytrestle.responses.ExchangeResult.Kind;
+import waytrestle.scheduler.LoadReportSource;
+import waytrestle.scheduler.SchedulerSettings;
+import waytrestle.scheduler.SchedulerSettings.RequestClass;
 
 /**
  * The platform's invokers over sockets, on the controller's loop; all connections to them share one
  * bound.
  */
-final class PlatformHost extends LoopHost {
+final class PlatformTransport extends EventLoopTransport {
     private static final int ANSWER =
             1 << 20; // bytes of one answer: far over what a call may bring
     private static final HttpLimits LIMITS =
@@ -52,13 +56,13 @@
     private static final long KEEP_UNTOLD =
             4_000_000; // micros, where that is not told: below the usual five seconds
 
-    private final Settings settings;
+    private final SchedulerSettings settings;
     private final Slots slots;
     private final Held held = new Held(ANSWERS);
     private final long idleMicros;
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
 
-    PlatformHost(Loop loop, Settings settings, long idleMicros, int connections) {
+    PlatformTransport(Loop loop, SchedulerSettings settings, long idleMicros, int connections) {
         super(loop);
         this.settings = settings;
         this.slots = new Slots(connections);
@@ -87,12 +91,12 @@
     }
 
     @Override
-    public Wire open(String invoker, Runnable lost) {
+    public InvokerClient connect(String invoker, Runnable lost) {
         return new Link(addresses.get(invoker));
     }
 
-    private final class Link extends HttpWire {
-        private final FetchProtocol protocol;
+    private final class Link extends HttpInvokerClient {
+        private final PlatformInvokerProtocol protocol;
 
         private Link(InetSocketAddress at) {
             super(
@@ -108,31 +112,32 @@
                             .stalledAfter(STALL)
                             .restingFor(REST));
             protocol =
-                    new FetchProtocol(
+                    new PlatformInvokerProtocol(
                             at.getAddress().getHostAddress() + ":" + at.getPort(),
-                            settings.loading().tellsCompany());
+                            settings.preloading().reportsConcurrency());
         }
 
         @Override
-        public Runnable infer(Incoming in, String id, int attempt, long within, Ended ended) {
+        public Runnable sendAttempt(
+                IncomingRequest in, String id, int attempt, long within, AttemptListener ended) {
             List<RequestClass> classes = settings.classes();
             HttpClient.Call exchange =
                     exchange(
                             within,
-                            ended::withdrawn,
+                            ended::withdrawal,
                             m -> {
-                                Reply reply = FetchProtocol.reply(m);
-                                ended.ended(
-                                        new Came(
+                                ExchangeResult reply = PlatformInvokerProtocol.reply(m);
+                                ended.completed(
+                                        new AttemptResult(
                                                 reply,
-                                                reply.how() == How.ANSWER
-                                                        ? FetchProtocol.served(m)
+                                                reply.kind() == Kind.RESPONSE
+                                                        ? PlatformInvokerProtocol.served(m)
                                                         : null,
                                                 "",
                                                 m.content(),
                                                 protocol.told(m)));
                             },
-                            how -> ended.ended(Came.of(how)),
+                            how -> ended.completed(AttemptResult.of(how)),
                             protocol.fetch(
                                     classes.get(in.requestClass()).name(),
                                     id,
@@ -142,21 +147,21 @@
             return exchange::cancel;
         }
 
-        private void ask(long within, ByteBuffer request, Told told) {
+        private void ask(long within, ByteBuffer request, OperationListener told) {
             exchange(
                     within,
-                    told::withdrawn,
+                    told::withdrawal,
                     m ->
-                            told.told(
-                                    FetchProtocol.reply(m),
-                                    FetchProtocol.units(m),
+                            told.completed(
+                                    PlatformInvokerProtocol.reply(m),
+                                    PlatformInvokerProtocol.units(m),
                                     protocol.told(m)),
-                    how -> told.told(Reply.of(how), 0, LoadMetrics.NONE),
+                    how -> told.completed(ExchangeResult.of(how), 0, LoadMetrics.NONE),
                     request);
         }
 
         @Override
-        public void order(String function, int copies, long within, Told told) {
+        public void preload(String function, int copies, long within, OperationListener told) {
             ask(within, protocol.hold(function, copies), told);
         }
 
@@ -166,8 +171,11 @@
         }
 
         @Override
-        public void probe(long within, Told told) {
-            ask(within, protocol.probe(settings.reports() == Reports.PROBES), told);
+        public void checkHealth(long within, OperationListener told) {
+            ask(
+                    within,
+                    protocol.probe(settings.loadReports() == LoadReportSource.HEALTH_CHECKS),
+                    told);
         }
     }
 }
--- a/src/main/java/waytrestle/play/Cast.java
+++ b/src/main/java/waytrestle/play/Cast.java
@@ -8,10 +8,10 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
-import waytrestle.ControlApi.Repeat;
-import waytrestle.ControlApi.Settings;
 import waytrestle.config.GatewayConfig;
 import waytrestle.config.TomlFile;
+import waytrestle.scheduler.Idempotency;
+import waytrestle.scheduler.SchedulerSettings;
 import waytrestle.standin.InvokerBody;
 import waytrestle.standin.InvokerModel;
 
@@ -107,7 +107,7 @@
     /** What is called; fills in the functions and each target's weight. */
     public static List<Clients.Target> targets(
             Scenario scenario,
-            Settings s,
+            SchedulerSettings s,
             Map<String, InvokerModel.Function> functions,
             List<Double> weights) {
         List<Clients.Target> targets = new ArrayList<>();
@@ -136,12 +136,13 @@
                                 f.memoryMb(),
                                 f.lanes(),
                                 f.loadMicros(),
-                                s.classes().get(at).repeat() == Repeat.KEYED));
+                                s.classes().get(at).idempotency() == Idempotency.KEYED));
                 targets.add(new Clients.Target(name, at, f.workMs()));
                 weights.add(f.share() * Math.pow(i + 1, -f.zipf()) / sum);
             }
         }
-        boolean keyed = s.classes().get(targets.get(0).requestClass()).repeat() == Repeat.KEYED;
+        boolean keyed =
+                s.classes().get(targets.get(0).requestClass()).idempotency() == Idempotency.KEYED;
         functions.put(
                 InvokerBody.UNLISTED,
                 new InvokerModel.Function(InvokerBody.UNLISTED, 256, 4, 800_000, keyed));
@@ -150,32 +151,32 @@
 
     public static InvokerModel.Shape shape(
             Scenario scenario, Scenario.Fleet f, GatewayConfig config) {
-        Settings s = config.module();
+        SchedulerSettings s = config.module();
         int kind = Math.max(0, config.kinds().indexOf(f.kind()));
         return new InvokerModel.Shape(
                 f.cores(),
                 f.room(),
-                s.loading().memoryByKind().get(kind),
+                s.preloading().memoryByKind().get(kind),
                 f.loadsAtOnce(),
                 scenario.store().fetchShare(),
-                s.loading().keepAliveMicros(),
-                s.loading().missAnswers(),
+                s.preloading().keepAliveMicros(),
+                s.preloading().reportsNotLoaded(),
                 f.cancelStops(),
-                s.rules().coldShare(),
-                s.rules().warmAfterMicros(),
-                s.rules().fallMultiple(),
-                s.rules().overloadMicros(),
+                s.rules().slowStartInitialShare(),
+                s.rules().slowStartMicros(),
+                s.rules().overloadMultiple(),
+                s.rules().overloadWindowMicros(),
                 f.reportEveryMicros());
     }
 
     /** Which invokers drop repeats of one another's keys, as the first keyed class has it. */
-    public static String group(Settings s, Scenario.Fleet f) {
+    public static String group(SchedulerSettings s, Scenario.Fleet f) {
         return s.classes().stream()
-                .filter(c -> c.repeat() == Repeat.KEYED)
+                .filter(c -> c.idempotency() == Idempotency.KEYED)
                 .findFirst()
                 .map(
                         c ->
-                                switch (c.group()) {
+                                switch (c.deduplicationScope()) {
                                     case ALL -> "all";
                                     case ZONE -> "zone " + f.zone();
                                     case CELL -> "cell " + f.cell();
@@ -184,7 +185,7 @@
     }
 
     /** For how long invokers drop repeats of a key. */
-    public static long window(Settings s) {
-        return s.classes().stream().mapToLong(c -> c.windowMicros()).max().orElse(0);
+    public static long window(SchedulerSettings s) {
+        return s.classes().stream().mapToLong(c -> c.deduplicationWindowMicros()).max().orElse(0);
     }
 }
--- a/src/main/java/waytrestle/play/Clients.java
+++ b/src/main/java/waytrestle/play/Clients.java
@@ -2,10 +2,11 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import java.util.SplittableRandom;
-import waytrestle.ControlApi.Repeat;
-import waytrestle.ControlApi.RequestClass;
 import waytrestle.http.HttpClient.Break;
+import waytrestle.scheduler.Idempotency;
+import waytrestle.scheduler.SchedulerSettings.RequestClass;
 import waytrestle.standin.Env;
 import waytrestle.standin.Sightings;
 
@@ -25,7 +26,7 @@
             return "{\"function\":\""
                     + target.function()
                     + "\",\"work_ms\":"
-                    + String.format(java.util.Locale.ROOT, "%.2f", workMs)
+                    + String.format(Locale.ROOT, "%.2f", workMs)
                     + "}";
         }
     }
@@ -255,7 +256,8 @@
             } else {
                 failed++;
             }
-            boolean may = status != 200 && (harmless || kind.repeat() == Repeat.SAFE);
+            boolean may =
+                    status != 200 && (harmless || kind.idempotency() == Idempotency.IDEMPOTENT);
             if (may && tries < 2 && !stopped && random.nextDouble() < load.retryShare()) {
                 env.after(Math.max(load.retryAfterMicros(), retryAfterMillis * 1_000), this::again);
             }
@@ -278,7 +280,7 @@
             boolean again =
                     unreachable
                             ? ++unreached < way.controllers()
-                            : !left && kind.repeat() == Repeat.SAFE && tries < 2;
+                            : !left && kind.idempotency() == Idempotency.IDEMPOTENT && tries < 2;
             if (again && !stopped) {
                 controller = (controller + 1) % way.controllers();
                 env.after(unreachable ? 1_000 : load.retryAfterMicros(), this::again);
--- a/src/main/java/waytrestle/play/Evidence.java
+++ b/src/main/java/waytrestle/play/Evidence.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.io.SerializedString;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -32,7 +33,7 @@
         this.began = clock.getAsLong();
         Files.createDirectories(dir);
         out = new JsonFactory().createGenerator(Files.newBufferedWriter(dir.resolve(FILE)));
-        out.setRootValueSeparator(new com.fasterxml.jackson.core.io.SerializedString("\n"));
+        out.setRootValueSeparator(new SerializedString("\n"));
     }
 
     public long now() {
--- a/src/main/java/waytrestle/play/HttpWay.java
+++ b/src/main/java/waytrestle/play/HttpWay.java
@@ -8,13 +8,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import waytrestle.ControlApi.RequestClass;
 import waytrestle.front.webhook.Signatures;
 import waytrestle.http.HttpClient;
 import waytrestle.http.HttpLimits;
 import waytrestle.http.HttpMessage;
 import waytrestle.http.HttpWriter;
 import waytrestle.net.Loop;
+import waytrestle.scheduler.SchedulerSettings.RequestClass;
 
 /** Clients' way over sockets: signed webhooks and KServe calls. */
 final class HttpWay implements Clients.Way {
--- a/src/main/java/waytrestle/play/Play.java
+++ b/src/main/java/waytrestle/play/Play.java
@@ -5,6 +5,10 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,10 +20,10 @@
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import waytrestle.ControlApi.Settings;
 import waytrestle.config.ConfigError;
 import waytrestle.config.GatewayConfig;
 import waytrestle.net.Loop;
+import waytrestle.scheduler.SchedulerSettings;
 import waytrestle.standin.Actor;
 import waytrestle.standin.Env;
 import waytrestle.standin.InvokerModel;
@@ -184,19 +188,18 @@
 
     /** Waits until each controller says that it is ready. */
     private void ready(List<Integer> ports) throws IOException, InterruptedException {
-        java.net.http.HttpClient http = java.net.http.HttpClient.newHttpClient();
+        HttpClient http = HttpClient.newHttpClient();
         for (int i = 0; i < scenario.controllers(); i++) {
-            java.net.http.HttpRequest ask =
-                    java.net.http.HttpRequest.newBuilder(
-                                    java.net.URI.create(
+            HttpRequest ask =
+                    HttpRequest.newBuilder(
+                                    URI.create(
                                             "http://127.0.0.1:"
                                                     + ports.get(2 * i + 1)
                                                     + "/health/ready"))
                             .build();
             for (long until = Loop.now() + 20_000_000; ; Thread.sleep(50)) {
                 try {
-                    if (http.send(ask, java.net.http.HttpResponse.BodyHandlers.discarding())
-                                    .statusCode()
+                    if (http.send(ask, HttpResponse.BodyHandlers.discarding()).statusCode()
                             == 200) {
                         break;
                     }
@@ -221,7 +224,7 @@
     }
 
     private void fleet() throws IOException {
-        Settings s = config.module();
+        SchedulerSettings s = config.module();
         targets.addAll(Cast.targets(scenario, s, functions, weights));
         store = new StoreModel(env, scenario.store().atOnce(), scenario.store().refuseOver());
         for (Scenario.Fleet f : scenario.fleets()) {
--- a/src/main/java/waytrestle/play/Processes.java
+++ b/src/main/java/waytrestle/play/Processes.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 
 /** Starts controllers as processes of this same program. */
@@ -45,7 +46,7 @@
                                 "-XX:MaxGCPauseMillis=10",
                                 "-Xms1g",
                                 "-Xmx1g"); // as bin/waytrestle serve
-        List<String> line = new java.util.ArrayList<>(List.of(java));
+        List<String> line = new ArrayList<>(List.of(java));
         line.addAll(options);
         line.addAll(
                 List.of(
--- a/src/main/java/waytrestle/play/RandomChoice.java
+++ b/src/main/java/waytrestle/play/RandomChoice.java
@@ -1,20 +1,41 @@
 package waytrestle.play;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import waytrestle.ControlApi;
-import waytrestle.calls.Desk;
+import waytrestle.scheduler.DeduplicationScope;
+import waytrestle.scheduler.EndpointState;
+import waytrestle.scheduler.Idempotency;
+import waytrestle.scheduler.InvokerEndpoint;
+import waytrestle.scheduler.RequestScheduler;
+import waytrestle.scheduler.ResponseCode;
+import waytrestle.scheduler.SchedulerCommand.CancelAttempt;
+import waytrestle.scheduler.SchedulerCommand.FailRequest;
+import waytrestle.scheduler.SchedulerCommand.ForwardAttempt;
+import waytrestle.scheduler.SchedulerCommand.PreloadFunction;
+import waytrestle.scheduler.SchedulerCommand.RejectRequest;
+import waytrestle.scheduler.SchedulerCommand.SetTimer;
+import waytrestle.scheduler.SchedulerCommand.Sink;
+import waytrestle.scheduler.SchedulerEvent;
+import waytrestle.scheduler.SchedulerEvent.AttemptCompleted;
+import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
+import waytrestle.scheduler.SchedulerEvent.RequestAbandoned;
+import waytrestle.scheduler.SchedulerEvent.RequestReceived;
+import waytrestle.scheduler.SchedulerEvent.TimerExpired;
+import waytrestle.scheduler.SchedulerSettings;
+import waytrestle.scheduler.SchedulerSettings.RequestClass;
+import waytrestle.scheduler.SchedulerTimer;
 
 /**
  * Random choice among ready invokers: the baseline that service is compared with, never for service
  * itself.
  */
-public final class RandomChoice implements ControlApi {
+public final class RandomChoice implements RequestScheduler {
     private static final class Call {
         RequestClass kind;
         String function;
@@ -25,25 +46,25 @@
         final Set<String> tried = new HashSet<>();
     }
 
-    private final Settings settings;
+    private final SchedulerSettings settings;
     private final SplittableRandom random;
-    private final Map<String, Invoker> invokers = new HashMap<>();
+    private final Map<String, InvokerEndpoint> invokers = new HashMap<>();
     private final Map<Long, Call> calls = new HashMap<>();
 
-    public RandomChoice(Settings settings, long seed) {
+    public RandomChoice(SchedulerSettings settings, long seed) {
         this.settings = settings;
         this.random = new SplittableRandom(seed);
     }
 
     @Override
-    public void on(long now, Event event, Actions out) {
-        if (event instanceof InvokerList list) {
-            if (list.whole()) {
+    public void handle(long now, SchedulerEvent event, Sink out) {
+        if (event instanceof EndpointsUpdated list) {
+            if (list.snapshot()) {
                 invokers.clear();
             }
             list.entries().forEach(i -> invokers.put(i.id(), i));
-            invokers.values().removeIf(i -> i.state() == State.GONE);
-        } else if (event instanceof Request r) {
+            invokers.values().removeIf(i -> i.state() == EndpointState.GONE);
+        } else if (event instanceof RequestReceived r) {
             Call call = new Call();
             call.kind = settings.classes().get(r.requestClass());
             call.function = r.function();
@@ -51,9 +72,9 @@
             out.add(
                     new SetTimer(
                             Math.max(1, r.timeLeftMicros() - settings.tickMicros()),
-                            Long.toString(r.id())));
+                            new SchedulerTimer.RequestDeadline(r.id())));
             send(now, r.id(), call, out);
-        } else if (event instanceof AttemptEnded e) {
+        } else if (event instanceof AttemptCompleted e) {
             Call call = calls.get(e.id());
             if (call == null) {
                 return;
@@ -63,44 +84,44 @@
                 calls.remove(e.id());
                 return;
             }
-            if (e.code() == Code.MISS && settings.loading().orders()) {
-                out.add(new Order(e.invoker(), call.function, 1));
+            if (e.code() == ResponseCode.NOT_LOADED && settings.preloading().acceptsPreloads()) {
+                out.add(new PreloadFunction(e.invoker(), call.function, 1));
             }
-            if (!Desk.proved(e.code()) && !call.mayHaveRun) {
+            if (!e.code().provesNotRun() && !call.mayHaveRun) {
                 call.mayHaveRun = true;
                 call.boundTo = e.invoker();
             }
             send(now, e.id(), call, out);
-        } else if (event instanceof TimerFired t) {
-            Call call = calls.get(Long.parseLong(t.tag()));
-            if (call != null) {
-                end(Long.parseLong(t.tag()), call, out);
+        } else if (event instanceof TimerExpired t) {
+            if (t.timer() instanceof SchedulerTimer.RequestDeadline deadline
+                    && calls.containsKey(deadline.requestId())) {
+                end(deadline.requestId(), calls.get(deadline.requestId()), out);
             }
-        } else if (event instanceof RequestGone g) {
+        } else if (event instanceof RequestAbandoned g) {
             calls.remove(g.id());
         }
     }
 
-    private void send(long now, long id, Call call, Actions out) {
+    private void send(long now, long id, Call call, Sink out) {
         boolean may =
                 !call.mayHaveRun
-                        || call.kind.repeat() == Repeat.SAFE
-                        || (call.kind.repeat() == Repeat.KEYED
+                        || call.kind.idempotency() == Idempotency.IDEMPOTENT
+                        || (call.kind.idempotency() == Idempotency.KEYED
                                 && now
                                         < call.boundAt
-                                                + call.kind.windowMicros()
+                                                + call.kind.deduplicationWindowMicros()
                                                 - settings.tickMicros());
-        List<Invoker> ready = new ArrayList<>();
-        for (Invoker i : invokers.values()) {
+        List<InvokerEndpoint> ready = new ArrayList<>();
+        for (InvokerEndpoint i : invokers.values()) {
             boolean group =
                     !call.mayHaveRun
-                            || call.kind.repeat() != Repeat.KEYED
-                            || call.kind.group() == Group.ALL
+                            || call.kind.idempotency() != Idempotency.KEYED
+                            || call.kind.deduplicationScope() == DeduplicationScope.ALL
                             || (invokers.containsKey(call.boundTo)
-                                    && (call.kind.group() == Group.ZONE
+                                    && (call.kind.deduplicationScope() == DeduplicationScope.ZONE
                                             ? invokers.get(call.boundTo).zone() == i.zone()
                                             : invokers.get(call.boundTo).cell() == i.cell()));
-            if (i.state() == State.READY && group && !call.tried.contains(i.id())) {
+            if (i.state() == EndpointState.READY && group && !call.tried.contains(i.id())) {
                 ready.add(i);
             }
         }
@@ -108,21 +129,25 @@
             end(id, call, out);
             return;
         }
-        ready.sort(java.util.Comparator.comparing(Invoker::id));
+        ready.sort(Comparator.comparing(InvokerEndpoint::id));
         String to = ready.get(random.nextInt(ready.size())).id();
         call.tried.add(to);
         call.boundAt = call.sent++ == 0 ? now : call.boundAt;
         call.out++;
-        out.add(new Send(id, to, 0));
+        out.add(new ForwardAttempt(id, to, 0));
     }
 
-    private void end(long id, Call call, Actions out) {
+    private void end(long id, Call call, Sink out) {
         boolean safe =
-                call.kind.repeat() == Repeat.SAFE
-                        || (call.kind.repeat() == Repeat.KEYED && call.kind.group() == Group.ALL);
-        out.add(safe || (!call.mayHaveRun && call.out == 0) ? new Refuse(id, 0) : new Fail(id));
-        if (call.out > 0 && settings.limits().cancel()) {
-            out.add(new Cancel(id, call.sent - 1));
+                call.kind.idempotency() == Idempotency.IDEMPOTENT
+                        || (call.kind.idempotency() == Idempotency.KEYED
+                                && call.kind.deduplicationScope() == DeduplicationScope.ALL);
+        out.add(
+                safe || (!call.mayHaveRun && call.out == 0)
+                        ? new RejectRequest(id, 0)
+                        : new FailRequest(id));
+        if (call.out > 0 && settings.limits().mayCancel()) {
+            out.add(new CancelAttempt(id, call.sent - 1));
         }
         calls.remove(id);
     }
--- a/src/main/java/waytrestle/play/Troubles.java
+++ b/src/main/java/waytrestle/play/Troubles.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Consumer;
 import waytrestle.standin.Actor;
 import waytrestle.standin.Env;
 import waytrestle.standin.InvokerBody.Tells;
@@ -197,10 +198,7 @@
         env.after(t.forMicros(), () -> stage.onClients(to));
     }
 
-    private void strike(
-            Scenario.Trouble t,
-            java.util.function.Consumer<Actor> from,
-            java.util.function.Consumer<Actor> to) {
+    private void strike(Scenario.Trouble t, Consumer<Actor> from, Consumer<Actor> to) {
         List<Actor> struck = some(t.share());
         during(t, () -> struck.forEach(from), () -> struck.forEach(to));
     }
--- a/src/main/java/waytrestle/calls/IdMemory.java
+++ b/src/main/java/waytrestle/requests/IdempotencyStore.java
@@ -1,14 +1,14 @@
-package waytrestle.calls;
+package waytrestle.requests;
 
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
-import waytrestle.ControlApi.Repeat;
-import waytrestle.calls.End.Answered;
-import waytrestle.calls.End.Failed;
-import waytrestle.calls.End.Refused;
-import waytrestle.calls.End.Served;
-import waytrestle.calls.End.Why;
+import waytrestle.requests.RequestOutcome.Failed;
+import waytrestle.requests.RequestOutcome.FunctionError;
+import waytrestle.requests.RequestOutcome.Reason;
+import waytrestle.requests.RequestOutcome.Rejected;
+import waytrestle.requests.RequestOutcome.Served;
+import waytrestle.scheduler.Idempotency;
 
 /**
  * What is known of the ids of calls, so that a call that comes again is not run again. While a call
@@ -20,38 +20,42 @@
  * told that it was served). An entry of a call that must not run twice is never let go early: when
  * only such entries are left, new calls are refused.
  */
-public final class IdMemory {
+public final class IdempotencyStore {
     /** Bounds; tolerance is how far a signing time may lie from the wall clock, either way. */
     public record Bounds(int entries, long bytes, long toleranceSeconds) {}
 
     /** A call as it arrives; signedAt is the wall clock's second at which its client signed it. */
-    public record Arrival(
-            String key, Repeat repeat, long windowMicros, long signedAt, long payload) {}
+    public record KeyedRequest(
+            String key,
+            Idempotency idempotency,
+            long deduplicationWindowMicros,
+            long signedAtSeconds,
+            long payloadDigest) {}
 
     /** What an arrival comes to. */
-    public sealed interface Verdict {
+    public sealed interface LookupResult {
         /**
          * A new call; a positive notAfter is when the invokers cease to drop repeats of what may
          * have run.
          */
-        record Fresh(long notAfterMicros) implements Verdict {}
+        record NewRequest(long notAfterMicros) implements LookupResult {}
 
-        record Join(long call) implements Verdict {}
+        record InFlight(long requestId) implements LookupResult {}
 
-        record Again(End end) implements Verdict {}
+        record Completed(RequestOutcome outcome) implements LookupResult {}
     }
 
     private static final int ENTRY_BYTES =
             200; // bytes that an entry weighs beside its key and answer
 
     private static final class Entry {
-        final Arrival arrival;
+        final KeyedRequest arrival;
         long call; // 0: ended
-        End end;
+        RequestOutcome end;
         long endedAt;
         long mayRunAt; // first send of a call that may have run; 0: proved not to have
 
-        Entry(Arrival arrival) {
+        Entry(KeyedRequest arrival) {
             this.arrival = arrival;
         }
 
@@ -62,14 +66,15 @@
         long answerBytes() {
             return end instanceof Served served
                     ? served.body().size()
-                    : end instanceof Answered own ? own.body().size() : 0;
+                    : end instanceof FunctionError own ? own.body().size() : 0;
         }
     }
 
     private final Bounds bounds;
     private final HashMap<String, Entry> entries = new HashMap<>();
     private final HashMap<Long, Entry> open = new HashMap<>();
-    private final LinkedHashSet<Entry> ended = new LinkedHashSet<>(); // by time of their end
+    private final LinkedHashSet<Entry> requestCompleted =
+            new LinkedHashSet<>(); // by time of their end
     private final LinkedHashSet<Entry> safe = new LinkedHashSet<>(); // ended, safe: may be let go
     private final LinkedHashSet<Entry> answers =
             new LinkedHashSet<>(); // ended, others: their answers may be
@@ -77,7 +82,7 @@
     private long horizon; // wall second: what was signed up to then may have been forgotten
 
     /** A gateway that starts remembers nothing signed before. */
-    public IdMemory(Bounds bounds, long wallSeconds) {
+    public IdempotencyStore(Bounds bounds, long wallSeconds) {
         this.bounds = bounds;
         this.horizon = wallSeconds;
     }
@@ -87,49 +92,50 @@
     }
 
     /** Ends held, which are never more than the entries. */
-    int endsHeld() {
-        return ended.size();
+    int outcomesHeld() {
+        return requestCompleted.size();
     }
 
     public long bytes() {
         return bytes;
     }
 
-    /** Judges an arrival; a fresh one is not remembered before {@link #begin}. */
-    public Verdict arrived(long now, long wallSeconds, Arrival a) {
-        lapse(now, wallSeconds);
+    /** Judges an arrival; a fresh one is not remembered before {@link #requestStarted}. */
+    public LookupResult lookUp(long now, long wallSeconds, KeyedRequest a) {
+        evictExpired(now, wallSeconds);
         Entry known = entries.get(a.key());
         if (known == null) {
             // Guards against a replay after a restart, or after the wall clock stepped back over
             // what was let go.
-            if (a.repeat() != Repeat.SAFE && a.signedAt() <= horizon) {
-                return new Verdict.Again(new Failed(Why.SIGNED_BEFORE_MEMORY, true));
+            if (a.idempotency() != Idempotency.IDEMPOTENT && a.signedAtSeconds() <= horizon) {
+                return new LookupResult.Completed(new Failed(Reason.SIGNED_BEFORE_STORE, true));
             }
-            return room()
-                    ? new Verdict.Fresh(0)
-                    : new Verdict.Again(
-                            new Refused(
-                                    Why.MEMORY_FULL, bounds.toleranceSeconds() * 1_000_000 / 10));
+            return makeRoom()
+                    ? new LookupResult.NewRequest(0)
+                    : new LookupResult.Completed(
+                            new Rejected(
+                                    Reason.IDEMPOTENCY_STORE_FULL,
+                                    bounds.toleranceSeconds() * 1_000_000 / 10));
         }
-        if (known.arrival.payload() != a.payload()) {
-            return new Verdict.Again(new Failed(Why.OTHER_PAYLOAD, false));
+        if (known.arrival.payloadDigest() != a.payloadDigest()) {
+            return new LookupResult.Completed(new Failed(Reason.PAYLOAD_MISMATCH, false));
         }
         if (known.call != 0) {
-            return new Verdict.Join(known.call);
+            return new LookupResult.InFlight(known.call);
         }
-        if (!(known.end instanceof Refused)) {
-            return new Verdict.Again(known.end);
+        if (!(known.end instanceof Rejected)) {
+            return new LookupResult.Completed(known.end);
         }
         // Refused although it may have run: a keyed call whose repeats all invokers drop, for its
         // window only.
-        long notAfter = known.mayRunAt + a.windowMicros();
+        long notAfter = known.mayRunAt + a.deduplicationWindowMicros();
         return now < notAfter
-                ? new Verdict.Fresh(notAfter)
-                : new Verdict.Again(new Failed(Why.WINDOW_PASSED, true));
+                ? new LookupResult.NewRequest(notAfter)
+                : new LookupResult.Completed(new Failed(Reason.DEDUPLICATION_WINDOW_PASSED, true));
     }
 
     /** Remembers a fresh call as open. */
-    public void begin(long call, Arrival a) {
+    public void requestStarted(long call, KeyedRequest a) {
         Entry before = entries.get(a.key());
         Entry entry = new Entry(a);
         if (before != null) {
@@ -143,16 +149,16 @@
     }
 
     /** A call ended; mayRunAt is the first send that may have run, 0 without one. */
-    public void ended(long now, long call, End end, long mayRunAt) {
+    public void requestCompleted(long now, long call, RequestOutcome end, long mayRunAt) {
         Entry entry = open.remove(call);
         if (entry == null) {
             return;
         }
         entry.call = 0;
         long first = entry.mayRunAt != 0 ? entry.mayRunAt : mayRunAt;
-        boolean safeToRun = entry.arrival.repeat() == Repeat.SAFE;
-        boolean abandoned = end instanceof Failed failed && failed.why() == Why.ABANDONED;
-        if (end instanceof Refused
+        boolean safeToRun = entry.arrival.idempotency() == Idempotency.IDEMPOTENT;
+        boolean abandoned = end instanceof Failed failed && failed.reason() == Reason.ABANDONED;
+        if (end instanceof Rejected
                 ? first == 0 || safeToRun
                 : abandoned && (first == 0 || safeToRun)) {
             entries.remove(entry.arrival.key());
@@ -163,26 +169,26 @@
         entry.end = end;
         entry.endedAt = now;
         bytes += entry.answerBytes();
-        ended.add(entry);
+        requestCompleted.add(entry);
         (safeToRun ? safe : answers).add(entry);
         while (bytes > bounds.bytes() && (!safe.isEmpty() || !answers.isEmpty())) {
-            letGo();
+            evictOne();
         }
     }
 
-    private boolean room() {
+    private boolean makeRoom() {
         long more = ENTRY_BYTES;
         while ((entries.size() >= bounds.entries() || bytes + more > bounds.bytes())
                 && !safe.isEmpty()) {
-            letGo();
+            evictOne();
         }
         while (bytes + more > bounds.bytes() && !answers.isEmpty()) {
-            letGo();
+            evictOne();
         }
         return entries.size() < bounds.entries() && bytes + more <= bounds.bytes();
     }
 
-    private void letGo() {
+    private void evictOne() {
         if (!safe.isEmpty()) {
             discard(safe.iterator().next());
             return;
@@ -192,7 +198,7 @@
         first.remove();
         if (entry.answerBytes() > 0 || entry.end instanceof Served) {
             bytes -= entry.answerBytes();
-            entry.end = new Failed(Why.ANSWER_LET_GO, true);
+            entry.end = new Failed(Reason.RESPONSE_EVICTED, true);
         }
     }
 
@@ -200,7 +206,7 @@
         if (entries.remove(entry.arrival.key(), entry)) {
             bytes -= entry.bytes();
         }
-        ended.remove(entry);
+        requestCompleted.remove(entry);
         safe.remove(entry);
         answers.remove(entry);
     }
@@ -209,17 +215,18 @@
      * Lets go what no accepted signature can bring back; both clocks must agree, since the wall's
      * may step.
      */
-    private void lapse(long now, long wallSeconds) {
-        while (!ended.isEmpty()) {
-            Entry entry = ended.iterator().next();
+    private void evictExpired(long now, long wallSeconds) {
+        while (!requestCompleted.isEmpty()) {
+            Entry entry = requestCompleted.iterator().next();
             boolean span = now - entry.endedAt > bounds.toleranceSeconds() * 1_000_000;
-            boolean signed = wallSeconds - entry.arrival.signedAt() > bounds.toleranceSeconds();
+            boolean signed =
+                    wallSeconds - entry.arrival.signedAtSeconds() > bounds.toleranceSeconds();
             if (!(span && signed)) {
                 return;
             }
             discard(entry);
-            if (entry.arrival.repeat() != Repeat.SAFE) {
-                horizon = Math.max(horizon, entry.arrival.signedAt());
+            if (entry.arrival.idempotency() != Idempotency.IDEMPOTENT) {
+                horizon = Math.max(horizon, entry.arrival.signedAtSeconds());
             }
         }
     }
--- a/src/main/java/waytrestle/calls/Intake.java
+++ b/src/main/java/waytrestle/requests/RequestHandler.java
@@ -1,15 +1,20 @@
-package waytrestle.calls;
+package waytrestle.requests;
 
 import waytrestle.Bytes;
 
 /** What a front needs of the core: it brings a call and hears its end, once. */
-public interface Intake {
+public interface RequestHandler {
     /**
      * What is told of a call's function, 0 or less where untold, and whether its client sent the
      * call before.
      */
-    record Facts(double memoryMb, int lanes, long loadMicros, long workMicros, boolean resent) {
-        public static final Facts NONE = new Facts(0, 0, 0, 0, false);
+    record FunctionHints(
+            double memoryMb,
+            int concurrencyPerInstance,
+            long loadMicros,
+            long workMicros,
+            boolean retry) {
+        public static final FunctionHints NONE = new FunctionHints(0, 0, 0, 0, false);
     }
 
     /**
@@ -18,24 +23,24 @@
      * and its answer is wanted whole. Facts are null where the call tells none; the passed id, null
      * without, is what invokers are to see unchanged.
      */
-    record Incoming(
+    record IncomingRequest(
             int requestClass,
             int tenant,
             String function,
-            IdMemory.Arrival id,
-            long mark,
+            IdempotencyStore.KeyedRequest idempotencyKey,
+            long retryMark,
             long timeLeftMicros,
             String contentType,
             Bytes payload,
             int jsonBytes,
-            Facts facts,
-            String passedId) {
-        public Incoming(
+            FunctionHints hints,
+            String forwardedId) {
+        public IncomingRequest(
                 int requestClass,
                 int tenant,
                 String function,
-                IdMemory.Arrival id,
-                long mark,
+                IdempotencyStore.KeyedRequest idempotencyKey,
+                long retryMark,
                 long timeLeftMicros,
                 String contentType,
                 Bytes payload,
@@ -44,8 +49,8 @@
                     requestClass,
                     tenant,
                     function,
-                    id,
-                    mark,
+                    idempotencyKey,
+                    retryMark,
                     timeLeftMicros,
                     contentType,
                     payload,
@@ -56,23 +61,23 @@
     }
 
     /** Hears the end, on the loop, possibly within {@link #accept}. */
-    interface Client {
-        void ended(End end);
+    interface ResponseListener {
+        void completed(RequestOutcome end);
 
         /**
          * Asked before something is begun for it: one that has gone unseen is to be told as having
          * left, now.
          */
-        default void look() {}
+        default void checkConnected() {}
     }
 
     /** Held by the front while the call is open. */
-    interface Ticket {
+    interface PendingResponse {
         /** The client went away; no end is told after this. */
-        void left();
+        void clientDisconnected();
     }
 
-    Ticket accept(Incoming call, Client client);
+    PendingResponse accept(IncomingRequest call, ResponseListener client);
 
     /** Whether any invoker is ready. */
     boolean ready();
--- /dev/null
+++ b/src/main/java/waytrestle/requests/RequestOutcome.java
@@ -0,0 +1,105 @@
+package waytrestle.requests;
+
+import waytrestle.Bytes;
+
+/** How a call ends for whoever waits for it. */
+public sealed interface RequestOutcome {
+    /**
+     * Attempts that went out, and what came of the last: a status, or a word in place of one; ""
+     * without any.
+     */
+    record AttemptSummary(int attempts, String lastResponse) {
+        public static final AttemptSummary NONE = new AttemptSummary(0, "");
+    }
+
+    /**
+     * The function's own answer; jsonBytes is the length of its JSON part where it is an infer
+     * answer, else -1.
+     */
+    record Served(String contentType, Bytes body, int jsonBytes) implements RequestOutcome {
+        public Served(String contentType, byte[] body) {
+            this(contentType, Bytes.of(body), -1);
+        }
+    }
+
+    /**
+     * The function's own error, passed on as it came; unless it is of a safe class, a repeat may
+     * double an effect.
+     */
+    record FunctionError(
+            int status, String contentType, Bytes body, boolean mayHaveRun, AttemptSummary attempts)
+            implements RequestOutcome {}
+
+    /** Nothing happened that a repeat could double: coming again is harmless. */
+    record Rejected(Reason reason, long retryAfterMicros, AttemptSummary attempts)
+            implements RequestOutcome {
+        public Rejected(Reason reason, long retryAfterMicros) {
+            this(reason, retryAfterMicros, AttemptSummary.NONE);
+        }
+    }
+
+    /** No answer; unless it is proved not to have run, a repeat may double its effect. */
+    record Failed(Reason reason, boolean mayHaveRun, AttemptSummary attempts)
+            implements RequestOutcome {
+        public Failed(Reason reason, boolean mayHaveRun) {
+            this(reason, mayHaveRun, AttemptSummary.NONE);
+        }
+    }
+
+    /** The reasons, as told to clients and counted. */
+    enum Reason {
+        NO_FINISH_IN_TIME("no-finish-in-time", "no invoker is expected to finish in the time left"),
+        OVERLOADED(
+                "crowded", "even the best invoker would answer past the aim, for the crowd there"),
+        NO_READY_INVOKER("no-invoker", "no invoker was ready in the time left"),
+        INVOKERS_AT_CAPACITY("all-full", "every invoker that was tried was full"),
+        UNREACHABLE("unreachable", "no invoker that was tried could be reached"),
+        NOT_LOADED("not-loaded", "no invoker had the function loaded in the time left"),
+        ATTEMPT_BUDGET_EXHAUSTED(
+                "over-tries", "the attempts that calls may add to load are used up"),
+        FUNCTION_NOT_FOUND("no-such-function", "no invoker knows this function"),
+        CIRCUIT_OPEN(
+                "function-failing",
+                "this function fails at every invoker; it is tried again after a pause"),
+        TOO_MANY_IN_FLIGHT("too-many-open", "too many calls are open"),
+        IDEMPOTENCY_STORE_FULL("memory-full", "the memory of ids holds nothing that may be let go"),
+        TENANT_LIMIT_REACHED("over-bound", "a bound of this tenant is reached"),
+        TENANT_QUOTA_EXCEEDED(
+                "over-share", "this tenant's share of what the fleet can do now is taken"),
+        RETRY_BUDGET_EXHAUSTED("over-retries", "repeats have used up their share of load"),
+        SHUTTING_DOWN("stopping", "the gateway is stopping"),
+        DEADLINE_EXCEEDED("time-up", "the time ran out"),
+        ATTEMPTS_FAILED("broken", "every attempt broke"),
+        NO_RESPONSE("silent", "the invoker did not answer in the time given"),
+        CONNECTION_LOST("lost", "the connection to the invoker broke with the call on it"),
+        MALFORMED_RESPONSE("unreadable", "what the invokers sent was no answer"),
+        INVOKER_ERROR("erred", "the invokers failed"),
+        INTERNAL_ERROR("internal", "a decision failed"),
+        STILL_IN_FLIGHT("still-open", "the first call of this id is still open; a repeat joins it"),
+        ABANDONED("abandoned", "its client left while it may have been running"),
+        SIGNED_BEFORE_STORE(
+                "signed-before-memory",
+                "signed before this gateway's memory of ids begins; it may have run"),
+        RESPONSE_EVICTED("answer-let-go", "served before; the answer is no longer held"),
+        DEDUPLICATION_WINDOW_PASSED(
+                "window-passed", "may have run, and invokers no longer drop its repeats"),
+        PAYLOAD_MISMATCH("other-payload", "this id came before with another payload");
+
+        private final String code;
+        private final String description;
+
+        Reason(String code, String text) {
+            this.code = code;
+            this.description = text;
+        }
+
+        public String description() {
+            return description;
+        }
+
+        /** As problem types, metrics and logs name it. */
+        public String code() {
+            return code;
+        }
+    }
+}
--- a/src/main/java/waytrestle/outcomes/TryBudget.java
+++ b/src/main/java/waytrestle/responses/AttemptBudget.java
@@ -1,4 +1,4 @@
-package waytrestle.outcomes;
+package waytrestle.responses;
 
 /**
  * Attempts over calls: every call pays in a stated number of attempts, every attempt takes one out,
@@ -6,7 +6,7 @@
  * (misses too, which no retry budget counts): a fleet in trouble must not be asked several times
  * what it cannot do once.
  */
-final class TryBudget {
+final class AttemptBudget {
     // ---- Tuned numbers. ----
     private static final double SAVED =
             5; // seconds of payments kept, so that a short trouble is ridden out
@@ -17,7 +17,7 @@
     private double balance = BURST, paidPerSecond;
     private long at;
 
-    TryBudget(double perCall) {
+    AttemptBudget(double perCall) {
         this.perCall = perCall;
     }
 
--- a/src/main/java/waytrestle/outcomes/Promises.java
+++ b/src/main/java/waytrestle/responses/CapabilityVerifier.java
@@ -1,9 +1,9 @@
-package waytrestle.outcomes;
+package waytrestle.responses;
 
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
-import waytrestle.ControlApi.Start;
+import waytrestle.scheduler.StartKind;
 
 /**
  * Holds what invokers were promised to tell and do against what comes back, each invoker by itself,
@@ -14,7 +14,7 @@
  * nonsense: one report of a million calls in hand would spoil the average that all others are
  * compared with.
  */
-final class Promises {
+final class CapabilityVerifier {
     // ---- Tuned numbers; times are microseconds. ----
     private static final double NEWS =
             0.1; // weight of one answer in what is believed: about the last ten count
@@ -66,13 +66,13 @@
 
     /** Hears of an invoker that does not keep what the settings promise; once for each promise. */
     interface Warn {
-        void warn(String invoker, Promise promise, boolean untold);
+        void warn(String invoker, DeclaredCapability promise, boolean untold);
     }
 
     private static final class Standing {
-        final Map<Promise, Count> counts = new EnumMap<>(Promise.class);
+        final Map<DeclaredCapability, Count> counts = new EnumMap<>(DeclaredCapability.class);
 
-        Count of(Promise promise) {
+        Count of(DeclaredCapability promise) {
             return counts.computeIfAbsent(promise, p -> new Count());
         }
     }
@@ -82,7 +82,7 @@
     private final Map<String, Standing> invokers = new HashMap<>();
     private double meanInHand;
 
-    Promises(Made made, Warn warn) {
+    CapabilityVerifier(Made made, Warn warn) {
         this.made = made;
         this.warn = warn;
     }
@@ -91,7 +91,7 @@
         invokers.remove(invoker);
     }
 
-    Map<Promise, Count> of(String invoker) {
+    Map<DeclaredCapability, Count> of(String invoker) {
         Standing s = invokers.get(invoker);
         return s == null ? Map.of() : s.counts;
     }
@@ -109,52 +109,57 @@
             long toldWork) {}
 
     /** Weighs what came with an answer; f still holds what was known before it. */
-    Told weigh(FunctionHealth f, Seen seen, Sense sense, Told told, long now) {
-        if (sense != Sense.SERVED
-                && sense != Sense.REJECTED
-                && sense != Sense.ABSENT
-                && sense != Sense.FULL
-                && sense != Sense.ERRED) {
-            return Told.NOTHING;
+    InvokerLoadReport weigh(
+            FunctionCircuit f, Seen seen, ResponseKind sense, InvokerLoadReport told, long now) {
+        if (sense != ResponseKind.SERVED
+                && sense != ResponseKind.REJECTED
+                && sense != ResponseKind.NOT_LOADED
+                && sense != ResponseKind.FULL
+                && sense != ResponseKind.ERROR) {
+            return InvokerLoadReport.EMPTY;
         }
         Standing s = invokers.computeIfAbsent(seen.invoker(), i -> new Standing());
-        boolean served = sense == Sense.SERVED;
-        Map<String, Double> report = report(s, f, seen, told.report(), served);
-        Start start = served ? start(s, f, seen, told.start()) : told.start();
-        int company = served ? company(s, seen, told.company(), report) : -1;
-        if (told.start() != Start.LOAD_FAILED) {
+        boolean served = sense == ResponseKind.SERVED;
+        Map<String, Double> report = report(s, f, seen, told.metrics(), served);
+        StartKind start = served ? start(s, f, seen, told.start()) : told.start();
+        int company = served ? company(s, seen, told.concurrentRequests(), report) : -1;
+        if (told.start() != StartKind.LOAD_FAILED) {
             missAnswers(s, f, seen, sense, start);
             keepAlive(s, f, seen, sense, start);
         }
         if (served && seen.toldWork() > 0 && f.usual.known()) {
             double ratio = f.usual.run() / seen.toldWork();
-            saw(s, seen.invoker(), Promise.WORK_TIME, ratio < WORK_FAR && ratio > 1 / WORK_FAR);
+            saw(
+                    s,
+                    seen.invoker(),
+                    DeclaredCapability.WORK_TIME,
+                    ratio < WORK_FAR && ratio > 1 / WORK_FAR);
         }
-        return new Told(start, company, report);
+        return new InvokerLoadReport(start, company, report);
     }
 
     /** A load order that stands after so long. */
     void loaded(String invoker, long took, long toldLoad, int copies) {
         Standing s = invokers.computeIfAbsent(invoker, i -> new Standing());
         if (copies < 0) {
-            untold(s, invoker, Promise.COPIES);
+            untold(s, invoker, DeclaredCapability.INSTANCES);
         } else {
-            saw(s, invoker, Promise.COPIES, true);
+            saw(s, invoker, DeclaredCapability.INSTANCES, true);
         }
         if (toldLoad > 0) {
             double ratio = took / (double) toldLoad;
-            saw(s, invoker, Promise.LOAD_TIME, ratio < FAR && ratio > 1 / FAR);
+            saw(s, invoker, DeclaredCapability.LOAD_TIME, ratio < FAR && ratio > 1 / FAR);
         }
     }
 
-    private void untold(Standing s, String invoker, Promise promise) {
+    private void untold(Standing s, String invoker, DeclaredCapability promise) {
         Count c = s.of(promise);
         if (++c.untold >= WARN_AFTER && c.untold > 9 * (c.kept + c.broken)) {
             once(c, invoker, promise, true);
         }
     }
 
-    private boolean saw(Standing s, String invoker, Promise promise, boolean kept) {
+    private boolean saw(Standing s, String invoker, DeclaredCapability promise, boolean kept) {
         Count c = s.of(promise);
         c.saw(kept);
         if (c.broken >= WARN_AFTER && !c.trusted()) {
@@ -163,7 +168,7 @@
         return kept;
     }
 
-    private void once(Count c, String invoker, Promise promise, boolean untold) {
+    private void once(Count c, String invoker, DeclaredCapability promise, boolean untold) {
         if (!c.warned) {
             c.warned = true;
             warn.warn(invoker, promise, untold);
@@ -174,16 +179,16 @@
      * A load that the answer's time has no room for, or a copy said to stand where the time is a
      * load's.
      */
-    private Start start(Standing s, FunctionHealth f, Seen seen, Start told) {
-        if (told == Start.UNKNOWN) {
+    private StartKind start(Standing s, FunctionCircuit f, Seen seen, StartKind told) {
+        if (told == StartKind.UNKNOWN) {
             if (made.start()) {
-                untold(s, seen.invoker(), Promise.START);
+                untold(s, seen.invoker(), DeclaredCapability.START);
             }
             return told;
         }
         double load = f.usual.load(seen.toldLoad());
-        if (told != Start.LOAD_FAILED && (!f.usual.known() || load <= 0)) {
-            s.of(Promise.START).kept++;
+        if (told != StartKind.LOAD_FAILED && (!f.usual.known() || load <= 0)) {
+            s.of(DeclaredCapability.START).kept++;
             return told;
         }
         boolean quick =
@@ -192,13 +197,13 @@
         boolean slow = seen.took() > QUICK * f.usual.run() + LOAD_PART * load;
         long served = f.servedAt(seen.invoker());
         boolean mayStand = served != 0 && seen.sentAt() - served < made.keepAliveMicros();
-        boolean waited = told == Start.COLD || told == Start.JOINED;
+        boolean waited = told == StartKind.COLD || told == StartKind.JOINED;
         boolean refuted =
                 (waited && quick && load > f.usual.run() / 2)
-                        || told == Start.LOAD_FAILED
-                        || (told == Start.WARM && slow && !mayStand);
-        saw(s, seen.invoker(), Promise.START, !refuted);
-        return s.of(Promise.START).trusted() && !refuted ? told : Start.UNKNOWN;
+                        || told == StartKind.LOAD_FAILED
+                        || (told == StartKind.WARM && slow && !mayStand);
+        saw(s, seen.invoker(), DeclaredCapability.START, !refuted);
+        return s.of(DeclaredCapability.START).trusted() && !refuted ? told : StartKind.UNKNOWN;
     }
 
     /** Never more than all calls that are there, by a report that is believed itself. */
@@ -207,12 +212,12 @@
             return -1;
         }
         if (told < 0) {
-            untold(s, seen.invoker(), Promise.COMPANY);
+            untold(s, seen.invoker(), DeclaredCapability.CONCURRENCY);
             return -1;
         }
         boolean good = told <= report.getOrDefault("inflight", CROWDED * (meanInHand + ROOM)) + 1;
-        saw(s, seen.invoker(), Promise.COMPANY, good);
-        return good && s.of(Promise.COMPANY).trusted() ? told : -1;
+        saw(s, seen.invoker(), DeclaredCapability.CONCURRENCY, good);
+        return good && s.of(DeclaredCapability.CONCURRENCY).trusted() ? told : -1;
     }
 
     /**
@@ -220,10 +225,10 @@
      * nothing.
      */
     private Map<String, Double> report(
-            Standing s, FunctionHealth f, Seen seen, Map<String, Double> report, boolean served) {
+            Standing s, FunctionCircuit f, Seen seen, Map<String, Double> report, boolean served) {
         if (report.isEmpty()) {
             if (made.reports()) {
-                untold(s, seen.invoker(), Promise.REPORTS);
+                untold(s, seen.invoker(), DeclaredCapability.LOAD_REPORTS);
             }
             return report;
         }
@@ -244,29 +249,36 @@
                 meanInHand += NEWS * (Math.min(inHand, CROWDED * (meanInHand + ROOM)) - meanInHand);
             }
         }
-        saw(s, seen.invoker(), Promise.REPORTS, good);
-        return good && s.of(Promise.REPORTS).trusted() ? report : Map.of();
+        saw(s, seen.invoker(), DeclaredCapability.LOAD_REPORTS, good);
+        return good && s.of(DeclaredCapability.LOAD_REPORTS).trusted() ? report : Map.of();
     }
 
-    private void missAnswers(Standing s, FunctionHealth f, Seen seen, Sense sense, Start start) {
-        boolean loadsItself = sense == Sense.SERVED && start == Start.COLD;
-        boolean misses = sense == Sense.ABSENT;
+    private void missAnswers(
+            Standing s, FunctionCircuit f, Seen seen, ResponseKind sense, StartKind start) {
+        boolean loadsItself = sense == ResponseKind.SERVED && start == StartKind.COLD;
+        boolean misses = sense == ResponseKind.NOT_LOADED;
         if (loadsItself || (misses && f.servedAt(seen.invoker()) != 0)) {
-            saw(s, seen.invoker(), Promise.MISS_ANSWERS, made.missAnswers() == misses);
+            saw(
+                    s,
+                    seen.invoker(),
+                    DeclaredCapability.NOT_LOADED_RESPONSES,
+                    made.missAnswers() == misses);
         }
     }
 
-    private void keepAlive(Standing s, FunctionHealth f, Seen seen, Sense sense, Start start) {
+    private void keepAlive(
+            Standing s, FunctionCircuit f, Seen seen, ResponseKind sense, StartKind start) {
         long idle = seen.sentAt() - f.servedAt(seen.invoker());
         if (f.servedAt(seen.invoker()) == 0 || idle <= 0 || idle > made.keepAliveMicros()) {
             return;
         }
-        if (sense == Sense.ABSENT || (sense == Sense.SERVED && start == Start.COLD)) {
-            saw(s, seen.invoker(), Promise.KEEP_ALIVE, false);
-        } else if (sense == Sense.SERVED
-                && start == Start.WARM
+        if (sense == ResponseKind.NOT_LOADED
+                || (sense == ResponseKind.SERVED && start == StartKind.COLD)) {
+            saw(s, seen.invoker(), DeclaredCapability.KEEP_ALIVE, false);
+        } else if (sense == ResponseKind.SERVED
+                && start == StartKind.WARM
                 && idle > made.keepAliveMicros() / 2) {
-            saw(s, seen.invoker(), Promise.KEEP_ALIVE, true);
+            saw(s, seen.invoker(), DeclaredCapability.KEEP_ALIVE, true);
         }
     }
 }
--- a/src/main/java/waytrestle/outcomes/Lanes.java
+++ b/src/main/java/waytrestle/responses/ConcurrencyEstimate.java
@@ -1,4 +1,4 @@
-package waytrestle.outcomes;
+package waytrestle.responses;
 
 /**
  * How many calls one copy of a function runs at a time, from answers that came too quick or too
@@ -6,7 +6,7 @@
  * in truth, so that quick answers prove lanes and slow ones prove little; they count only where
  * nobody else was there.
  */
-final class Lanes {
+final class ConcurrencyEstimate {
     // ---- Tuned numbers. ----
     private static final int MOST =
             32; // levels told apart; more lanes than this make no queue that matters
--- a/src/main/java/waytrestle/outcomes/Reply.java
+++ b/src/main/java/waytrestle/responses/ExchangeResult.java
@@ -1,45 +1,49 @@
-package waytrestle.outcomes;
-
-import java.util.Locale;
+package waytrestle.responses;
 
 /**
  * What came back of an attempt or an order, in terms of what was on the wire. A status of 0 means
  * that none came.
  */
-public record Reply(How how, int status) {
+public record ExchangeResult(Kind kind, int status) {
     /** How the exchange ended. */
-    public enum How {
+    public enum Kind {
         /** An infer answer in its form. */
-        ANSWER,
+        RESPONSE("answer"),
         /** A whole message that says by its status that it is no infer answer. */
-        STATUS,
+        STATUS("status"),
         /**
          * A message of success without the promised form, one for another call, or bytes that are
          * no HTTP.
          */
-        UNREADABLE,
+        MALFORMED("unreadable"),
         /** No connection, or it broke before the first byte of the request was taken. */
-        UNREACHED,
+        NOT_CONNECTED("unreached"),
         /** It broke after the first byte. */
-        CUT,
+        CONNECTION_LOST("cut"),
         /** Nothing within the time given. */
-        TIMEOUT,
+        TIMEOUT("timeout"),
         /** Given up by this side. */
-        CANCELLED,
+        CANCELLED("cancelled"),
         /** All connections to the invoker are in use here; nothing was sent. */
-        NO_ROOM,
+        NO_CAPACITY("no_room"),
         /** Held back by this side before anything was sent. */
-        WITHHELD
+        WITHHELD("withheld");
+
+        private final String label;
+
+        Kind(String label) {
+            this.label = label;
+        }
     }
 
-    public static Reply of(How how) {
-        return new Reply(how, 0);
+    public static ExchangeResult of(Kind how) {
+        return new ExchangeResult(how, 0);
     }
 
     /** As clients, logs and metrics are told it: a status, or what happened in place of one. */
     public String text() {
-        return how == How.STATUS
+        return kind == Kind.STATUS
                 ? Integer.toString(status)
-                : how == How.ANSWER ? "200" : how.name().toLowerCase(Locale.ROOT);
+                : kind == Kind.RESPONSE ? "200" : kind.label;
     }
 }
--- a/src/main/java/waytrestle/outcomes/FunctionHealth.java
+++ b/src/main/java/waytrestle/responses/FunctionCircuit.java
@@ -1,4 +1,4 @@
-package waytrestle.outcomes;
+package waytrestle.responses;
 
 import java.util.HashMap;
 import java.util.HashSet;
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import waytrestle.stats.DecayingSum;
 
 /**
  * What is known of one function from its ends at all invokers: how often it errs where, and whether
@@ -16,7 +17,7 @@
  * nothing new. It can hurt a function that heals: its calls go on failing until the next probe, at
  * most the longest pause.
  */
-final class FunctionHealth {
+final class FunctionCircuit {
     // ---- Tuned numbers; times are microseconds. ----
     private static final double SPAN =
             10_000_000; // over which ends fade: some seconds of evidence outlive a burst
@@ -31,7 +32,9 @@
     record Breaker(int calls, long pauseMicros, long mostMicros) {}
 
     private static final class Ends {
-        final Fading all = new Fading(SPAN), failed = new Fading(SPAN), rejected = new Fading(SPAN);
+        final DecayingSum all = new DecayingSum(SPAN),
+                failed = new DecayingSum(SPAN),
+                rejected = new DecayingSum(SPAN);
         long servedAt;
     }
 
@@ -48,13 +51,13 @@
     private final Map<String, Integer> pending =
             new HashMap<>(); // failures not yet laid to anybody
     private int row; // calls in a row that ended in failure with no answer between
-    private Reply said; // by the last of them
+    private ExchangeResult said; // by the last of them
     private State state = State.CLOSED;
     private long until, pause, probe;
-    final Usual usual = new Usual();
-    final Lanes lanes = new Lanes();
+    final LatencyBaseline usual = new LatencyBaseline();
+    final ConcurrencyEstimate lanes = new ConcurrencyEstimate();
 
-    FunctionHealth(Breaker rules) {
+    FunctionCircuit(Breaker rules) {
         this.rules = rules;
     }
 
@@ -62,7 +65,7 @@
         return state;
     }
 
-    Reply said() {
+    ExchangeResult said() {
         return said;
     }
 
@@ -100,7 +103,7 @@
         if (all < SEEN) {
             return -1;
         }
-        Fading of = rejections ? total.rejected : total.failed;
+        DecayingSum of = rejections ? total.rejected : total.failed;
         double there = own == null ? 0 : (rejections ? own.rejected : own.failed).value(now);
         return Math.max(0, Math.min(1, (of.value(now) - there) / all));
     }
@@ -124,22 +127,22 @@
     }
 
     /** An attempt ended in an answer, a rejection or a failure. */
-    void ended(String invoker, Sense sense, long now) {
-        if ((sense.failed() || sense == Sense.ABSENT)
+    void ended(String invoker, ResponseKind sense, long now) {
+        if ((sense.isFailure() || sense == ResponseKind.NOT_LOADED)
                 && (pending.size() < EACH || pending.containsKey(invoker))) {
             pending.merge(invoker, 1, (a, b) -> Math.min(a + b, PENDING));
         }
         for (Ends ends : new Ends[] {total, at(invoker)}) {
             ends.all.add(1, now);
-            if (sense.failed() || sense == Sense.ABSENT) {
+            if (sense.isFailure() || sense == ResponseKind.NOT_LOADED) {
                 ends.failed.add(1, now);
-            } else if (sense == Sense.REJECTED) {
+            } else if (sense == ResponseKind.REJECTED) {
                 ends.rejected.add(1, now);
             } else {
                 ends.servedAt = now;
             }
         }
-        if (sense == Sense.SERVED || sense == Sense.REJECTED) {
+        if (sense == ResponseKind.SERVED || sense == ResponseKind.REJECTED) {
             row = 0;
             agreeing.clear();
             state = State.CLOSED;
@@ -156,7 +159,7 @@
     }
 
     /** A whole call ended in failure; the fleet's size says how many invokers can agree at all. */
-    void callFailed(long call, Reply last, int ready, long now) {
+    void callFailed(long call, ExchangeResult last, int ready, long now) {
         said = last;
         row++;
         boolean blamed = row >= rules.calls() && agreeing.size() >= Math.min(2, Math.max(1, ready));
--- a/src/main/java/waytrestle/outcomes/Usual.java
+++ b/src/main/java/waytrestle/responses/LatencyBaseline.java
@@ -1,11 +1,11 @@
-package waytrestle.outcomes;
+package waytrestle.responses;
 
 /**
  * The usual time of a function's quicker answers and of its loads. A quantile and not a mean, since
  * answers that waited for a load or a lane must not pass for runs, whatever an invoker says of
  * them.
  */
-final class Usual {
+final class LatencyBaseline {
     // ---- Tuned numbers. ----
     private static final double QUICK = 0.3; // quantile taken for a run without waiting
     private static final double STEP =
--- a/src/main/java/waytrestle/outcomes/InvokerHealth.java
+++ b/src/main/java/waytrestle/responses/OutlierDetector.java
@@ -1,4 +1,6 @@
-package waytrestle.outcomes;
+package waytrestle.responses;
+
+import waytrestle.stats.DecayingSum;
 
 /**
  * What one invoker does wrong beyond what its functions do wrong elsewhere. Outlier detection as
@@ -10,7 +12,7 @@
  * draw ever more calls. It can hurt where one tenant's bad input meets only one invoker: the
  * ejection is short, and its share bounded.
  */
-final class InvokerHealth {
+final class OutlierDetector {
     // ---- Tuned numbers; times are microseconds. ----
     private static final double SPAN = 10_000_000; // over which ends fade
     private static final double EXCESS =
@@ -27,10 +29,10 @@
     private static final double BACK =
             0.9; // failures short of a suspect on return: one more soon sends it off again
 
-    private final Fading all = new Fading(SPAN),
-            failed = new Fading(SPAN),
-            excess = new Fading(SPAN),
-            rejections = new Fading(SPAN);
+    private final DecayingSum all = new DecayingSum(SPAN),
+            failed = new DecayingSum(SPAN),
+            excess = new DecayingSum(SPAN),
+            rejections = new DecayingSum(SPAN);
     private int times;
     private long until;
 
--- a/src/main/java/waytrestle/net/ProcessSignals.java
+++ b/src/main/java/waytrestle/runtime/ProcessSignals.java
@@ -1,4 +1,4 @@
-package waytrestle.net;
+package waytrestle.runtime;
 
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
--- /dev/null
+++ b/src/main/java/waytrestle/scheduler/EndpointTracker.java
@@ -0,0 +1,67 @@
+package waytrestle.scheduler;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
+import waytrestle.stats.DecayingAverage;
+
+/** Follows the endpoint list: which invokers are ready, and which have started anew. */
+final class EndpointTracker {
+    private final SchedulerState state;
+
+    EndpointTracker(SchedulerState state) {
+        this.state = state;
+    }
+
+    /** Takes over a snapshot or changes. */
+    void update(EndpointsUpdated event) {
+        if (event.snapshot()) {
+            Set<String> present = new HashSet<>();
+            event.entries().forEach(endpoint -> present.add(endpoint.id()));
+            for (InvokerState invoker : state.invokers.values()) {
+                if (!present.contains(invoker.id)) {
+                    invoker.ready = false;
+                    invoker.clearInstances();
+                }
+            }
+        }
+        event.entries().forEach(this::update);
+        countReadyByKind();
+    }
+
+    private void update(InvokerEndpoint endpoint) {
+        InvokerState invoker = state.invokers.computeIfAbsent(endpoint.id(), InvokerState::new);
+        boolean added = invoker.endpoint == null;
+        boolean restarted =
+                !added && endpoint.startedAtMicros() > invoker.endpoint.startedAtMicros();
+        if (restarted || endpoint.state() == EndpointState.GONE) {
+            invoker.clearInstances();
+            invoker.clearHealth();
+        }
+        if (restarted || added) {
+            invoker.warmingSince = Math.max(invoker.warmingSince, endpoint.startedAtMicros());
+        }
+        invoker.endpoint = endpoint;
+        invoker.ready = endpoint.state() == EndpointState.READY;
+    }
+
+    private void countReadyByKind() {
+        Map<Integer, Integer> ready = new HashMap<>();
+        for (InvokerState invoker : state.invokers.values()) {
+            ready.merge(invoker.endpoint.kind(), invoker.ready ? 1 : 0, Integer::sum);
+        }
+        state.readyByKind.forEach(
+                (kind, average) -> average.set(ready.getOrDefault(kind, 0), state.now));
+        ready.forEach(
+                (kind, count) ->
+                        state.readyByKind
+                                .computeIfAbsent(
+                                        kind,
+                                        added ->
+                                                new DecayingAverage(
+                                                        FinishTimeEstimate.RATE_DECAY_MICROS))
+                                .set(count, state.now));
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/scheduler/FinishTimeScheduler.java
@@ -0,0 +1,148 @@
+package waytrestle.scheduler;
+
+import waytrestle.scheduler.SchedulerCommand.SetTimer;
+import waytrestle.scheduler.SchedulerCommand.SubscribeToEndpoints;
+import waytrestle.scheduler.SchedulerEvent.AttemptCompleted;
+import waytrestle.scheduler.SchedulerEvent.EndpointUpdateFailed;
+import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
+import waytrestle.scheduler.SchedulerEvent.PreloadCompleted;
+import waytrestle.scheduler.SchedulerEvent.RequestAbandoned;
+import waytrestle.scheduler.SchedulerEvent.RequestReceived;
+import waytrestle.scheduler.SchedulerEvent.StreamStarted;
+import waytrestle.scheduler.SchedulerEvent.TimerExpired;
+import waytrestle.scheduler.SchedulerTimer.EndpointResubscription;
+import waytrestle.scheduler.SchedulerTimer.Maintenance;
+import waytrestle.scheduler.SchedulerTimer.QueuedRequestRetry;
+import waytrestle.scheduler.SchedulerTimer.RequestDeadline;
+
+/**
+ * The request scheduler. For each request it estimates each invoker's finish time as queue + run +
+ * load-if-cold, sends to the lowest, and rejects early when even the best estimate exceeds the time
+ * left. Everything else filters the candidates or corrects a term of that estimate.
+ *
+ * <p>This class takes the events in, keeps count of requests and attempts, and hands each event to
+ * the part that decides. In the order of a request's path these are {@link RequestRouter}, {@link
+ * InvokerSelector}, {@link FinishTimeEstimate}, {@link SlowStartBudget}, {@link RetryRules}, {@link
+ * ResponseLearner}, {@link InvokerBackoff}, {@link PreloadPlanner} and {@link StateMaintenance}.
+ * They share one {@link SchedulerState}.
+ *
+ * <p>Not thread-safe: all calls come from the controller's event loop.
+ */
+public final class FinishTimeScheduler implements RequestScheduler {
+    private final SchedulerState state;
+    private final RequestRouter router;
+    private final ResponseLearner learner;
+    private final PreloadPlanner preloads;
+    private final StateMaintenance maintenance;
+    private final EndpointTracker endpoints;
+    private boolean started;
+
+    /** A scheduler that knows no invoker yet; equal seeds and events give equal commands. */
+    public FinishTimeScheduler(SchedulerSettings settings, long seed) {
+        state = new SchedulerState(settings, seed);
+        FinishTimeEstimate estimate = new FinishTimeEstimate(state);
+        SlowStartBudget slowStart = new SlowStartBudget(state, estimate);
+        RetryRules retryRules = new RetryRules(state);
+        InvokerBackoff backoff = new InvokerBackoff(state);
+        InvokerSelector selector =
+                new InvokerSelector(state, estimate, backoff, slowStart, retryRules);
+        learner = new ResponseLearner(state, estimate, backoff);
+        preloads = new PreloadPlanner(state, backoff, learner);
+        router = new RequestRouter(state, estimate, selector, slowStart, preloads, retryRules);
+        maintenance = new StateMaintenance(state, backoff, preloads);
+        endpoints = new EndpointTracker(state);
+    }
+
+    @Override
+    public void handle(long nowMicros, SchedulerEvent event, SchedulerCommand.Sink commands) {
+        state.now = nowMicros;
+        state.commands = commands;
+        state.estimateMicros = NO_ESTIMATE;
+        if (event instanceof RequestReceived received) {
+            requestReceived(received);
+        } else if (event instanceof AttemptCompleted completed) {
+            attemptCompleted(completed);
+        } else if (event instanceof PreloadCompleted completed) {
+            preloads.completed(completed);
+        } else if (event instanceof TimerExpired expired) {
+            timerExpired(expired.timer());
+        } else if (event instanceof EndpointsUpdated updated) {
+            endpointsUpdated(updated);
+        } else if (event instanceof EndpointUpdateFailed) {
+            maintenance.scheduleResubscription();
+        } else if (event instanceof StreamStarted stream) {
+            streamStarted(stream);
+        } else if (event instanceof RequestAbandoned abandoned) {
+            state.forget(state.requests.get(abandoned.id()));
+        }
+    }
+
+    @Override
+    public long estimateMicros() {
+        return state.estimateMicros;
+    }
+
+    private void requestReceived(RequestReceived event) {
+        RequestState request = state.addRequest(event);
+        long untilEnd = Math.max(1, event.timeLeftMicros() - state.settings.tickMicros());
+        state.commands.add(new SetTimer(untilEnd, new RequestDeadline(request.id)));
+        router.route(request);
+    }
+
+    private void attemptCompleted(AttemptCompleted event) {
+        RequestState request = state.requests.get(event.id());
+        if (request == null || event.attempt() < 0 || event.attempt() >= request.attempts.size()) {
+            return;
+        }
+        AttemptState attempt = request.attempts.get(event.attempt());
+        if (attempt.completed) {
+            return;
+        }
+        request.completeAttempt(attempt);
+        learner.learn(request, attempt, event);
+        if (request.completed && request.inFlight == 0) {
+            state.requests.remove(request.id);
+        } else if (event.isFinal()) {
+            state.forget(request);
+        } else if (!request.completed) {
+            router.retry(request, attempt, event.code());
+        }
+    }
+
+    private void streamStarted(StreamStarted event) {
+        RequestState request = state.requests.get(event.id());
+        if (request != null && !request.completed) {
+            request.streaming = true;
+            request.mayHaveRun = true;
+        }
+    }
+
+    private void endpointsUpdated(EndpointsUpdated event) {
+        if (!started) {
+            started = true;
+            maintenance.start();
+            if (state.settings.discovery() == DiscoveryMode.POLL) {
+                state.commands.add(new SubscribeToEndpoints(true));
+            }
+        }
+        endpoints.update(event);
+    }
+
+    private void timerExpired(SchedulerTimer timer) {
+        if (timer instanceof Maintenance) {
+            maintenance.run();
+        } else if (timer instanceof EndpointResubscription) {
+            state.commands.add(new SubscribeToEndpoints(true));
+        } else if (timer instanceof RequestDeadline deadline) {
+            RequestState request = state.requests.get(deadline.requestId());
+            if (request != null && request.isUndecided()) {
+                router.finish(request);
+            }
+        } else if (timer instanceof QueuedRequestRetry retry) {
+            RequestState request = state.requests.get(retry.requestId());
+            if (request != null && request.isUndecided() && request.queued) {
+                router.route(request);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/scheduler/RendezvousHash.java
@@ -0,0 +1,36 @@
+package waytrestle.scheduler;
+
+/**
+ * Highest-random-weight hashing (Thaler and Ravishankar, 1996): controllers that share no state
+ * rank the invokers of a function alike.
+ */
+final class RendezvousHash {
+    private static final long FNV_OFFSET = 0xCBF29CE484222325L;
+    private static final long FNV_PRIME = 0x100000001B3L;
+    private static final long FIRST_MULTIPLIER = 0x9E3779B97F4A7C15L;
+    private static final long SECOND_MULTIPLIER = 0xD6E8FEB86659FD93L;
+
+    private RendezvousHash() {}
+
+    /** The hash of a function's or invoker's name. */
+    static long hash(String name) {
+        long hash = FNV_OFFSET;
+        for (int i = 0; i < name.length(); i++) {
+            hash = (hash ^ name.charAt(i)) * FNV_PRIME;
+        }
+        return hash ^ (hash >>> 29);
+    }
+
+    /** The rank of an invoker for a function; never negative. */
+    private static long rank(FunctionState function, InvokerState invoker) {
+        long rank = (function.hash ^ invoker.hash) * FIRST_MULTIPLIER;
+        rank ^= rank >>> 32;
+        rank *= SECOND_MULTIPLIER;
+        return (rank ^ (rank >>> 32)) >>> 1;
+    }
+
+    /** Whether the first invoker ranks above the second for the function. */
+    static boolean prefers(FunctionState function, InvokerState first, InvokerState second) {
+        return rank(function, first) > rank(function, second);
+    }
+}
--- a/src/main/java/waytrestle/standin/InvokerBody.java
+++ b/src/main/java/waytrestle/standin/InvokerBody.java
@@ -4,8 +4,9 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Function;
+import java.util.function.IntConsumer;
 import java.util.function.IntPredicate;
-import waytrestle.ControlApi.Start;
+import waytrestle.scheduler.StartKind;
 
 /**
  * What an invoker does with attempts and orders, whichever way they come: its model, its group's
@@ -149,7 +150,7 @@
     private InvokerModel.Result told(InvokerModel.Result r) {
         return switch (tells) {
             case TRUTH -> r;
-            case NOTHING -> new InvokerModel.Result(r.status(), Start.UNKNOWN, -1, Map.of());
+            case NOTHING -> new InvokerModel.Result(r.status(), StartKind.UNKNOWN, -1, Map.of());
             case NONSENSE -> {
                 double wrong =
                         random.nextInt(3) == 0
@@ -157,7 +158,7 @@
                                 : random.nextBoolean() ? 0 : 1e9 * random.nextDouble();
                 yield new InvokerModel.Result(
                         r.status(),
-                        Start.values()[random.nextInt(Start.values().length)],
+                        StartKind.values()[random.nextInt(StartKind.values().length)],
                         random.nextInt(1_000_000) - 10,
                         Map.of("inflight", wrong, "queue", random.nextDouble() * 100));
             }
@@ -176,8 +177,7 @@
     }
 
     /** An order, told how many copies stand in the end; -1 when they did not fit. */
-    public void order(
-            int controller, String function, int copies, java.util.function.IntConsumer done) {
+    public void order(int controller, String function, int copies, IntConsumer done) {
         sightings.saw(
                 id, "order", "controller", controller, "function", function, "copies", copies);
         if (fails(function) && failingStatus == InvokerModel.MISS) {
@@ -214,7 +214,7 @@
                     key,
                     controller,
                     attempt,
-                    new InvokerModel.Result(ownStatus, Start.UNKNOWN, 0, model.report()),
+                    new InvokerModel.Result(ownStatus, StartKind.UNKNOWN, 0, model.report()),
                     reply);
             return reply.open() ? lag -> closed(key, controller, attempt, lag) : null;
         }
@@ -226,7 +226,7 @@
                     attempt,
                     new InvokerModel.Result(
                             fails(function) ? failingStatus : InvokerModel.SERVED,
-                            Start.WARM,
+                            StartKind.WARM,
                             0,
                             model.report()),
                     reply);
@@ -283,7 +283,7 @@
      */
     private Underway failing(int controller, String key, int attempt, long work, Reply reply) {
         InvokerModel.Result result =
-                new InvokerModel.Result(failingStatus, Start.UNKNOWN, 0, model.report());
+                new InvokerModel.Result(failingStatus, StartKind.UNKNOWN, 0, model.report());
         if (failingStatus == InvokerModel.MISS) {
             finish(key, controller, attempt, result, reply);
         } else {
--- a/src/main/java/waytrestle/standin/InvokerModel.java
+++ b/src/main/java/waytrestle/standin/InvokerModel.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import waytrestle.ControlApi.Start;
+import waytrestle.scheduler.StartKind;
 
 /**
  * An invoker's behaviour, free of sockets: cores shared by running calls, copies with lanes, a
@@ -37,7 +37,7 @@
             String name, double memoryMb, int lanes, long loadMicros, boolean keyed) {}
 
     /** The status by which a call ended here, with the load report of that moment. */
-    public record Result(int status, Start start, int company, Map<String, Double> report) {}
+    public record Result(int status, StartKind start, int company, Map<String, Double> report) {}
 
     public static final int SERVED = 200, MISS = 404, FULL = 503;
 
@@ -58,7 +58,7 @@
         final long work;
         final Runnable ran;
         final Consumer<Result> done;
-        Start start;
+        StartKind start;
         int company;
         Copy copy;
         boolean over;
@@ -155,21 +155,21 @@
         visit.company = held.getOrDefault(f.name(), 0);
         boolean turned = throttled > 0 && (f.name().hashCode() & 1023) < throttled * 1024;
         if (draining || turned || running + line.size() >= shape.room()) {
-            answer(visit, FULL, Start.UNKNOWN);
+            answer(visit, FULL, StartKind.UNKNOWN);
             return null;
         }
         expire();
         List<Copy> own = copies.getOrDefault(f.name(), List.of());
         if (own.isEmpty() && shape.missAnswers()) {
-            answer(visit, MISS, Start.UNKNOWN);
+            answer(visit, MISS, StartKind.UNKNOWN);
             return null;
         }
         visit.start =
                 own.isEmpty()
-                        ? Start.COLD
-                        : own.stream().allMatch(c -> c.loading) ? Start.JOINED : Start.WARM;
+                        ? StartKind.COLD
+                        : own.stream().allMatch(c -> c.loading) ? StartKind.JOINED : StartKind.WARM;
         if (own.isEmpty() && !load(f, x -> {})) {
-            answer(visit, FULL, Start.UNKNOWN);
+            answer(visit, FULL, StartKind.UNKNOWN);
             return null;
         }
         held.merge(f.name(), 1, Integer::sum);
@@ -240,7 +240,7 @@
         serve();
     }
 
-    private void answer(Visit visit, int status, Start start) {
+    private void answer(Visit visit, int status, StartKind start) {
         visit.done.accept(new Result(status, start, visit.company, report()));
     }
 
@@ -410,7 +410,7 @@
                 line.remove(visit);
                 visit.over = true;
                 held.merge(function, -1, Integer::sum);
-                answer(visit, MISS, Start.LOAD_FAILED);
+                answer(visit, MISS, StartKind.LOAD_FAILED);
             }
         }
     }
--- a/src/main/java/waytrestle/standin/InvokerStandIn.java
+++ b/src/main/java/waytrestle/standin/InvokerStandIn.java
@@ -9,11 +9,12 @@
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import waytrestle.ControlApi.Start;
+import java.util.function.Function;
 import waytrestle.http.HttpLimits;
 import waytrestle.http.HttpMessage;
 import waytrestle.http.HttpServer;
 import waytrestle.net.Loop;
+import waytrestle.scheduler.StartKind;
 
 /** The invoker model behind the Open Inference Protocol on a loopback port. */
 public final class InvokerStandIn extends InvokerBody {
@@ -39,7 +40,7 @@
             Env env,
             int port,
             Map<String, InvokerModel.Function> functions,
-            java.util.function.Function<Boolean, InvokerModel> maker,
+            Function<Boolean, InvokerModel> maker,
             Map<String, Long> keys,
             long keyWindow,
             Sightings sightings,
@@ -220,7 +221,7 @@
         String metrics =
                 metrics(
                         r.report(),
-                        r.start() == Start.UNKNOWN ? -1 : r.start().ordinal(),
+                        r.start() == StartKind.UNKNOWN ? -1 : r.start().ordinal(),
                         r.company(),
                         -1);
         if (garbled) {
--- a/src/main/java/waytrestle/standin/OddInvoker.java
+++ b/src/main/java/waytrestle/standin/OddInvoker.java
@@ -9,6 +9,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
@@ -111,7 +112,7 @@
                 }
                 int length = 0;
                 for (String line : head.split("\r\n")) {
-                    if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+                    if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
                         length = Integer.parseInt(line.substring(15).trim());
                     }
                 }
--- a/src/test/java/waytrestle/ArchTest.java
+++ b/src/test/java/waytrestle/ArchitectureTest.java
@@ -4,6 +4,8 @@
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
@@ -14,7 +16,7 @@
  * The layers: decisions know no I/O and no clock, fronts no invokers, and only tools know
  * stand-ins.
  */
-class ArchTest {
+class ArchitectureTest {
     private static final JavaClasses ALL =
             new ClassFileImporter()
                     .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
@@ -26,7 +28,7 @@
                 .haveNameMatching("waytrestle\\.(" + String.join("|", names) + ")(\\$.*)?")
                 .should()
                 .onlyDependOnClassesThat(
-                        com.tngtech.archunit.base.DescribedPredicate.describe(
+                        DescribedPredicate.describe(
                                 "are decisions or plain Java",
                                 c ->
                                         c.getPackageName()
@@ -37,25 +39,23 @@
                                                         && c.getBaseComponentType().isPrimitive()
                                                 || c.getName()
                                                         .matches(
-                                                                "(\\[L)?waytrestle\\.(ControlApi|Bytes|calls\\.[A-Za-z]+|overload\\.[A-Za-z]+|outcomes\\.[A-Za-z]+|roster\\.RosterBook"
-                                                                    + "|roster\\.board\\.(BoardBook|Notice)|invoker\\.platform\\.Proof"
-                                                                    + "|gateway\\.FaultRule|Control)(\\$.*)?;?")
+                                                                "(\\[L)?waytrestle\\.(Bytes|scheduler\\.[A-Za-z]+|stats\\.[A-Za-z]+|requests\\.[A-Za-z]+|overload\\.[A-Za-z]+"
+                                                                    + "|responses\\.[A-Za-z]+|discovery\\.EndpointDirectory|discovery\\.watch\\.(WatchState|WatchEvent)"
+                                                                    + "|invoker\\.platform\\.PlatformResponseClassifier|controller\\.FailureThreshold)(\\$.*)?;?")
                                                 || c.isArray()
                                                         && c.getPackageName().startsWith("java.")));
     }
 
     private static final String[] DECISIONS = {
-        "Control",
-        "calls\\.Desk",
-        "calls\\.IdMemory",
-        "calls\\.End",
-        "roster\\.RosterBook",
-        "roster\\.board\\.BoardBook",
-        "invoker\\.platform\\.Proof",
-        "gateway\\.FaultRule",
-        "calls\\.Gate",
+        "scheduler\\.[A-Za-z]+",
+        "stats\\.[A-Za-z]+",
+        "requests\\.[A-Za-z]+",
+        "discovery\\.EndpointDirectory",
+        "discovery\\.watch\\.WatchState",
+        "invoker\\.platform\\.PlatformResponseClassifier",
+        "controller\\.FailureThreshold",
         "overload\\.[A-Za-z]+",
-        "outcomes\\.[A-Za-z]+"
+        "responses\\.[A-Za-z]+",
     };
 
     @Test
@@ -63,7 +63,7 @@
         pure(DECISIONS).check(ALL);
         assertThrows(
                 AssertionError.class,
-                () -> pure("gateway\\.Controller").check(ALL),
+                () -> pure("controller\\.Controller").check(ALL),
                 "the rule catches a breach");
     }
 
@@ -91,7 +91,13 @@
                 .resideInAPackage("..front..")
                 .should()
                 .dependOnClassesThat()
-                .resideInAnyPackage("..invoker..", "..gateway..", "..roster..", "..outcomes..")
+                .resideInAnyPackage(
+                        "..invoker..",
+                        "..gateway..",
+                        "..controller..",
+                        "waytrestle.platform..",
+                        "..discovery..",
+                        "..responses..")
                 .check(ALL);
     }
 
@@ -102,8 +108,7 @@
                 .resideInAPackage("waytrestle.net")
                 .should()
                 .dependOnClassesThat(
-                        com.tngtech.archunit.core.domain.JavaClass.Predicates
-                                .resideOutsideOfPackages("waytrestle.net", "java.."))
+                        JavaClass.Predicates.resideOutsideOfPackages("waytrestle.net", "java.."))
                 .check(ALL);
         noClasses()
                 .that()
@@ -112,10 +117,12 @@
                 .dependOnClassesThat()
                 .resideInAnyPackage(
                         "..gateway..",
-                        "..calls..",
+                        "..controller..",
+                        "waytrestle.platform..",
+                        "..requests..",
                         "..front..",
                         "..invoker..",
-                        "..roster..",
+                        "..discovery..",
                         "..config..")
                 .check(ALL);
     }
@@ -147,7 +154,9 @@
                 .dependOnClassesThat()
                 .resideInAnyPackage(
                         "..gateway..",
-                        "..calls..",
+                        "..controller..",
+                        "waytrestle.platform..",
+                        "..requests..",
                         "..front..",
                         "..invoker..",
                         "..net..",
@@ -159,7 +168,7 @@
     void theAdapterStaysLean() {
         noClasses()
                 .that()
-                .resideInAPackage("waytrestle.wire")
+                .resideInAPackage("waytrestle.bench")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
@@ -170,6 +179,8 @@
                         "..databind..",
                         "waytrestle.net..",
                         "waytrestle.gateway..",
+                        "waytrestle.controller..",
+                        "waytrestle.platform..",
                         "waytrestle.config..")
                 .check(ALL);
     }
--- a/src/test/java/waytrestle/audit/AuditTest.java
+++ b/src/test/java/waytrestle/audit/AuditTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.PrintWriter;
 import java.io.Writer;
 import java.nio.file.Files;
@@ -13,19 +14,26 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import waytrestle.Control;
-import waytrestle.ControlApi.*;
 import waytrestle.audit.Audit.Rule;
 import waytrestle.config.ConfigError;
 import waytrestle.config.GatewayConfig;
 import waytrestle.config.TomlFile;
-import waytrestle.gateway.Controller;
+import waytrestle.controller.Controller;
 import waytrestle.gateway.Gateway;
 import waytrestle.play.Evidence;
 import waytrestle.play.Play;
 import waytrestle.play.Scenario;
+import waytrestle.scheduler.EndpointState;
+import waytrestle.scheduler.FinishTimeScheduler;
+import waytrestle.scheduler.SchedulerCommand;
+import waytrestle.scheduler.SchedulerCommand.ForwardAttempt;
+import waytrestle.scheduler.SchedulerCommand.PreloadFunction;
+import waytrestle.scheduler.SchedulerEvent;
+import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
+import waytrestle.scheduler.SchedulerEvent.RequestReceived;
 
 /**
  * The audit catches a gateway that breaks each rule, over sockets, and finds nothing in one that
@@ -42,17 +50,17 @@
 
     /** Changes what the module decides. */
     private interface Sabotage {
-        void action(long now, Action action, List<Action> out);
+        void action(long now, SchedulerCommand action, List<SchedulerCommand> out);
 
-        default void event(long now, Event event, List<Action> out) {}
+        default void event(long now, SchedulerEvent event, List<SchedulerCommand> out) {}
     }
 
-    private static Controller.ModuleMaker sabotaged(Sabotage sabotage) {
+    private static Controller.SchedulerFactory sabotaged(Sabotage sabotage) {
         return (settings, seed) -> {
-            Control control = new Control(settings, seed);
+            FinishTimeScheduler control = new FinishTimeScheduler(settings, seed);
             return (now, event, out) -> {
-                List<Action> changed = new ArrayList<>();
-                control.on(now, event, a -> sabotage.action(now, a, changed));
+                List<SchedulerCommand> changed = new ArrayList<>();
+                control.handle(now, event, a -> sabotage.action(now, a, changed));
                 sabotage.event(now, event, changed);
                 changed.forEach(out::add);
             };
@@ -60,7 +68,7 @@
     }
 
     private static String demo() throws IOException {
-        try (java.io.InputStream in = AuditTest.class.getResourceAsStream("/demo.toml")) {
+        try (InputStream in = AuditTest.class.getResourceAsStream("/demo.toml")) {
             return new String(in.readAllBytes())
                     .replaceAll("(?s)\\[\\[trouble]].*?(?=\\[\\[)", "")
                     .replace("seconds = 20", "seconds = 3")
@@ -85,7 +93,7 @@
                 + "\n";
     }
 
-    private Audit.Verdict play(String text, Controller.ModuleMaker maker) throws Exception {
+    private Audit.Verdict play(String text, Controller.SchedulerFactory maker) throws Exception {
         Scenario day = TomlFile.parse(text, "test.toml", Scenario::from);
         new Play(
                         day,
@@ -135,7 +143,7 @@
                         demo()
                                 + trouble("crash", 0.5, 1, 0.2, 1)
                                 + trouble("deploy", 1, 1, 0.3, 0.5),
-                        Control::new);
+                        FinishTimeScheduler::new);
         assertTrue(v.kept(), v.text());
         assertTrue(v.calls() > 200 && v.service() > 0.2, v.text());
     }
@@ -151,7 +159,7 @@
                         demo().replace("fetches_at_once = 8", "fetches_at_once = 1")
                                         .replace("refuse_over = 40", "refuse_over = 1")
                                 + trouble("crash", 0.3, 0.5, 0.5, 1),
-                        Control::new);
+                        FinishTimeScheduler::new);
         assertTrue(v.kept(), v.text());
         assertTrue(
                 v.calls() > 200 && v.attempts() > v.calls(),
@@ -166,14 +174,14 @@
                 play(
                         demo(),
                         (settings, seed) -> {
-                            Control control = new Control(settings, seed);
+                            FinishTimeScheduler control = new FinishTimeScheduler(settings, seed);
                             return (now, event, out) ->
-                                    control.on(
+                                    control.handle(
                                             now,
                                             event,
                                             a -> {
                                                 out.add(a);
-                                                if (a instanceof Send s) {
+                                                if (a instanceof ForwardAttempt s) {
                                                     sent.put(s.id(), s.invoker());
                                                 }
                                             });
@@ -219,12 +227,15 @@
                         sabotaged(
                                 new Sabotage() {
                                     @Override
-                                    public void action(long now, Action action, List<Action> out) {
+                                    public void action(
+                                            long now,
+                                            SchedulerCommand action,
+                                            List<SchedulerCommand> out) {
                                         out.add(action);
-                                        if (action instanceof Send s) {
+                                        if (action instanceof ForwardAttempt s) {
                                             known.add(s.invoker());
                                             out.add(
-                                                    new Send(
+                                                    new ForwardAttempt(
                                                             s.id(),
                                                             known.get(
                                                                     (int) (s.id() % known.size())),
@@ -245,22 +256,34 @@
                         sabotaged(
                                 new Sabotage() {
                                     @Override
-                                    public void action(long now, Action action, List<Action> out) {
+                                    public void action(
+                                            long now,
+                                            SchedulerCommand action,
+                                            List<SchedulerCommand> out) {
                                         out.add(action);
                                     }
 
                                     @Override
-                                    public void event(long now, Event event, List<Action> out) {
-                                        if (event instanceof InvokerList list) {
+                                    public void event(
+                                            long now,
+                                            SchedulerEvent event,
+                                            List<SchedulerCommand> out) {
+                                        if (event instanceof EndpointsUpdated list) {
                                             list.entries().stream()
-                                                    .filter(i -> i.state() == State.DRAINING)
+                                                    .filter(
+                                                            i ->
+                                                                    i.state()
+                                                                            == EndpointState
+                                                                                    .DRAINING)
                                                     .forEach(i -> draining.put(i.id(), now));
                                         }
                                         draining.forEach(
                                                 (id, at) -> {
                                                     if (now > at + 700_000
-                                                            && event instanceof Request) {
-                                                        out.add(new Order(id, "check-0", 1));
+                                                            && event instanceof RequestReceived) {
+                                                        out.add(
+                                                                new PreloadFunction(
+                                                                        id, "check-0", 1));
                                                     }
                                                 });
                                     }
@@ -280,22 +303,30 @@
                         sabotaged(
                                 new Sabotage() {
                                     @Override
-                                    public void action(long now, Action action, List<Action> out) {
+                                    public void action(
+                                            long now,
+                                            SchedulerCommand action,
+                                            List<SchedulerCommand> out) {
                                         out.add(
-                                                action instanceof Send s && cold[0] != null
-                                                        ? new Send(s.id(), cold[0], 0)
+                                                action instanceof ForwardAttempt s
+                                                                && cold[0] != null
+                                                        ? new ForwardAttempt(s.id(), cold[0], 0)
                                                         : action);
                                     }
 
                                     @Override
-                                    public void event(long now, Event event, List<Action> out) {
-                                        if (event instanceof InvokerList list) {
+                                    public void event(
+                                            long now,
+                                            SchedulerEvent event,
+                                            List<SchedulerCommand> out) {
+                                        if (event instanceof EndpointsUpdated list) {
                                             list.entries().stream()
                                                     .filter(
                                                             i ->
-                                                                    i.upSinceMicros() > 0
+                                                                    i.startedAtMicros() > 0
                                                                             && i.state()
-                                                                                    == State.READY)
+                                                                                    == EndpointState
+                                                                                            .READY)
                                                     .forEach(i -> cold[0] = i.id());
                                         }
                                     }
@@ -314,11 +345,16 @@
                         sabotaged(
                                 new Sabotage() {
                                     @Override
-                                    public void action(long now, Action action, List<Action> out) {
+                                    public void action(
+                                            long now,
+                                            SchedulerCommand action,
+                                            List<SchedulerCommand> out) {
                                         out.add(action);
-                                        if (action instanceof Send s) {
+                                        if (action instanceof ForwardAttempt s) {
                                             for (int i = 0; i < 4; i++) {
-                                                out.add(new Order(s.invoker(), "check-" + i, 1));
+                                                out.add(
+                                                        new PreloadFunction(
+                                                                s.invoker(), "check-" + i, 1));
                                             }
                                         }
                                     }
@@ -332,7 +368,7 @@
         Path bad = dir.resolve("bad.jsonl");
         Files.writeString(bad, "{\"t\":1}\n{\"t\":");
         IOException e =
-                org.junit.jupiter.api.Assertions.assertThrows(
+                Assertions.assertThrows(
                         IOException.class,
                         () ->
                                 Audit.of(
--- a/src/test/java/waytrestle/wire/WireHostTest.java
+++ b/src/test/java/waytrestle/bench/BenchAdapterTest.java
@@ -1,4 +1,4 @@
-package waytrestle.wire;
+package waytrestle.bench;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -9,7 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
 
-class WireHostTest {
+class BenchAdapterTest {
     private static final String UP =
             "{\"what\":\"UP\",\"seed\":3,\"params\":{\"balancers\":1,\"me\":0,\"tick_us\":4000,"
                 + "\"strange\":[1,{\"x\":null}],\"lanes\":[{\"name\":\"c\",\"idempotency\":\"read_like\",\"aim_us\":800000,"
@@ -31,7 +31,7 @@
     private String run(String in, int exit) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         int code =
-                new WireHost()
+                new BenchAdapter()
                         .run(
                                 new ByteArrayInputStream(in.getBytes(StandardCharsets.UTF_8)),
                                 out,
--- a/src/test/java/waytrestle/config/ConfigTest.java
+++ b/src/test/java/waytrestle/config/ConfigTest.java
@@ -6,13 +6,14 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.InetAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import waytrestle.ControlApi.Group;
-import waytrestle.ControlApi.Repeat;
 import waytrestle.play.Scenario;
+import waytrestle.scheduler.DeduplicationScope;
+import waytrestle.scheduler.Idempotency;
 
 /**
  * Configurations: the example loads as it says, and faults are told all at once with their lines.
@@ -44,9 +45,9 @@
     void theAnnotatedExampleLoads() throws Exception {
         GatewayConfig c = GatewayConfig.read(EXAMPLE);
         assertEquals(3, c.module().classes().size());
-        assertEquals(Repeat.KEYED, c.module().classes().get(1).repeat());
-        assertEquals(Group.CELL, c.module().classes().get(1).group());
-        assertEquals(8_000_000, c.module().classes().get(1).windowMicros());
+        assertEquals(Idempotency.KEYED, c.module().classes().get(1).idempotency());
+        assertEquals(DeduplicationScope.CELL, c.module().classes().get(1).deduplicationScope());
+        assertEquals(8_000_000, c.module().classes().get(1).deduplicationWindowMicros());
         assertEquals(500_000, c.module().rules().drainGraceMicros());
         assertEquals(8080, c.listen().getPort());
         assertEquals(1_400_000, c.functions().get("charge").loadMicros());
@@ -176,17 +177,14 @@
                         .contains("kserve.key[0].sha256: must be the SHA-256"));
         Networks set = new Networks(List.of("10.1.0.0/16", "2001:db8::/32", "192.0.2.7"));
         for (String in : new String[] {"10.1.2.3", "2001:db8::5", "192.0.2.7", "::ffff:10.1.9.9"}) {
-            assertTrue(set.contains(java.net.InetAddress.getByName(in)), in);
+            assertTrue(set.contains(InetAddress.getByName(in)), in);
         }
         for (String out : new String[] {"10.2.0.1", "2001:db9::1", "192.0.2.8"}) {
-            assertFalse(set.contains(java.net.InetAddress.getByName(out)), out);
+            assertFalse(set.contains(InetAddress.getByName(out)), out);
         }
+        assertEquals("10.1.2.0/24", Networks.network(InetAddress.getByName("10.1.2.3"), 24, 64));
         assertEquals(
-                "10.1.2.0/24",
-                Networks.network(java.net.InetAddress.getByName("10.1.2.3"), 24, 64));
-        assertEquals(
-                "2001:db8::/64",
-                Networks.network(java.net.InetAddress.getByName("2001:db8::5"), 24, 64));
+                "2001:db8::/64", Networks.network(InetAddress.getByName("2001:db8::5"), 24, 64));
     }
 
     @Test
--- a/src/test/java/waytrestle/roster/board/NoticeFuzzTest.java
+++ b/src/test/java/waytrestle/discovery/watch/WatchEventFuzzTest.java
@@ -1,27 +1,28 @@
-package waytrestle.roster.board;
+package waytrestle.discovery.watch;
 
 import com.code_intelligence.jazzer.junit.FuzzTest;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import waytrestle.wire.Json.Malformed;
+import waytrestle.json.JsonObjectReader.Malformed;
 
 /**
  * Coverage-guided fuzzing of a notice board's lines: each is an event, a number or malformed, and
  * never anything else.
  */
-class NoticeFuzzTest {
-    private final NoticeReader reader = new NoticeReader(List.of("east", "west"), List.of("std"));
+class WatchEventFuzzTest {
+    private final WatchEventReader reader =
+            new WatchEventReader(List.of("east", "west"), List.of("std"));
 
     @FuzzTest(maxDuration = "60s")
     void aLineIsReadOrMalformed(byte[] data) {
         try {
-            Notice notice = reader.line(new String(data, StandardCharsets.UTF_8));
-            if (notice.hosts() != null) {
-                notice.hosts()
+            WatchEvent notice = reader.readLine(new String(data, StandardCharsets.UTF_8));
+            if (notice.endpoints() != null) {
+                notice.endpoints()
                         .forEach(
                                 h -> {
                                     if (h.id() == null
-                                            || h.at() == null
+                                            || h.address() == null
                                             || h.state() == null
                                             || h.zone() < 0
                                             || h.kind() < 0) {
--- a/src/test/java/waytrestle/roster/board/BoardBookTest.java
+++ b/src/test/java/waytrestle/discovery/watch/WatchStateTest.java
@@ -1,4 +1,4 @@
-package waytrestle.roster.board;
+package waytrestle.discovery.watch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -7,32 +7,34 @@
 import org.junit.jupiter.api.Test;
 
 /** Numbers, order and gaps of the notice board. */
-class BoardBookTest {
-    private final BoardBook book = new BoardBook(3, 2_000_000);
+class WatchStateTest {
+    private final WatchState book = new WatchState(3, 2_000_000);
     private final List<String> came = new ArrayList<>();
     private long now = 1_000_000;
 
-    private List<String> feed(BoardBook.Event event) {
+    private List<String> feed(WatchState.Event event) {
         came.clear();
-        book.on(
+        book.handle(
                 now,
                 event,
                 a ->
                         came.add(
-                                a instanceof BoardBook.Tell t
-                                        ? "tell " + t.notice().number()
-                                        : a instanceof BoardBook.Current
+                                a instanceof WatchState.PublishEvent t
+                                        ? "tell " + t.event().revision()
+                                        : a instanceof WatchState.Current
                                                 ? "current"
-                                                : "ask " + ((BoardBook.Ask) a).after()));
+                                                : "ask "
+                                                        + ((WatchState.Reconnect) a)
+                                                                .afterRevision()));
         return List.copyOf(came);
     }
 
     private List<String> event(long number) {
-        return feed(new BoardBook.Line(new Notice(number, false, List.of())));
+        return feed(new WatchState.LineReceived(new WatchEvent(number, false, List.of())));
     }
 
     private List<String> number(long number) {
-        return feed(new BoardBook.Line(new Notice(number, false, null)));
+        return feed(new WatchState.LineReceived(new WatchEvent(number, false, null)));
     }
 
     @Test
@@ -42,13 +44,16 @@
         for (int i = 0; i < 20; i++) {
             now += 200_000;
             asked.addAll(number(2));
-            asked.addAll(feed(new BoardBook.Look()));
+            asked.addAll(feed(new WatchState.SilenceCheckDue()));
         }
         assertEquals(
                 List.of("ask 3", "ask 3"), asked, "once each time that it was silent for so long");
         number(3);
         now += 200_000;
-        assertEquals(List.of(), feed(new BoardBook.Look()), "it has come up with what was told");
+        assertEquals(
+                List.of(),
+                feed(new WatchState.SilenceCheckDue()),
+                "it has come up with what was told");
     }
 
     @Test
@@ -65,20 +70,21 @@
 
     @Test
     void aSilentBoardIsAskedAgainWellBeforeItsWordCounts() {
-        assertEquals(List.of("ask 3"), feed(new BoardBook.Moved()));
+        assertEquals(List.of("ask 3"), feed(new WatchState.AddressChanged()));
         number(3);
         now += 1_500_000;
-        assertEquals(List.of(), feed(new BoardBook.Look()), "one number may be late");
+        assertEquals(List.of(), feed(new WatchState.SilenceCheckDue()), "one number may be late");
         now += 500_000;
-        assertEquals(List.of("ask 3"), feed(new BoardBook.Look()));
-        assertEquals(List.of(), feed(new BoardBook.Look()), "asked once, then waited for");
+        assertEquals(List.of("ask 3"), feed(new WatchState.SilenceCheckDue()));
+        assertEquals(
+                List.of(), feed(new WatchState.SilenceCheckDue()), "asked once, then waited for");
         now += 2_000_000;
-        assertEquals(List.of("ask 3"), feed(new BoardBook.Look()));
+        assertEquals(List.of("ask 3"), feed(new WatchState.SilenceCheckDue()));
     }
 
     @Test
     void whatWasKnownIsCurrentOnceTheBoardHasAnsweredAndNotBefore() {
-        assertEquals(List.of("ask 3"), feed(new BoardBook.Moved()));
+        assertEquals(List.of("ask 3"), feed(new WatchState.AddressChanged()));
         assertEquals(List.of(), number(2), "it is behind what is known");
         assertEquals(List.of("ask 3"), number(4), "it knows more than it told");
         assertEquals(List.of("current"), number(3));
@@ -89,10 +95,13 @@
     @Test
     void aConnectionThatHangsAndThePauseAfterItLeaveHalfOfTheGrace() {
         for (long grace : new long[] {400_000, 1_000_000, 8_000_000}) {
-            BoardBook each = new BoardBook(3, grace);
+            WatchState each = new WatchState(3, grace);
             long[] pause = {0};
             for (int i = 0; i < 20; i++) {
-                each.on(now, new BoardBook.Broke(), a -> pause[0] = ((BoardBook.Ask) a).inMicros());
+                each.handle(
+                        now,
+                        new WatchState.ConnectionBroke(),
+                        a -> pause[0] = ((WatchState.Reconnect) a).delayMicros());
             }
             assertEquals(grace / 2, pause[0] + each.connectMicros());
         }
@@ -103,7 +112,10 @@
         long total = 0;
         for (int i = 0; i < 20; i++) {
             List<Long> pauses = new ArrayList<>();
-            book.on(now, new BoardBook.Broke(), a -> pauses.add(((BoardBook.Ask) a).inMicros()));
+            book.handle(
+                    now,
+                    new WatchState.ConnectionBroke(),
+                    a -> pauses.add(((WatchState.Reconnect) a).delayMicros()));
             assertEquals(i == 0, pauses.get(0) == 0);
             total = Math.max(total, pauses.get(0));
         }
--- a/src/test/java/waytrestle/emulator/EmulationTest.java
+++ b/src/test/java/waytrestle/emulator/EmulationTest.java
@@ -13,26 +13,26 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import waytrestle.Control;
-import waytrestle.ControlApi.*;
 import waytrestle.audit.Audit;
 import waytrestle.config.GatewayConfig;
 import waytrestle.config.TomlFile;
-import waytrestle.gateway.Controller;
+import waytrestle.controller.Controller;
 import waytrestle.play.Evidence;
 import waytrestle.play.Scenario;
+import waytrestle.scheduler.FinishTimeScheduler;
+import waytrestle.scheduler.SchedulerCommand.ForwardAttempt;
 
 /** The emulator: the same from a seed, judged like a play, large days in seconds. */
 class EmulationTest {
     @TempDir private Path dir;
 
-    private Audit.Verdict run(Scenario day, Path out, Controller.ModuleMaker maker)
+    private Audit.Verdict run(Scenario day, Path out, Controller.SchedulerFactory maker)
             throws Exception {
         return run(day, out, maker, true);
     }
 
     private Audit.Verdict run(
-            Scenario day, Path out, Controller.ModuleMaker maker, boolean overload)
+            Scenario day, Path out, Controller.SchedulerFactory maker, boolean overload)
             throws Exception {
         new Emulation(day, out, maker, overload).run(new PrintWriter(Writer.nullWriter()));
         return Audit.of(
@@ -47,9 +47,9 @@
     @Test
     void aSeedGivesTheSameDayToTheByte() throws Exception {
         Scenario day = Scenario.read(Path.of("deploy/scenarios/short-bad-day.toml"));
-        run(day, dir.resolve("a"), Control::new);
-        run(day, dir.resolve("b"), Control::new);
-        run(day.withSeed(99), dir.resolve("c"), Control::new);
+        run(day, dir.resolve("a"), FinishTimeScheduler::new);
+        run(day, dir.resolve("b"), FinishTimeScheduler::new);
+        run(day.withSeed(99), dir.resolve("c"), FinishTimeScheduler::new);
         byte[] a = Files.readAllBytes(dir.resolve("a").resolve(Evidence.FILE));
         assertArrayEquals(a, Files.readAllBytes(dir.resolve("b").resolve(Evidence.FILE)));
         assertFalse(Arrays.equals(a, Files.readAllBytes(dir.resolve("c").resolve(Evidence.FILE))));
@@ -59,7 +59,8 @@
     void theBadDayKeepsTheRulesOverManySeeds() throws Exception {
         double service = 0;
         for (long seed = 1; seed <= 20; seed++) {
-            Audit.Verdict v = run(badDay().withSeed(seed), dir.resolve("s" + seed), Control::new);
+            Audit.Verdict v =
+                    run(badDay().withSeed(seed), dir.resolve("s" + seed), FinishTimeScheduler::new);
             assertTrue(v.kept(), "seed " + seed + "\n" + v.text());
             assertTrue(v.calls() > 20_000 && v.service() > 0.5, "seed " + seed + "\n" + v.text());
             service += v.service() / 20;
@@ -74,10 +75,16 @@
         double without = 0;
         for (long seed = 3; seed <= 7; seed++) {
             Audit.Verdict v =
-                    run(badDay().withSeed(seed), dir.resolve("o" + seed), Control::new, false);
+                    run(
+                            badDay().withSeed(seed),
+                            dir.resolve("o" + seed),
+                            FinishTimeScheduler::new,
+                            false);
             assertTrue(v.kept(), "seed " + seed + "\n" + v.text());
             without += v.service();
-            with += run(badDay().withSeed(seed), dir.resolve("w" + seed), Control::new).service();
+            with +=
+                    run(badDay().withSeed(seed), dir.resolve("w" + seed), FinishTimeScheduler::new)
+                            .service();
         }
         assertTrue(with > without, with / 5 + " with, " + without / 5 + " without");
     }
@@ -94,7 +101,7 @@
                 run(
                         TomlFile.parse(text, "large.toml", Scenario::from),
                         dir.resolve("large"),
-                        Control::new);
+                        FinishTimeScheduler::new);
         assertTrue(v.kept(), v.text());
         assertTrue(v.calls() > 40_000, v.text());
     }
@@ -107,19 +114,19 @@
                         badDay().withSeed(3),
                         dir.resolve("broken"),
                         (settings, seed) -> {
-                            Control control = new Control(settings, seed);
+                            FinishTimeScheduler control = new FinishTimeScheduler(settings, seed);
                             Map<Long, String> first = new HashMap<>();
                             return (now, event, out) ->
-                                    control.on(
+                                    control.handle(
                                             now,
                                             event,
                                             a -> {
                                                 out.add(a);
-                                                if (a instanceof Send s
+                                                if (a instanceof ForwardAttempt s
                                                         && first.put(s.id(), s.invoker()) == null
                                                         && first.size() % 7 == 0) {
                                                     out.add(
-                                                            new Send(
+                                                            new ForwardAttempt(
                                                                     s.id(),
                                                                     first.values()
                                                                             .iterator()
--- a/src/test/java/waytrestle/front/kserve/InferCheckTest.java
+++ b/src/test/java/waytrestle/front/kserve/InferCheckTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -17,7 +19,7 @@
 class InferCheckTest {
     private static InferCheck.Checked check(String json, byte... binary) throws InferCheck.Fault {
         byte[] head = json.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
-        byte[] all = java.util.Arrays.copyOf(head, head.length + binary.length);
+        byte[] all = Arrays.copyOf(head, head.length + binary.length);
         System.arraycopy(binary, 0, all, head.length, binary.length);
         return InferCheck.check(Bytes.of(all), head.length);
     }
@@ -201,7 +203,7 @@
                         .replace('\'', '"')
                         .getBytes();
         int json = all.length;
-        all = java.util.Arrays.copyOf(all, json + 10);
+        all = Arrays.copyOf(all, json + 10);
         all[json] = 1;
         for (int i = random.nextInt(4); i > 0; i--) {
             all[random.nextInt(all.length)] = (byte) random.nextInt(256);
@@ -212,9 +214,9 @@
                 whole,
                 end(
                         Bytes.of(
-                                java.util.List.of(
-                                        java.util.Arrays.copyOf(all, cut),
-                                        java.util.Arrays.copyOfRange(all, cut, all.length)),
+                                List.of(
+                                        Arrays.copyOf(all, cut),
+                                        Arrays.copyOfRange(all, cut, all.length)),
                                 all.length - cut),
                         json));
     }
--- a/src/test/java/waytrestle/front/kserve/InferFuzzTest.java
+++ b/src/test/java/waytrestle/front/kserve/InferFuzzTest.java
@@ -1,6 +1,7 @@
 package waytrestle.front.kserve;
 
 import com.code_intelligence.jazzer.junit.FuzzTest;
+import java.util.Arrays;
 import waytrestle.Bytes;
 import waytrestle.front.webhook.FunctionPointer;
 
@@ -15,7 +16,7 @@
             return;
         }
         int json = Math.min(data.length - 1, data[0] & 0xFF);
-        byte[] body = java.util.Arrays.copyOfRange(data, 1, data.length);
+        byte[] body = Arrays.copyOfRange(data, 1, data.length);
         try {
             InferCheck.check(Bytes.of(body), json);
         } catch (InferCheck.Fault expected) {
--- a/src/test/java/waytrestle/gateway/ModuleHostTest.java
+++ b/src/test/java/waytrestle/gateway/ControllerTest.java
@@ -11,24 +11,55 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import waytrestle.ControlApi.*;
+import waytrestle.controller.Controller;
+import waytrestle.net.Loop;
+import waytrestle.requests.PendingRequests;
+import waytrestle.scheduler.ResponseCode;
+import waytrestle.scheduler.SchedulerCommand.CancelAttempt;
+import waytrestle.scheduler.SchedulerCommand.CheckHealth;
+import waytrestle.scheduler.SchedulerCommand.CloseIdleConnections;
+import waytrestle.scheduler.SchedulerCommand.FailRequest;
+import waytrestle.scheduler.SchedulerCommand.FetchEndpoints;
+import waytrestle.scheduler.SchedulerCommand.ForwardAttempt;
+import waytrestle.scheduler.SchedulerCommand.LogMessage;
+import waytrestle.scheduler.SchedulerCommand.PreloadFunction;
+import waytrestle.scheduler.SchedulerCommand.SendGossip;
+import waytrestle.scheduler.SchedulerCommand.SetTimer;
+import waytrestle.scheduler.SchedulerCommand.Sink;
+import waytrestle.scheduler.SchedulerCommand.SubscribeToEndpoints;
+import waytrestle.scheduler.SchedulerCommand.UnloadFunction;
+import waytrestle.scheduler.SchedulerEvent;
+import waytrestle.scheduler.SchedulerEvent.AttemptCompleted;
+import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
+import waytrestle.scheduler.SchedulerEvent.GossipReceived;
+import waytrestle.scheduler.SchedulerEvent.HealthCheckCompleted;
+import waytrestle.scheduler.SchedulerEvent.PreloadCompleted;
+import waytrestle.scheduler.SchedulerEvent.RequestAbandoned;
+import waytrestle.scheduler.SchedulerEvent.RequestReceived;
+import waytrestle.scheduler.SchedulerEvent.TimerExpired;
+import waytrestle.scheduler.SchedulerTimer;
+import waytrestle.scheduler.SchedulerTimer.RequestDeadline;
+import waytrestle.scheduler.StartKind;
 
 /**
  * The module's host: every kind of action is carried out, every kind of end is told, a failed
  * decision is survived.
  */
-class ModuleHostTest {
+class ControllerTest {
+    private static final SchedulerTimer MINE = new RequestDeadline(77);
+
     private interface Decision {
-        void on(Event event, Actions out);
+        void on(SchedulerEvent event, Sink out);
     }
 
-    private final List<Event> events = Collections.synchronizedList(new ArrayList<>());
+    private final List<SchedulerEvent> events = Collections.synchronizedList(new ArrayList<>());
 
-    private Controller.ModuleMaker scripted(Decision decision) {
+    private Controller.SchedulerFactory scripted(Decision decision) {
         return (settings, seed) ->
                 (now, event, out) -> {
                     events.add(event);
@@ -36,7 +67,7 @@
                 };
     }
 
-    private <T extends Event> List<T> seen(Class<T> type) {
+    private <T extends SchedulerEvent> List<T> seen(Class<T> type) {
         synchronized (events) {
             return events.stream().filter(type::isInstance).map(type::cast).toList();
         }
@@ -44,7 +75,7 @@
 
     @Test
     void everyKindOfActionIsCarriedOut() throws Exception {
-        try (GatewayBed bed = new GatewayBed(1);
+        try (GatewayFixture bed = new GatewayFixture(1);
                 DatagramSocket peer = new DatagramSocket(0, InetAddress.getLoopbackAddress());
                 DatagramSocket stranger = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
             peer.setSoTimeout(5_000);
@@ -90,39 +121,40 @@
                             + "\"\n",
                     scripted(
                             (event, out) -> {
-                                if (event instanceof Request r) {
-                                    out.add(new Log("one line"));
-                                    out.add(new Order(to, "f", 3));
-                                    out.add(new Order(to, "f", 0));
-                                    out.add(new Unload(to, "f"));
-                                    out.add(new Probe(to));
-                                    out.add(new CloseIdle(to));
-                                    out.add(new TellPeer(-1, new byte[] {5, 6}));
-                                    out.add(new FetchList());
-                                    out.add(new Subscribe(true));
-                                    out.add(new SetTimer(1_000, "mine"));
-                                    out.add(new Send(r.id(), to, 0));
+                                if (event instanceof RequestReceived r) {
+                                    out.add(new LogMessage("one line"));
+                                    out.add(new PreloadFunction(to, "f", 3));
+                                    out.add(new PreloadFunction(to, "f", 0));
+                                    out.add(new UnloadFunction(to, "f"));
+                                    out.add(new CheckHealth(to));
+                                    out.add(new CloseIdleConnections(to));
+                                    out.add(new SendGossip(-1, new byte[] {5, 6}));
+                                    out.add(new FetchEndpoints());
+                                    out.add(new SubscribeToEndpoints(true));
+                                    out.add(new SetTimer(1_000, MINE));
+                                    out.add(new ForwardAttempt(r.id(), to, 0));
                                 }
                             }));
             HttpResponse<String> r = bed.await("seat-charge", "m");
             assertEquals("ran", r.body());
-            GatewayBed.until(
+            GatewayFixture.until(
                     () ->
-                            seen(OrderEnded.class).size() == 2
-                                    && seen(ProbeEnded.class).size() == 1
-                                    && seen(TimerFired.class).size() == 1
-                                    && seen(InvokerList.class).size() == 2,
+                            seen(PreloadCompleted.class).size() == 2
+                                    && seen(HealthCheckCompleted.class).size() == 1
+                                    && seen(TimerExpired.class).size() == 1
+                                    && seen(EndpointsUpdated.class).size() == 2,
                     "all that was asked");
             assertEquals(
                     List.of(3, 2),
-                    seen(OrderEnded.class).stream()
-                            .sorted(java.util.Comparator.comparing(o -> -o.copies()))
-                            .map(OrderEnded::copies)
+                    seen(PreloadCompleted.class).stream()
+                            .sorted(Comparator.comparing(o -> -o.instances()))
+                            .map(PreloadCompleted::instances)
                             .toList());
-            assertEquals(Map.of("queue", 9.0), seen(ProbeEnded.class).get(0).report());
-            assertEquals("mine", seen(TimerFired.class).get(0).tag());
-            assertTrue(seen(InvokerList.class).get(1).whole(), "the list fetched");
-            GatewayBed.until(
+            assertEquals(
+                    Map.of("queue", 9.0), seen(HealthCheckCompleted.class).get(0).loadReport());
+            assertEquals(MINE, seen(TimerExpired.class).get(0).timer());
+            assertTrue(seen(EndpointsUpdated.class).get(1).snapshot(), "the list fetched");
+            GatewayFixture.until(
                     () -> bed.asked.stream().anyMatch(a -> a.path().endsWith("/unload")),
                     "the unload");
             DatagramPacket packet = new DatagramPacket(new byte[300], 300);
@@ -138,13 +170,13 @@
                     new DatagramPacket(hello, hello.length, InetAddress.getLoopbackAddress(), own);
             stranger.send(back);
             peer.send(back);
-            GatewayBed.until(() -> !seen(PeerSaid.class).isEmpty(), "the peer's word");
-            assertArrayEquals(new byte[] {7, 8, 9}, seen(PeerSaid.class).get(0).message());
-            assertEquals(1, seen(PeerSaid.class).size(), "a stranger's word is dropped");
-            Request request = seen(Request.class).get(0);
-            assertEquals(-1, seen(AttemptEnded.class).get(0).company());
-            assertEquals(Start.WARM, seen(AttemptEnded.class).get(0).start());
-            assertTrue(seen(AttemptEnded.class).get(0).isFinal());
+            GatewayFixture.until(() -> !seen(GossipReceived.class).isEmpty(), "the peer's word");
+            assertArrayEquals(new byte[] {7, 8, 9}, seen(GossipReceived.class).get(0).message());
+            assertEquals(1, seen(GossipReceived.class).size(), "a stranger's word is dropped");
+            RequestReceived request = seen(RequestReceived.class).get(0);
+            assertEquals(-1, seen(AttemptCompleted.class).get(0).concurrentRequests());
+            assertEquals(StartKind.WARM, seen(AttemptCompleted.class).get(0).start());
+            assertTrue(seen(AttemptCompleted.class).get(0).isFinal());
             assertEquals(0, request.tenant());
         }
     }
@@ -160,32 +192,32 @@
      */
     @Test
     void everyWayAnAttemptEndsIsToldByItsCode() throws Exception {
-        try (GatewayBed bed = new GatewayBed(1)) {
+        try (GatewayFixture bed = new GatewayFixture(1)) {
             String to = bed.invokers.get(0);
-            Map<String, Code> expected =
+            Map<String, ResponseCode> expected =
                     new HashMap<>(
                             Map.of(
                                     "ok",
-                                    Code.OK,
+                                    ResponseCode.OK,
                                     "full",
-                                    Code.FULL,
+                                    ResponseCode.FULL,
                                     "busy",
-                                    Code.FULL,
+                                    ResponseCode.FULL,
                                     "miss",
-                                    Code.MISS,
+                                    ResponseCode.NOT_LOADED,
                                     "error",
-                                    Code.ERROR,
+                                    ResponseCode.ERROR,
                                     "garbage",
-                                    Code.ERROR,
+                                    ResponseCode.ERROR,
                                     "reset",
-                                    Code.RESET,
+                                    ResponseCode.RESET,
                                     "silent",
-                                    Code.TIMEOUT,
+                                    ResponseCode.TIMEOUT,
                                     "gone",
-                                    Code.CONNECT_FAILED,
+                                    ResponseCode.CONNECT_FAILED,
                                     "moot",
-                                    Code.MOOT));
-            expected.put("cancel", Code.CANCELLED);
+                                    ResponseCode.NOT_SENT));
+            expected.put("cancel", ResponseCode.CANCELLED);
             bed.script =
                     a -> {
                         String what = a.id().substring(a.id().indexOf(' ') + 1);
@@ -206,16 +238,16 @@
                         }
                     };
             Map<Long, String> names = Collections.synchronizedMap(new HashMap<>());
-            Map<String, Code> got = Collections.synchronizedMap(new HashMap<>());
+            Map<String, ResponseCode> got = Collections.synchronizedMap(new HashMap<>());
             bed.start(
                     bed.text(false),
                     scripted(
                             (event, out) -> {
-                                if (event instanceof Request r) {
+                                if (event instanceof RequestReceived r) {
                                     names.put(r.id(), r.function());
-                                    long soon = waytrestle.net.Loop.now();
+                                    long soon = Loop.now();
                                     out.add(
-                                            new Send(
+                                            new ForwardAttempt(
                                                     r.id(),
                                                     r.function().equals("gone")
                                                             ? "127.0.0.1:1"
@@ -224,27 +256,31 @@
                                                             ? soon + 50_000
                                                             : r.function().equals("moot") ? 1 : 0));
                                     if (r.function().equals("cancel")) {
-                                        out.add(new SetTimer(50_000, "c" + r.id()));
+                                        out.add(new SetTimer(50_000, new RequestDeadline(r.id())));
                                     }
-                                } else if (event instanceof TimerFired t
-                                        && t.tag().startsWith("c")) {
-                                    out.add(new Cancel(Long.parseLong(t.tag().substring(1)), 0));
-                                } else if (event instanceof AttemptEnded e) {
+                                } else if (event instanceof TimerExpired t
+                                        && t.timer() instanceof RequestDeadline deadline) {
+                                    out.add(new CancelAttempt(deadline.requestId(), 0));
+                                } else if (event instanceof AttemptCompleted e) {
                                     got.put(names.get(e.id()), e.code());
                                     if (!e.isFinal()) {
-                                        out.add(new Fail(e.id()));
+                                        out.add(new FailRequest(e.id()));
                                     }
                                 }
                             }));
             for (String each : expected.keySet()) {
                 HttpResponse<String> r =
                         bed.http.send(
-                                bed.signed("seat-charge", each, bed.soon(), GatewayBed.body(each))
+                                bed.signed(
+                                                "seat-charge",
+                                                each,
+                                                bed.soon(),
+                                                GatewayFixture.body(each))
                                         .build(),
                                 HttpResponse.BodyHandlers.ofString());
                 Map<String, Integer> statuses = Map.of("ok", 200, "error", 500, "miss", 404);
                 assertEquals(statuses.getOrDefault(each, 502), r.statusCode(), each + r.body());
-                boolean proved = waytrestle.calls.Desk.proved(expected.get(each));
+                boolean proved = PendingRequests.provesNotRun(expected.get(each));
                 assertTrue(
                         each.equals("ok")
                                 || each.equals("error")
@@ -265,17 +301,17 @@
 
     @Test
     void aFailedDecisionFailsItsCallAloneAndTooManyStopTheProcess() throws Exception {
-        try (GatewayBed bed = new GatewayBed(1)) {
+        try (GatewayFixture bed = new GatewayFixture(1)) {
             String to = bed.invokers.get(0);
             bed.start(
                     bed.text(false).replace("most = 10", "most = 2"),
                     scripted(
                             (event, out) -> {
-                                if (event instanceof Request r) {
+                                if (event instanceof RequestReceived r) {
                                     if (r.function().equals("bad")) {
                                         throw new IllegalStateException("scripted");
                                     }
-                                    out.add(new Send(r.id(), to, 0));
+                                    out.add(new ForwardAttempt(r.id(), to, 0));
                                 }
                             }));
             for (int i = 0; i < 3; i++) {
@@ -286,7 +322,7 @@
                                                 "seat-charge",
                                                 "bad" + i,
                                                 bed.soon(),
-                                                GatewayBed.body("bad"))
+                                                GatewayFixture.body("bad"))
                                         .build(),
                                 HttpResponse.BodyHandlers.ofString());
                 assertEquals(500, r.statusCode());
@@ -302,7 +338,7 @@
      */
     @Test
     void aModuleThatNeverDecidesLosesNoCall() throws Exception {
-        try (GatewayBed bed = new GatewayBed(1)) {
+        try (GatewayFixture bed = new GatewayFixture(1)) {
             bed.start(
                     bed.text(false)
                             .replace(
@@ -310,7 +346,7 @@
                                     "deadline_ms = 1300\nworth = 2"),
                     scripted((event, out) -> {}));
             assertEquals(504, bed.await("seat-charge", "m").statusCode());
-            assertEquals(1, seen(RequestGone.class).size());
+            assertEquals(1, seen(RequestAbandoned.class).size());
         }
     }
 }
--- a/src/test/java/waytrestle/gateway/FleetTest.java
+++ b/src/test/java/waytrestle/gateway/FleetTest.java
@@ -4,20 +4,31 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.PosixFilePermissions;
+import java.security.MessageDigest;
 import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import waytrestle.Control;
+import waytrestle.access.AccessLine;
+import waytrestle.config.ConfigError;
+import waytrestle.config.GatewayConfig;
+import waytrestle.config.TomlFile;
+import waytrestle.scheduler.FinishTimeScheduler;
 import waytrestle.standin.OddInvoker;
 
 /**
@@ -26,7 +37,7 @@
  */
 class FleetTest {
     private final List<OddInvoker> fleet = new ArrayList<>();
-    private GatewayBed bed;
+    private GatewayFixture bed;
     private int ids;
 
     @BeforeEach
@@ -34,7 +45,7 @@
         for (int i = 0; i < 3; i++) {
             fleet.add(new OddInvoker(2));
         }
-        bed = new GatewayBed(fleet.stream().map(OddInvoker::address).toList());
+        bed = new GatewayFixture(fleet.stream().map(OddInvoker::address).toList());
     }
 
     @AfterEach
@@ -51,7 +62,8 @@
 
     private CompletableFuture<HttpResponse<String>> send(String endpoint, String function) {
         return bed.http.sendAsync(
-                bed.signed(endpoint, "m" + ids++, bed.soon(), GatewayBed.body(function)).build(),
+                bed.signed(endpoint, "m" + ids++, bed.soon(), GatewayFixture.body(function))
+                        .build(),
                 HttpResponse.BodyHandlers.ofString());
     }
 
@@ -65,7 +77,7 @@
 
     private String start(String from, String to) throws Exception {
         String text = bed.text(false).replace(from, to);
-        bed.start(text, Control::new);
+        bed.start(text, FinishTimeScheduler::new);
         return text;
     }
 
@@ -75,11 +87,12 @@
         start(
                 "retries_per_s = 10 ",
                 "retries_per_s = 100000 "); // every one of them here needs its second try
-        Map<Integer, CompletableFuture<HttpResponse<String>>> all = new java.util.TreeMap<>();
+        Map<Integer, CompletableFuture<HttpResponse<String>>> all = new TreeMap<>();
         for (int status = 100; status < 600; status = status == 103 ? 200 : status + 1) {
             String function = "s" + status + (status % 2 == 0 ? "" : "e");
             HttpRequest.Builder request =
-                    bed.signed("seat-check", "s" + status, bed.soon(), GatewayBed.body(function));
+                    bed.signed(
+                            "seat-check", "s" + status, bed.soon(), GatewayFixture.body(function));
             all.put(
                     status,
                     bed.http.sendAsync(
@@ -147,7 +160,7 @@
                                                 "seat-check",
                                                 "slow",
                                                 bed.soon(),
-                                                GatewayBed.body("trickle"))
+                                                GatewayFixture.body("trickle"))
                                         .header("Prefer", "wait=1")
                                         .build(),
                                 HttpResponse.BodyHandlers.ofString())
@@ -164,7 +177,7 @@
         assertEquals(1, attempts("s500"));
         HttpResponse<String> again =
                 bed.http.send(
-                        bed.signed("seat-charge", "m0", bed.soon(), GatewayBed.body("s500"))
+                        bed.signed("seat-charge", "m0", bed.soon(), GatewayFixture.body("s500"))
                                 .build(),
                         HttpResponse.BodyHandlers.ofString());
         assertEquals(r.body(), again.body(), "the same id is given the same end");
@@ -220,7 +233,7 @@
         assertTrue(attempts("heals") <= 20, attempts("heals") + " attempts");
         assertEquals(40, attempts("f"));
         fleet.forEach(i -> i.healsAt(0));
-        GatewayBed.until(
+        GatewayFixture.until(
                 () -> {
                     try {
                         return call("seat-check", "heals").statusCode() == 200;
@@ -307,10 +320,8 @@
     void theKserveFrontPassesTheModelsErrorOnInTheProtocolsForm() throws Exception {
         String key = "a-bearer-key";
         String hash =
-                java.util.HexFormat.of()
-                        .formatHex(
-                                java.security.MessageDigest.getInstance("SHA-256")
-                                        .digest(key.getBytes()));
+                HexFormat.of()
+                        .formatHex(MessageDigest.getInstance("SHA-256").digest(key.getBytes()));
         start("8f0e3bd1c1ebc5b3a8a2f1f2a4e7d6c9b0a1928374655647382910afbecd1234", hash);
         String body =
                 "{\"inputs\":[{\"name\":\"x\",\"datatype\":\"INT32\",\"shape\":[1],\"data\":[1]}]}";
@@ -349,9 +360,7 @@
 
     private HttpResponse<String> kserve(String path, String key, String body) throws Exception {
         HttpRequest.Builder request =
-                HttpRequest.newBuilder(
-                                java.net.URI.create(
-                                        "http://127.0.0.1:" + bed.gateway.port() + path))
+                HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + bed.gateway.port() + path))
                         .header("Authorization", "Bearer " + key);
         return bed.http.send(
                 body == null
@@ -363,14 +372,16 @@
     @Test
     void theAccessLogTellsEachCallOnceAndHidesItsId(@TempDir Path dir) throws Exception {
         Path log = dir.resolve("access.jsonl");
-        bed.start(bed.text(false) + "\n[access_log]\nfile = \"" + log + "\"\n", Control::new);
+        bed.start(
+                bed.text(false) + "\n[access_log]\nfile = \"" + log + "\"\n",
+                FinishTimeScheduler::new);
         call("seat-check", "f");
         call("seat-check", "s500");
         Path moved = dir.resolve("access.1");
-        GatewayBed.until(() -> lines(log) == 2, "two lines");
+        GatewayFixture.until(() -> lines(log) == 2, "two lines");
         Files.move(log, moved);
         assertTrue(bed.gateway.reload());
-        GatewayBed.until(() -> Files.exists(log), "the new file");
+        GatewayFixture.until(() -> Files.exists(log), "the new file");
         call("seat-check", "s400");
         bed.gateway.stop();
         bed.gateway.join(10_000);
@@ -384,9 +395,7 @@
         assertTrue(
                 all.get(0).contains("\"estimate_us\":") && !all.get(0).contains("m0\""),
                 all.get(0));
-        assertTrue(
-                all.get(0).contains(waytrestle.access.AccessLine.hash("/hooks/seat-check m0")),
-                all.get(0));
+        assertTrue(all.get(0).contains(AccessLine.hash("/hooks/seat-check m0")), all.get(0));
         assertTrue(
                 all.get(1)
                         .matches(".*\"reason\":\"function\".*\"said\":\"500\".*\"said\":\"500\".*"),
@@ -397,35 +406,36 @@
     private static int lines(Path file) {
         try {
             return Files.exists(file) ? Files.readAllLines(file).size() : 0;
-        } catch (java.io.IOException e) {
+        } catch (IOException e) {
             return 0;
         }
     }
 
     @Test
     void secretsInAFileAreChangedWithoutLosingACall(@TempDir Path dir) throws Exception {
-        String other = "whsec_" + java.util.Base64.getEncoder().encodeToString(new byte[32]);
+        String other = "whsec_" + Base64.getEncoder().encodeToString(new byte[32]);
         Path file = dir.resolve("secrets");
-        Files.writeString(file, "# the second while it is changed\n" + GatewayBed.SECRET + "\n");
+        Files.writeString(
+                file, "# the second while it is changed\n" + GatewayFixture.SECRET + "\n");
         Files.setPosixFilePermissions(file, PosixFilePermissions.fromString("rw-------"));
         String text =
                 bed.text(false)
                         .replace(
                                 "secrets = [\""
-                                        + GatewayBed.SECRET
+                                        + GatewayFixture.SECRET
                                         + "\"]  # several while one is changed; whpk_ for Ed25519",
                                 "secrets_file = \"" + file + "\"");
-        bed.start(text, Control::new);
+        bed.start(text, FinishTimeScheduler::new);
         assertEquals(200, call("seat-check", "f").statusCode());
         Files.writeString(file, "nonsense\n");
         assertFalse(bed.gateway.reload(), "a file with a fault changes nothing");
         assertEquals(200, call("seat-check", "f").statusCode());
         CompletableFuture<HttpResponse<String>> under = send("seat-check", "f");
-        GatewayBed.until(() -> attempts("f") == 3, "the call that is under way");
+        GatewayFixture.until(() -> attempts("f") == 3, "the call that is under way");
         Files.writeString(file, other + "\n");
         assertTrue(bed.gateway.reload());
         assertEquals(200, under.get().statusCode());
-        GatewayBed.until(
+        GatewayFixture.until(
                 () -> {
                     try {
                         return call("seat-check", "f").statusCode() == 401;
@@ -435,12 +445,10 @@
                 },
                 "the old secret's end");
         Files.setPosixFilePermissions(file, PosixFilePermissions.fromString("rw-r--r--"));
-        waytrestle.config.ConfigError wrong =
-                org.junit.jupiter.api.Assertions.assertThrows(
-                        waytrestle.config.ConfigError.class,
-                        () ->
-                                waytrestle.config.TomlFile.parse(
-                                        text, "x.toml", waytrestle.config.GatewayConfig::from));
+        ConfigError wrong =
+                Assertions.assertThrows(
+                        ConfigError.class,
+                        () -> TomlFile.parse(text, "x.toml", GatewayConfig::from));
         assertTrue(wrong.faults().get(0).contains("chmod 600"), wrong.faults().toString());
     }
 }
--- a/src/test/java/waytrestle/gateway/GatewayBed.java
+++ b/src/test/java/waytrestle/gateway/GatewayFixture.java
@@ -3,31 +3,37 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
-import waytrestle.Control;
 import waytrestle.config.GatewayConfig;
 import waytrestle.config.TomlFile;
+import waytrestle.controller.Controller;
 import waytrestle.front.webhook.Signatures;
 import waytrestle.http.HttpLimits;
 import waytrestle.http.HttpServer;
 import waytrestle.net.Loop;
+import waytrestle.scheduler.FinishTimeScheduler;
 import waytrestle.standin.RosterStandIn;
 
 /**
  * A gateway in this process with scripted invokers on loopback and signed calls of the JDK's
  * client.
  */
-final class GatewayBed implements AutoCloseable {
+final class GatewayFixture implements AutoCloseable {
     static final String SECRET = "whsec_MfKQ9r8GKYqrTwjUPD8ILPZIo2LaLaSw";
 
     /** What an invoker was asked, with the exchange to answer it by. */
@@ -73,10 +79,7 @@
     final List<Throwable> broken = Collections.synchronizedList(new ArrayList<>());
     final List<String> invokers = new ArrayList<>();
     final Loop loop = new Loop("invokers", broken::add);
-    final java.net.http.HttpClient http =
-            java.net.http.HttpClient.newBuilder()
-                    .version(java.net.http.HttpClient.Version.HTTP_1_1)
-                    .build();
+    final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     final List<HttpServer> servers = new ArrayList<>();
     volatile Script script = a -> a.ok("done");
     RosterStandIn roster;
@@ -86,12 +89,12 @@
     int rosterPort;
 
     /** Over invokers that stand elsewhere. */
-    GatewayBed(List<String> addresses) throws Exception {
+    GatewayFixture(List<String> addresses) throws Exception {
         loop.start();
         invokers.addAll(addresses);
     }
 
-    GatewayBed(int count) throws Exception {
+    GatewayFixture(int count) throws Exception {
         loop.start();
         for (int i = 0; i < count; i++) {
             String[] id = {""};
@@ -125,7 +128,7 @@
             int json = Integer.parseInt(length);
             String text = new String(body, 0, json, StandardCharsets.UTF_8);
             id = text.substring(7, text.indexOf('"', 7));
-            payload = java.util.Arrays.copyOfRange(body, json + 4, body.length);
+            payload = Arrays.copyOfRange(body, json + 4, body.length);
         }
         String attempt = e.message().header("waytrestle-attempt");
         return new Asked(
@@ -147,7 +150,7 @@
     /** The example's settings with other addresses; cells alternate between invokers. */
     String text(boolean withRoster) throws Exception {
         String text =
-                java.nio.file.Files.readString(java.nio.file.Path.of("deploy/gateway.example.toml"))
+                Files.readString(Path.of("deploy/gateway.example.toml"))
                                 .replace("127.0.0.1:8080", "127.0.0.1:0")
                                 .replace("127.0.0.1:9090", "127.0.0.1:0")
                                 .replace("warm_after_ms = 14000", "warm_after_ms = 0")
@@ -178,7 +181,7 @@
         return out.toString();
     }
 
-    GatewayBed startRoster() throws Exception {
+    GatewayFixture startRoster() throws Exception {
         roster = new RosterStandIn(loop, 0, (who, what, pairs) -> {});
         rosterPort = roster.port();
         for (String id : invokers) {
@@ -195,11 +198,11 @@
                                         id, "north-building", 0, "small-3core", state, 0)));
     }
 
-    GatewayBed start() throws Exception {
-        return start(text(roster != null), Control::new);
+    GatewayFixture start() throws Exception {
+        return start(text(roster != null), FinishTimeScheduler::new);
     }
 
-    GatewayBed start(String text, Controller.ModuleMaker maker) throws Exception {
+    GatewayFixture start(String text, Controller.SchedulerFactory maker) throws Exception {
         config = TomlFile.parse(text, "bed.toml", GatewayConfig::from);
         gateway = Gateway.start(config, maker, wall);
         for (int i = 0;
@@ -253,8 +256,7 @@
     }
 
     /** Waits for what must come; the bound is only for when it does not. */
-    static void until(java.util.function.BooleanSupplier condition, String what)
-            throws InterruptedException {
+    static void until(BooleanSupplier condition, String what) throws InterruptedException {
         for (int i = 0; i < 1_500; i++) {
             if (condition.getAsBoolean()) {
                 return;
--- a/src/test/java/waytrestle/gateway/GatewayTest.java
+++ b/src/test/java/waytrestle/gateway/GatewayTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
+import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
@@ -17,8 +18,10 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
-import waytrestle.Control;
+import waytrestle.front.webhook.Signatures;
+import waytrestle.http.HttpServer;
 import waytrestle.net.Loop;
+import waytrestle.scheduler.FinishTimeScheduler;
 
 /** The whole path over sockets, with the troubles it is built for. */
 class GatewayTest {
@@ -28,13 +31,13 @@
 
     @Test
     void aSignedCallIsRunAndItsAnswerComesBack() throws Exception {
-        try (GatewayBed bed = new GatewayBed(2).start()) {
+        try (GatewayFixture bed = new GatewayFixture(2).start()) {
             HttpResponse<String> r = bed.await("seat-check", "m1");
             assertEquals(200, r.statusCode());
             assertEquals("done", r.body());
             assertEquals("text/plain", header(r, "content-type"));
             assertEquals(1, bed.infers().size());
-            assertEquals(GatewayBed.body("f"), new String(bed.infers().get(0).payload()));
+            assertEquals(GatewayFixture.body("f"), new String(bed.infers().get(0).payload()));
             assertEquals("/v2/models/f/infer", bed.infers().get(0).path());
             String metrics = bed.page("/metrics").body();
             assertTrue(
@@ -48,10 +51,12 @@
 
     @Test
     void whatIsNoProperCallIsTurnedAwayWithItsReason() throws Exception {
-        try (GatewayBed bed = new GatewayBed(1)) {
-            bed.start(bed.text(false).replace("accept = true", "accept = false"), Control::new);
+        try (GatewayFixture bed = new GatewayFixture(1)) {
+            bed.start(
+                    bed.text(false).replace("accept = true", "accept = false"),
+                    FinishTimeScheduler::new);
             long now = bed.soon();
-            String body = GatewayBed.body("charge");
+            String body = GatewayFixture.body("charge");
             Map<HttpRequest, String> cases =
                     Map.of(
                             bed.signed("none", "a", now, body).build(),
@@ -76,9 +81,10 @@
                             "401 signature",
                             bed.signed("seat-check", "a", now, "{}").build(),
                             "400 function",
-                            bed.signed("seat-check", "a", now, GatewayBed.body("../x")).build(),
+                            bed.signed("seat-check", "a", now, GatewayFixture.body("../x")).build(),
                             "400 function",
-                            bed.signed("seat-check", "a", now, GatewayBed.body("other")).build(),
+                            bed.signed("seat-check", "a", now, GatewayFixture.body("other"))
+                                    .build(),
                             "404 unknown-function");
             for (Map.Entry<HttpRequest, String> each : cases.entrySet()) {
                 HttpResponse<String> r =
@@ -98,17 +104,18 @@
 
     @Test
     void aReplayWhileOpenJoinsAndAfterItsEndIsGivenTheSame() throws Exception {
-        try (GatewayBed bed = new GatewayBed(2).start()) {
-            List<GatewayBed.Asked> held = new ArrayList<>();
+        try (GatewayFixture bed = new GatewayFixture(2).start()) {
+            List<GatewayFixture.Asked> held = new ArrayList<>();
             bed.script = held::add;
             HttpRequest request =
-                    bed.signed("seat-charge", "m1", bed.soon(), GatewayBed.body("f")).build();
+                    bed.signed("seat-charge", "m1", bed.soon(), GatewayFixture.body("f")).build();
             List<CompletableFuture<HttpResponse<String>>> all = new ArrayList<>();
             for (int i = 0; i < 5; i++) {
                 all.add(bed.http.sendAsync(request, HttpResponse.BodyHandlers.ofString()));
             }
-            GatewayBed.until(() -> bed.infers().size() == 1, "the attempt");
-            GatewayBed.until(() -> metric(bed, "waytrestle_connections") >= 5, "five connections");
+            GatewayFixture.until(() -> bed.infers().size() == 1, "the attempt");
+            GatewayFixture.until(
+                    () -> metric(bed, "waytrestle_connections") >= 5, "five connections");
             bed.loop.execute(() -> held.get(0).ok("once"));
             for (CompletableFuture<HttpResponse<String>> each : all) {
                 assertEquals("once", each.get().body());
@@ -118,14 +125,14 @@
             assertEquals(1, bed.infers().size(), "never a second attempt");
             HttpResponse<String> other =
                     bed.http.send(
-                            bed.signed("seat-charge", "m1", bed.soon(), GatewayBed.body("g"))
+                            bed.signed("seat-charge", "m1", bed.soon(), GatewayFixture.body("g"))
                                     .build(),
                             HttpResponse.BodyHandlers.ofString());
             assertEquals(422, other.statusCode());
         }
     }
 
-    private static double metric(GatewayBed bed, String name) {
+    private static double metric(GatewayFixture bed, String name) {
         try {
             return bed.page("/metrics")
                     .body()
@@ -141,13 +148,13 @@
 
     @Test
     void afterARestartWhatWasSignedBeforeItIsNotRunAgainUnlessSafe() throws Exception {
-        try (GatewayBed bed = new GatewayBed(2)) {
+        try (GatewayFixture bed = new GatewayFixture(2)) {
             AtomicLong wall = new AtomicLong(System.currentTimeMillis());
             bed.wall = wall::get;
             bed.start();
             HttpRequest.Builder[] signed = {
-                bed.signed("seat-charge", "m", bed.soon(), GatewayBed.body("f")),
-                bed.signed("seat-check", "m", bed.soon(), GatewayBed.body("f"))
+                bed.signed("seat-charge", "m", bed.soon(), GatewayFixture.body("f")),
+                bed.signed("seat-check", "m", bed.soon(), GatewayFixture.body("f"))
             };
             for (HttpRequest.Builder each : signed) {
                 assertEquals(
@@ -166,7 +173,7 @@
                 HttpRequest again =
                         signed[i]
                                 .uri(
-                                        java.net.URI.create(
+                                        URI.create(
                                                 signed[i]
                                                         .build()
                                                         .uri()
@@ -186,7 +193,7 @@
 
     @Test
     void aDrainToldMidCallLeavesNothingNewAfterItsGrace() throws Exception {
-        try (GatewayBed bed = new GatewayBed(3).startRoster().start()) {
+        try (GatewayFixture bed = new GatewayFixture(3).startRoster().start()) {
             AtomicLong toldAt = new AtomicLong(Long.MAX_VALUE);
             AtomicInteger answered = new AtomicInteger();
             bed.script =
@@ -215,7 +222,7 @@
                                                 "seat-check",
                                                 "m" + i,
                                                 bed.soon(),
-                                                GatewayBed.body("f" + i % 7))
+                                                GatewayFixture.body("f" + i % 7))
                                         .build(),
                                 HttpResponse.BodyHandlers.ofString()));
             }
@@ -242,7 +249,7 @@
 
     @Test
     void aResetAfterTheCallWasWrittenIsResentOnlyWhereTheClassAllows() throws Exception {
-        try (GatewayBed bed = new GatewayBed(6).start()) {
+        try (GatewayFixture bed = new GatewayFixture(6).start()) {
             bed.script =
                     a -> {
                         if (a.attempt() == 0) {
@@ -254,7 +261,7 @@
             HttpResponse<String> safe = bed.await("seat-check", "safe");
             assertEquals("second", safe.body());
             assertEquals(200, bed.await("order-change", "keyed").statusCode());
-            List<GatewayBed.Asked> keyed =
+            List<GatewayFixture.Asked> keyed =
                     bed.infers().stream().filter(a -> a.id().endsWith(" keyed")).toList();
             assertEquals(2, keyed.size());
             assertEquals(
@@ -271,7 +278,7 @@
 
     @Test
     void anInvokerThatCannotBeReachedCostsAnUnsafeCallNothing() throws Exception {
-        try (GatewayBed bed = new GatewayBed(3)) {
+        try (GatewayFixture bed = new GatewayFixture(3)) {
             bed.loop.execute(() -> bed.servers.subList(0, 2).forEach(HttpServerKill::kill));
             Thread.sleep(50);
             bed.start();
@@ -283,14 +290,14 @@
     }
 
     private static final class HttpServerKill {
-        static void kill(waytrestle.http.HttpServer s) {
+        static void kill(HttpServer s) {
             s.kill();
         }
     }
 
     @Test
     void fullAndMissedAttemptsAreProvedNotToHaveRunAndMoveOn() throws Exception {
-        try (GatewayBed bed = new GatewayBed(3).start()) {
+        try (GatewayFixture bed = new GatewayFixture(3).start()) {
             AtomicInteger n = new AtomicInteger();
             bed.script =
                     a -> {
@@ -307,10 +314,10 @@
 
     @Test
     void aClientThatHangsUpEndsItsAttempt() throws Exception {
-        try (GatewayBed bed = new GatewayBed(1).start()) {
+        try (GatewayFixture bed = new GatewayFixture(1).start()) {
             AtomicBoolean closed = new AtomicBoolean();
             bed.script = a -> a.exchange().whenGone(() -> closed.set(true));
-            String body = GatewayBed.body("f");
+            String body = GatewayFixture.body("f");
             String at = Long.toString(bed.soon());
             try (Socket s = new Socket("127.0.0.1", bed.gateway.port())) {
                 s.getOutputStream()
@@ -319,17 +326,20 @@
                                                 + "webhook-timestamp: "
                                                 + at
                                                 + "\r\nwebhook-signature: "
-                                                + waytrestle.front.webhook.Signatures.sign(
-                                                        GatewayBed.SECRET, "m", at, body.getBytes())
+                                                + Signatures.sign(
+                                                        GatewayFixture.SECRET,
+                                                        "m",
+                                                        at,
+                                                        body.getBytes())
                                                 + "\r\nContent-Length: "
                                                 + body.length()
                                                 + "\r\n\r\n"
                                                 + body)
                                         .getBytes());
-                GatewayBed.until(() -> bed.infers().size() == 1, "the attempt");
+                GatewayFixture.until(() -> bed.infers().size() == 1, "the attempt");
             }
-            GatewayBed.until(closed::get, "the cancel at the invoker");
-            GatewayBed.until(() -> metric(bed, "waytrestle_open_calls") == 0, "an empty desk");
+            GatewayFixture.until(closed::get, "the cancel at the invoker");
+            GatewayFixture.until(() -> metric(bed, "waytrestle_open_calls") == 0, "an empty desk");
             bed.script = a -> a.ok("new");
             assertEquals(
                     "new", bed.await("seat-check", "m").body(), "safe: its repeat is a new call");
@@ -338,8 +348,10 @@
 
     @Test
     void stopAnswersEveryOpenCallWithinItsGrace() throws Exception {
-        try (GatewayBed bed = new GatewayBed(2)) {
-            bed.start(bed.text(false).replace("grace_ms = 10000", "grace_ms = 3000"), Control::new);
+        try (GatewayFixture bed = new GatewayFixture(2)) {
+            bed.start(
+                    bed.text(false).replace("grace_ms = 10000", "grace_ms = 3000"),
+                    FinishTimeScheduler::new);
             bed.script =
                     a -> {
                         if (a.id().endsWith("quick")) {
@@ -349,7 +361,7 @@
             CompletableFuture<HttpResponse<String>> quick = bed.call("seat-check", "quick");
             CompletableFuture<HttpResponse<String>> stuckSafe = bed.call("seat-check", "stuck");
             CompletableFuture<HttpResponse<String>> stuckUnsafe = bed.call("seat-charge", "stuck");
-            GatewayBed.until(() -> bed.infers().size() == 3, "three attempts");
+            GatewayFixture.until(() -> bed.infers().size() == 3, "three attempts");
             bed.gateway.stop();
             assertEquals(200, quick.get().statusCode());
             assertEquals(503, stuckSafe.get().statusCode());
@@ -362,13 +374,14 @@
 
     @Test
     void withoutInvokersCallsAreRefusedInTimeAndServedWhenTheyReturn() throws Exception {
-        try (GatewayBed bed = new GatewayBed(2).startRoster().start()) {
+        try (GatewayFixture bed = new GatewayFixture(2).startRoster().start()) {
             assertEquals(200, bed.await("seat-charge", "before").statusCode());
             bed.loop.execute(bed.roster::clear);
-            GatewayBed.until(() -> metric(bed, "waytrestle_invokers_ready") == 0, "an empty list");
+            GatewayFixture.until(
+                    () -> metric(bed, "waytrestle_invokers_ready") == 0, "an empty list");
             HttpResponse<String> r =
                     bed.http.send(
-                            bed.signed("seat-charge", "none", bed.soon(), GatewayBed.body("f"))
+                            bed.signed("seat-charge", "none", bed.soon(), GatewayFixture.body("f"))
                                     .header("Prefer", "respond-async, wait=1")
                                     .build(),
                             HttpResponse.BodyHandlers.ofString());
@@ -378,7 +391,7 @@
                     r.body());
             assertEquals(503, bed.page("/health/ready").statusCode());
             bed.invokers.forEach(id -> bed.list(id, "passing"));
-            GatewayBed.until(() -> metric(bed, "waytrestle_invokers_ready") == 2, "the list");
+            GatewayFixture.until(() -> metric(bed, "waytrestle_invokers_ready") == 2, "the list");
             assertEquals(
                     200,
                     bed.await("seat-charge", "none").statusCode(),
@@ -388,7 +401,7 @@
 
     @Test
     void aRosterThatErrsOrRestartsLeavesItsLastWord() throws Exception {
-        try (GatewayBed bed = new GatewayBed(2).startRoster().start()) {
+        try (GatewayFixture bed = new GatewayFixture(2).startRoster().start()) {
             bed.loop.execute(() -> bed.roster.err(true));
             bed.list(bed.invokers.get(0), "critical");
             Thread.sleep(300);
@@ -399,7 +412,7 @@
                         bed.roster.err(false);
                         bed.roster.restart();
                     });
-            GatewayBed.until(
+            GatewayFixture.until(
                     () -> metric(bed, "waytrestle_invokers_ready") == 1,
                     "the list after the restart");
         }
@@ -407,17 +420,17 @@
 
     @Test
     void aStepOfTheWallClockLosesNothingAndRunsNothingTwice() throws Exception {
-        try (GatewayBed bed = new GatewayBed(2)) {
+        try (GatewayFixture bed = new GatewayFixture(2)) {
             AtomicLong wall = new AtomicLong(System.currentTimeMillis());
             bed.wall = wall::get;
             bed.start();
-            List<GatewayBed.Asked> held = new ArrayList<>();
+            List<GatewayFixture.Asked> held = new ArrayList<>();
             bed.script = held::add;
             HttpRequest open =
-                    bed.signed("seat-charge", "open", bed.soon(), GatewayBed.body("f")).build();
+                    bed.signed("seat-charge", "open", bed.soon(), GatewayFixture.body("f")).build();
             CompletableFuture<HttpResponse<String>> first =
                     bed.http.sendAsync(open, HttpResponse.BodyHandlers.ofString());
-            GatewayBed.until(() -> held.size() == 1, "the attempt");
+            GatewayFixture.until(() -> held.size() == 1, "the attempt");
             for (long step : new long[] {3_600_000, -7_200_000, 3_600_000}) {
                 wall.addAndGet(step);
                 bed.script = a -> a.ok("stepped");
@@ -432,13 +445,15 @@
 
     @Test
     void openCallsAreBoundedAndRefusedHarmlessly() throws Exception {
-        try (GatewayBed bed = new GatewayBed(1)) {
-            bed.start(bed.text(false).replace("max_open = 20000", "max_open = 2"), Control::new);
-            List<GatewayBed.Asked> held = new ArrayList<>();
+        try (GatewayFixture bed = new GatewayFixture(1)) {
+            bed.start(
+                    bed.text(false).replace("max_open = 20000", "max_open = 2"),
+                    FinishTimeScheduler::new);
+            List<GatewayFixture.Asked> held = new ArrayList<>();
             bed.script = held::add;
             List<CompletableFuture<HttpResponse<String>>> two =
                     List.of(bed.call("seat-charge", "a"), bed.call("seat-charge", "b"));
-            GatewayBed.until(() -> held.size() == 2, "two attempts");
+            GatewayFixture.until(() -> held.size() == 2, "two attempts");
             HttpResponse<String> r = bed.await("seat-charge", "c");
             assertEquals(429, r.statusCode());
             assertTrue(r.body().contains("\"harmless\":true"));
