--- a/src/test/java/waytrestle/gateway/SecondFrontTest.java
+++ b/src/test/java/waytrestle/gateway/SecondFrontTest.java
@@ -12,19 +12,20 @@
 import java.nio.ByteOrder;
 import java.security.MessageDigest;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
-import waytrestle.Control;
+import waytrestle.scheduler.FinishTimeScheduler;
 
 /** KServe calls over sockets, and what gives way at the edge. */
 class SecondFrontTest {
     private static final String KEY = "a-bearer-key";
 
-    private static GatewayBed bed(int invokers, String... replace) throws Exception {
-        GatewayBed bed = new GatewayBed(invokers);
+    private static GatewayFixture bed(int invokers, String... replace) throws Exception {
+        GatewayFixture bed = new GatewayFixture(invokers);
         String hash =
                 HexFormat.of()
                         .formatHex(MessageDigest.getInstance("SHA-256").digest(KEY.getBytes()));
@@ -36,17 +37,17 @@
             assertTrue(text.contains(replace[i]), replace[i]);
             text = text.replace(replace[i], replace[i + 1]);
         }
-        bed.start(text, Control::new);
+        bed.start(text, FinishTimeScheduler::new);
         return bed;
     }
 
-    private static HttpRequest.Builder to(GatewayBed bed, String path) {
+    private static HttpRequest.Builder to(GatewayFixture bed, String path) {
         return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + bed.gateway.port() + path))
                 .header("Authorization", "Bearer " + KEY);
     }
 
     private static HttpRequest infer(
-            GatewayBed bed, String model, String json, byte[] binary, String... headers) {
+            GatewayFixture bed, String model, String json, byte[] binary, String... headers) {
         byte[] all =
                 ByteBuffer.allocate(json.length() + binary.length)
                         .put(json.getBytes())
@@ -68,13 +69,13 @@
             "{\"id\":\"r1\",\"inputs\":[{\"name\":\"x\",\"shape\":[1],\"datatype\":\"INT8\","
                     + "\"data\":[1]}]}";
 
-    private static HttpResponse<String> send(GatewayBed bed, HttpRequest r) throws Exception {
+    private static HttpResponse<String> send(GatewayFixture bed, HttpRequest r) throws Exception {
         return bed.http.send(r, HttpResponse.BodyHandlers.ofString());
     }
 
     @Test
     void anInferRequestAndItsAnswerCrossAsTheyCame() throws Exception {
-        try (GatewayBed bed = bed(2)) {
+        try (GatewayFixture bed = bed(2)) {
             byte[] binary = new byte[300_000];
             new Random(1).nextBytes(binary);
             String json =
@@ -104,7 +105,7 @@
             assertEquals(200, r.statusCode());
             assertEquals(
                     "14", r.headers().firstValue("inference-header-content-length").orElse(""));
-            assertArrayEquals(binary, java.util.Arrays.copyOfRange(r.body(), 14, r.body().length));
+            assertArrayEquals(binary, Arrays.copyOfRange(r.body(), 14, r.body().length));
             assertArrayEquals(
                     ByteBuffer.allocate(json.length() + binary.length)
                             .put(json.getBytes())
@@ -116,7 +117,7 @@
 
     @Test
     void theProtocolsPagesAnswer() throws Exception {
-        try (GatewayBed bed = bed(1)) {
+        try (GatewayFixture bed = bed(1)) {
             String[][] cases = {
                 {"/v2/health/live", "200", "{\"live\":true}"},
                 {"/v2/health/ready", "200", "true"},
@@ -161,7 +162,7 @@
 
     @Test
     void aMalformedTensorIsA400ThatNamesItsFieldAndTheConnectionGoesOn() throws Exception {
-        try (GatewayBed bed = bed(1);
+        try (GatewayFixture bed = bed(1);
                 Socket s = new Socket("127.0.0.1", bed.gateway.port())) {
             s.setSoTimeout(5_000);
             bed.script =
@@ -206,7 +207,7 @@
 
     @Test
     void theRulesHoldHereToo() throws Exception {
-        try (GatewayBed bed = bed(3)) {
+        try (GatewayFixture bed = bed(3)) {
             bed.script = a -> a.exchange().reset();
             HttpResponse<String> unsafe =
                     send(bed, infer(bed, "charge", SMALL, new byte[0], "Idempotency-Key", "k1"));
@@ -260,7 +261,7 @@
     /** Bodies beyond the budget wait unread at the edge; none is dropped. */
     @Test
     void bodiesBeyondTheBudgetWaitAndAllAreServed() throws Exception {
-        try (GatewayBed bed = bed(2, "body_bytes = 268435456", "body_bytes = 400000")) {
+        try (GatewayFixture bed = bed(2, "body_bytes = 268435456", "body_bytes = 400000")) {
             bed.script =
                     a ->
                             bed.loop.after(
@@ -297,7 +298,7 @@
 
     @Test
     void idleAndSlowConnectionsDoNotKeepOthersOut() throws Exception {
-        try (GatewayBed bed =
+        try (GatewayFixture bed =
                 bed(
                         2,
                         "connections_per_network = 5000",
@@ -322,16 +323,16 @@
             for (int i = 0; i < 400; i++) { // more than the bound even when the slow ones are gone
                 held.add(new Socket("127.0.0.1", bed.gateway.port()));
             }
-            GatewayBed.until(
+            GatewayFixture.until(
                     () -> page(bed).contains("{reason=\"connections_of_network\"}"),
                     "the network's bound");
-            GatewayBed.until(
+            GatewayFixture.until(
                     () -> page(bed).contains("{reason=\"slow_head\"} 200"),
                     "two hundred slow heads");
             for (Socket s : held) {
                 s.close();
             }
-            GatewayBed.until(
+            GatewayFixture.until(
                     () ->
                             page(bed)
                                     .lines()
@@ -340,7 +341,7 @@
         }
     }
 
-    private static String page(GatewayBed bed) {
+    private static String page(GatewayFixture bed) {
         try {
             return bed.page("/metrics").body();
         } catch (Exception e) {
--- a/src/test/java/waytrestle/http/HttpClientTest.java
+++ b/src/test/java/waytrestle/http/HttpClientTest.java
@@ -7,12 +7,16 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import waytrestle.net.Loop;
@@ -114,7 +118,7 @@
         boolean another = true;
         try {
             server.accept();
-        } catch (java.net.SocketTimeoutException none) {
+        } catch (SocketTimeoutException none) {
             another = false;
         }
         assertTrue(!another, "it may have run");
@@ -160,8 +164,8 @@
         }
         assertEquals(0, ends.size(), "still on its way");
         assertEquals("MALFORMED", end());
-        org.junit.jupiter.api.Assertions.assertThrows(
-                java.net.SocketException.class,
+        Assertions.assertThrows(
+                SocketException.class,
                 () -> first.getInputStream().read(),
                 "its connection is of no more use");
     }
@@ -211,8 +215,7 @@
         BlockingQueue<String> bodies = new ArrayBlockingQueue<>(10);
         loop.execute(() -> ask(() -> HttpClient.Break.NO_ROOM, bodies, () -> {}));
         assertEquals("NO_ROOM", bodies.poll(10, TimeUnit.SECONDS));
-        java.util.concurrent.atomic.AtomicInteger asked =
-                new java.util.concurrent.atomic.AtomicInteger();
+        AtomicInteger asked = new AtomicInteger();
         loop.execute(
                 () ->
                         ask(
@@ -234,7 +237,7 @@
             while (s.getInputStream().read() >= 0) {
                 bytes++;
             }
-        } catch (java.net.SocketException reset) {
+        } catch (SocketException reset) {
             // what came before it counts
         }
         return bytes;
--- a/src/test/java/waytrestle/http/HttpParserTest.java
+++ b/src/test/java/waytrestle/http/HttpParserTest.java
@@ -16,6 +16,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -217,9 +218,7 @@
         Arbitrary<String> noise =
                 Arbitraries.strings().withChars("GET /HTP1.:|\r\n a0;").ofMaxLength(60);
         return Arbitraries.frequencyOf(
-                net.jqwik.api.Tuple.of(4, plain),
-                net.jqwik.api.Tuple.of(4, chunked),
-                net.jqwik.api.Tuple.of(1, noise));
+                Tuple.of(4, plain), Tuple.of(4, chunked), Tuple.of(1, noise));
     }
 
     /**
--- a/src/test/java/waytrestle/http/HttpServerTest.java
+++ b/src/test/java/waytrestle/http/HttpServerTest.java
@@ -9,13 +9,16 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -273,8 +276,7 @@
             out.write(body);
             InputStream in = s.getInputStream();
             byte[] got = in.readAllBytes();
-            assertArrayEquals(
-                    body, java.util.Arrays.copyOfRange(got, got.length - body.length, got.length));
+            assertArrayEquals(body, Arrays.copyOfRange(got, got.length - body.length, got.length));
         }
     }
 
@@ -379,8 +381,7 @@
     }
 
     private int busy() throws Exception {
-        java.util.concurrent.CompletableFuture<Integer> told =
-                new java.util.concurrent.CompletableFuture<>();
+        CompletableFuture<Integer> told = new CompletableFuture<>();
         loop.execute(() -> told.complete(server.busy()));
         return told.get(5, TimeUnit.SECONDS);
     }
@@ -415,7 +416,7 @@
         try (Socket s = socket()) {
             s.getOutputStream().write("GET /never HTTP/1.1\r\nHost: a\r\n\r\n".getBytes());
             s.getOutputStream().write(ECHO.repeat(1_000).getBytes());
-        } catch (java.net.SocketException closed) {
+        } catch (SocketException closed) {
             // it was cut off for it
         }
         assertTrue(gone.await(5, TimeUnit.SECONDS));
--- a/src/test/java/waytrestle/hunt/HuntTest.java
+++ b/src/test/java/waytrestle/hunt/HuntTest.java
@@ -15,18 +15,20 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import waytrestle.Control;
-import waytrestle.ControlApi;
-import waytrestle.ControlApi.Invoker;
-import waytrestle.ControlApi.InvokerList;
-import waytrestle.ControlApi.Order;
-import waytrestle.ControlApi.Request;
-import waytrestle.ControlApi.Send;
-import waytrestle.ControlApi.State;
 import waytrestle.config.ConfigError;
 import waytrestle.config.TomlFile;
-import waytrestle.gateway.Controller;
+import waytrestle.controller.Controller;
 import waytrestle.play.Scenario;
+import waytrestle.scheduler.EndpointState;
+import waytrestle.scheduler.FinishTimeScheduler;
+import waytrestle.scheduler.InvokerEndpoint;
+import waytrestle.scheduler.RequestScheduler;
+import waytrestle.scheduler.SchedulerCommand.ForwardAttempt;
+import waytrestle.scheduler.SchedulerCommand.PreloadFunction;
+import waytrestle.scheduler.SchedulerCommand.Sink;
+import waytrestle.scheduler.SchedulerEvent;
+import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
+import waytrestle.scheduler.SchedulerEvent.RequestReceived;
 
 /**
  * Days drawn at random: what was found stays found, a sabotaged module is, and a day is the same
@@ -44,7 +46,8 @@
                             each -> {
                                 try {
                                     DayResult r =
-                                            new DayPlayer(Control::new).play(Scenario.read(each));
+                                            new DayPlayer(FinishTimeScheduler::new)
+                                                    .play(Scenario.read(each));
                                     assertEquals(List.of(), r.faults(), each.toString());
                                     assertTrue(r.calls() > 10, each.toString());
                                 } catch (ConfigError e) {
@@ -59,7 +62,10 @@
         StringWriter out = new StringWriter();
         for (int i = 0; i < 2; i++) {
             assertTrue(
-                    new Hunt(new Hunt.Plan(5, 6, 600, 4, false, true, false), dir, Control::new)
+                    new Hunt(
+                                    new Hunt.Plan(5, 6, 600, 4, false, true, false),
+                                    dir,
+                                    FinishTimeScheduler::new)
                             .run(new PrintWriter(out)),
                     out.toString());
         }
@@ -74,9 +80,11 @@
     @Test
     void aDayIsTheSameEachTimeAndFromItsFile() throws Exception {
         Scenario day = smaller(3);
-        DayResult first = new DayPlayer(Control::new).play(day);
-        assertEquals(first, new DayPlayer(Control::new).play(day));
-        assertTrue(first.digest() != new DayPlayer(Control::new).play(day.withSeed(99)).digest());
+        DayResult first = new DayPlayer(FinishTimeScheduler::new).play(day);
+        assertEquals(first, new DayPlayer(FinishTimeScheduler::new).play(day));
+        assertTrue(
+                first.digest()
+                        != new DayPlayer(FinishTimeScheduler::new).play(day.withSeed(99)).digest());
         for (int i = 0; i < 100; i++) {
             Scenario drawn = Hunt.asWritten(new Mutate(i).of(Hunt.day(8, i)));
             Scenario read = TomlFile.parse(drawn.toml(), "drawn.toml", Scenario::from);
@@ -85,7 +93,7 @@
                     read.toml().replaceAll("(?s)\\[gateway\\].*", ""));
         }
         Scenario read = TomlFile.parse(day.toml(), "day.toml", Scenario::from);
-        assertEquals(first.digest(), new DayPlayer(Control::new).play(read).digest());
+        assertEquals(first.digest(), new DayPlayer(FinishTimeScheduler::new).play(read).digest());
     }
 
     /** A drawn day of few controllers, so that many can be played. */
@@ -102,12 +110,13 @@
     }
 
     private interface Sabotage {
-        ControlApi of(Control control);
+        RequestScheduler of(FinishTimeScheduler control);
     }
 
     /** Plays days until one fails in the way wanted, then shrinks it; the budget is in days. */
     private static void found(String kind, int days, Sabotage sabotage) {
-        Controller.ModuleMaker maker = (settings, seed) -> sabotage.of(new Control(settings, seed));
+        Controller.SchedulerFactory maker =
+                (settings, seed) -> sabotage.of(new FinishTimeScheduler(settings, seed));
         DayPlayer player = new DayPlayer(maker);
         Scenario failing =
                 IntStream.range(0, days)
@@ -135,14 +144,14 @@
                 control -> {
                     Map<Long, String> first = new HashMap<>();
                     return (now, event, out) ->
-                            control.on(
+                            control.handle(
                                     now,
                                     event,
                                     a -> {
                                         out.add(a);
-                                        if (a instanceof Send s
+                                        if (a instanceof ForwardAttempt s
                                                 && first.put(s.id(), s.invoker()) == null) {
-                                            out.add(new Send(s.id(), s.invoker(), 0));
+                                            out.add(new ForwardAttempt(s.id(), s.invoker(), 0));
                                         }
                                     });
                 });
@@ -155,24 +164,25 @@
                 40,
                 control ->
                         (now, event, out) ->
-                                control.on(
+                                control.handle(
                                         now,
-                                        event instanceof InvokerList list
-                                                ? new InvokerList(
+                                        event instanceof EndpointsUpdated list
+                                                ? new EndpointsUpdated(
                                                         false,
                                                         list.cached(),
                                                         list.entries().stream()
                                                                 .map(
                                                                         i ->
-                                                                                new Invoker(
+                                                                                new InvokerEndpoint(
                                                                                         i.id(),
                                                                                         i.zone(),
                                                                                         i.cell(),
                                                                                         i.kind(),
-                                                                                        State.READY,
+                                                                                        EndpointState
+                                                                                                .READY,
                                                                                         i.weight(),
                                                                                         i
-                                                                                                .upSinceMicros()))
+                                                                                                .startedAtMicros()))
                                                                 .toList())
                                                 : event,
                                         out));
@@ -185,16 +195,16 @@
                 80,
                 control ->
                         (now, event, out) ->
-                                control.on(
+                                control.handle(
                                         now,
-                                        event instanceof InvokerList list
-                                                ? new InvokerList(
-                                                        list.whole(),
+                                        event instanceof EndpointsUpdated list
+                                                ? new EndpointsUpdated(
+                                                        list.snapshot(),
                                                         list.cached(),
                                                         list.entries().stream()
                                                                 .map(
                                                                         i ->
-                                                                                new Invoker(
+                                                                                new InvokerEndpoint(
                                                                                         i.id(),
                                                                                         i.zone(),
                                                                                         i.cell(),
@@ -214,13 +224,16 @@
                 40,
                 control ->
                         (now, event, out) ->
-                                control.on(
+                                control.handle(
                                         now,
                                         event,
                                         a -> {
                                             out.add(a);
-                                            if (a instanceof Send s && event instanceof Request r) {
-                                                out.add(new Order(s.invoker(), r.function(), 1));
+                                            if (a instanceof ForwardAttempt s
+                                                    && event instanceof RequestReceived r) {
+                                                out.add(
+                                                        new PreloadFunction(
+                                                                s.invoker(), r.function(), 1));
                                             }
                                         }));
     }
@@ -236,25 +249,25 @@
                         if (++events[0] % 10_000 == 0) {
                             throw new IllegalStateException("once");
                         }
-                        control.on(now, event, out);
+                        control.handle(now, event, out);
                     };
                 });
     }
 
-    private static final class Leaking implements ControlApi {
-        private final Control control;
+    private static final class Leaking implements RequestScheduler {
+        private final FinishTimeScheduler control;
         private final Map<Long, String> remembered = new HashMap<>();
 
-        Leaking(Control control) {
+        Leaking(FinishTimeScheduler control) {
             this.control = control;
         }
 
         @Override
-        public void on(long now, Event event, Actions out) {
-            if (event instanceof Request r) {
+        public void handle(long now, SchedulerEvent event, Sink out) {
+            if (event instanceof RequestReceived r) {
                 remembered.put(r.id(), r.function());
             }
-            control.on(now, event, out);
+            control.handle(now, event, out);
         }
     }
 
--- a/src/test/java/waytrestle/invoker/InvokerProtocolTest.java
+++ b/src/test/java/waytrestle/invoker/InvokerProtocolTest.java
@@ -6,13 +6,15 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import waytrestle.ControlApi.Start;
-import waytrestle.calls.End.Served;
+import waytrestle.Bytes;
 import waytrestle.http.HttpLimits;
 import waytrestle.http.HttpMessage;
 import waytrestle.http.HttpParser;
+import waytrestle.requests.RequestOutcome.Served;
+import waytrestle.scheduler.StartKind;
 
 /** The invoker's protocol: what is written, what is read, and what each end proves. */
 class InvokerProtocolTest {
@@ -38,8 +40,7 @@
     void aPayloadTravelsAsOneBytesTensorUnchanged() {
         byte[] payload = {0, 1, 2, (byte) 255, '"'};
         ByteBuffer[] parts =
-                new InferProtocol("h:1", 3)
-                        .infer("f-1", "/p \"id\"", 2, "a/b", waytrestle.Bytes.of(payload));
+                new InferProtocol("h:1", 3).infer("f-1", "/p \"id\"", 2, "a/b", Bytes.of(payload));
         ByteBuffer all = ByteBuffer.allocate(4_096);
         for (ByteBuffer part : parts) {
             all.put(part);
@@ -51,7 +52,7 @@
         assertEquals(json + 4 + payload.length, m.body().length);
         assertArrayEquals(
                 new byte[] {5, 0, 0, 0, 0, 1, 2, (byte) 255, '"'},
-                java.util.Arrays.copyOfRange(m.body(), json, m.body().length));
+                Arrays.copyOfRange(m.body(), json, m.body().length));
         assertEquals(
                 "{\"id\":\"/p"
                     + " \\\"id\\\"\",\"inputs\":[{\"name\":\"payload\",\"datatype\":\"BYTES\",\"shape\":[1],"
@@ -66,7 +67,7 @@
                 "{\"model_name\":\"f\",\"outputs\":[{\"name\":\"r\",\"datatype\":\"BYTES\",\"shape\":[1],"
                     + "\"parameters\":{\"content_type\":\"x/y\",\"binary_data_size\":7}}]}";
         Served served = answer(binary, "\3\0\0\0abc", true);
-        assertEquals("x/y", served.type());
+        assertEquals("x/y", served.contentType());
         assertArrayEquals("abc".getBytes(), served.body().array());
         assertArrayEquals(
                 "text".getBytes(),
@@ -126,18 +127,18 @@
                         "TEXT cpu_utilization=0.5, named_metrics.queue=3,named_metrics.start=2,"
                             + "named_metrics.company=4,named_metrics.bad=x,named_metrics.nan=NaN,mem_utilization=0.2");
         assertEquals(Map.of("util", 0.5, "queue", 3.0), text.report());
-        assertEquals(Start.COLD, text.start());
+        assertEquals(StartKind.COLD, text.start());
         assertEquals(4, text.company());
         LoadMetrics json =
                 LoadMetrics.read(
                         "JSON {\"rps_fractional\":7,\"eps\":1,\"named_metrics\":{\"x1\":2,"
                                 + "\"start\":1,\"copies\":5}}");
         assertEquals(Map.of("qps", 7.0, "eps", 1.0, "x1", 2.0), json.report());
-        assertEquals(Start.WARM, json.start());
+        assertEquals(StartKind.WARM, json.start());
         assertEquals(5, json.copies());
         for (String none : new String[] {null, "", "BIN abc", "JSON {", "TEXT", "TEXT ,,=,"}) {
             assertEquals(Map.of(), LoadMetrics.read(none).report());
         }
-        assertEquals(Start.UNKNOWN, LoadMetrics.read("TEXT named_metrics.start=77").start());
+        assertEquals(StartKind.UNKNOWN, LoadMetrics.read("TEXT named_metrics.start=77").start());
     }
 }
--- a/src/test/java/waytrestle/net/ListenerTest.java
+++ b/src/test/java/waytrestle/net/ListenerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -73,7 +74,7 @@
         try {
             channel.close();
         } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
+            throw new UncheckedIOException(e);
         }
     }
 }
--- a/src/test/java/waytrestle/overload/OverloadTest.java
+++ b/src/test/java/waytrestle/overload/OverloadTest.java
@@ -5,16 +5,17 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import waytrestle.ControlApi.Group;
-import waytrestle.ControlApi.Repeat;
-import waytrestle.ControlApi.RequestClass;
-import waytrestle.ControlApi.Tenant;
-import waytrestle.calls.End.Why;
+import waytrestle.requests.RequestOutcome.Reason;
+import waytrestle.scheduler.DeduplicationScope;
+import waytrestle.scheduler.Idempotency;
+import waytrestle.scheduler.SchedulerSettings.RequestClass;
+import waytrestle.scheduler.SchedulerSettings.Tenant;
 
 /**
  * The overload modules: each by itself, and together against a fleet of servers in simulated time.
@@ -25,8 +26,8 @@
             List.of(
                     new RequestClass(
                             "cheap",
-                            Repeat.SAFE,
-                            Group.ALL,
+                            Idempotency.IDEMPOTENT,
+                            DeduplicationScope.ALL,
                             0,
                             SECOND,
                             0,
@@ -36,8 +37,8 @@
                             false),
                     new RequestClass(
                             "dear",
-                            Repeat.SAFE,
-                            Group.ALL,
+                            Idempotency.IDEMPOTENT,
+                            DeduplicationScope.ALL,
                             0,
                             SECOND,
                             0,
@@ -53,11 +54,11 @@
      * micros.
      */
     private static final class Fleet {
-        final Overload gate;
+        final OverloadControl gate;
         final Random random = new Random(1);
         final PriorityQueue<long[]> events =
                 new PriorityQueue<>((x, y) -> Long.compare(x[0], y[0]));
-        final java.util.ArrayDeque<long[]> line = new java.util.ArrayDeque<>();
+        final ArrayDeque<long[]> line = new ArrayDeque<>();
         final long[] offered = new long[2], good = new long[2];
         final List<long[]> limits = new ArrayList<>();
         int servers, busy;
@@ -65,7 +66,7 @@
         long repeatsPassed, firstsPassed, marks;
         long now = SECOND;
 
-        Fleet(int servers, Overload gate) {
+        Fleet(int servers, OverloadControl gate) {
             this.servers = servers;
             this.gate = gate;
         }
@@ -85,8 +86,9 @@
                 int tenant = (int) e[2];
                 if (e[1] == 0) {
                     offered[tenant] += e[5] == 0 ? 1 : 0;
-                    if (gate.refuse(now, tenant, (int) e[3], retrying ? e[4] : 0) == null) {
-                        gate.began(now, tenant, (int) e[3]);
+                    if (gate.rejectionReason(now, tenant, (int) e[3], retrying ? e[4] : 0)
+                            == null) {
+                        gate.requestStarted(now, tenant, (int) e[3]);
                         line.add(new long[] {now, tenant, e[3], e[4], e[5]});
                         repeatsPassed += e[5] > 0 ? 1 : 0;
                         firstsPassed += e[5] == 0 ? 1 : 0;
@@ -96,15 +98,15 @@
                 } else {
                     busy--;
                     long took = now - e[4];
-                    gate.served(now, "f", took);
-                    gate.over(now, tenant, (int) e[3], 0, false, took > 3 * SECOND);
+                    gate.warmResponseServed(now, "f", took);
+                    gate.requestCompleted(now, tenant, (int) e[3], 0, false, took > 3 * SECOND);
                     good[tenant] += took <= SECOND ? 1 : 0;
                 }
                 while (!line.isEmpty()
                         && line.peek()[0]
                                 < now - 3 * SECOND) { // out of its time: refused, may come again
                     long[] late = line.poll();
-                    gate.over(now, (int) late[1], (int) late[2], late[3], true, false);
+                    gate.requestCompleted(now, (int) late[1], (int) late[2], late[3], true, false);
                     again(new long[] {now, 0, late[1], late[2], late[3], late[4]});
                 }
                 while (busy < servers && !line.isEmpty()) {
@@ -132,9 +134,13 @@
         }
     }
 
-    private static Overload gate() {
-        return new Overload(
-                new Overload.Settings(true, 16, 0.2, 10), 20_000, TENANTS, List.of(), CLASSES);
+    private static OverloadControl gate() {
+        return new OverloadControl(
+                new OverloadControl.Settings(true, 16, 0.2, 10),
+                20_000,
+                TENANTS,
+                List.of(),
+                CLASSES);
     }
 
     @Test
@@ -191,39 +197,39 @@
 
     @Test
     void whatIsWorthLeastGivesWayFirstAndATenantBelowItsShareNever() {
-        TenantShares shares = new TenantShares(TENANTS, List.of(), CLASSES);
+        TenantQuotas shares = new TenantQuotas(TENANTS, List.of(), CLASSES);
         for (int i = 0; i < 60; i++) {
-            shares.began(0);
+            shares.requestStarted(0);
         }
-        assertFalse(shares.room(0, 0, 60, 100), "the cheap one, beyond its share");
-        assertTrue(shares.room(0, 1, 60, 100), "the dear one still borrows");
-        assertFalse(shares.room(0, 1, 80, 100));
-        assertTrue(shares.room(1, 0, 120, 100), "the other is below its share");
+        assertFalse(shares.hasCapacity(0, 0, 60, 100), "the cheap one, beyond its share");
+        assertTrue(shares.hasCapacity(0, 1, 60, 100), "the dear one still borrows");
+        assertFalse(shares.hasCapacity(0, 1, 80, 100));
+        assertTrue(shares.hasCapacity(1, 0, 120, 100), "the other is below its share");
         for (int i = 0; i < 50; i++) {
-            shares.began(1);
+            shares.requestStarted(1);
         }
-        assertFalse(shares.room(1, 0, 120, 100));
-        shares.over(1);
-        assertTrue(shares.room(1, 0, 120, 100));
+        assertFalse(shares.hasCapacity(1, 0, 120, 100));
+        shares.requestCompleted(1);
+        assertTrue(shares.hasCapacity(1, 0, 120, 100));
     }
 
     @Test
     void aTenantsOwnBoundsAreKept() {
-        TenantShares shares =
-                new TenantShares(
+        TenantQuotas shares =
+                new TenantQuotas(
                         TENANTS,
-                        List.of(new TenantShares.Bound(10, 0), new TenantShares.Bound(0, 2)),
+                        List.of(new TenantQuotas.Limit(10, 0), new TenantQuotas.Limit(0, 2)),
                         CLASSES);
         int passed = 0;
         for (long now = SECOND; now < 11 * SECOND; now += 10_000) {
-            passed += shares.overBound(now, 0) ? 0 : 1;
+            passed += shares.exceedsLimit(now, 0) ? 0 : 1;
         }
         assertTrue(passed >= 100 && passed <= 115, "ten a second for ten seconds: " + passed);
-        shares.began(1);
-        shares.began(1);
-        assertTrue(shares.overBound(SECOND, 1));
-        shares.over(1);
-        assertFalse(shares.overBound(SECOND, 1));
+        shares.requestStarted(1);
+        shares.requestStarted(1);
+        assertTrue(shares.exceedsLimit(SECOND, 1));
+        shares.requestCompleted(1);
+        assertFalse(shares.exceedsLimit(SECOND, 1));
     }
 
     @Test
@@ -234,15 +240,15 @@
         for (int i = 0;
                 i < 60_000;
                 i++, now += 1_000) { // a minute of 1,000 first calls a second, each wants a repeat
-            budget.paid(now);
-            taken += budget.take(now) ? 1 : 0;
+            budget.deposit(now);
+            taken += budget.tryWithdraw(now) ? 1 : 0;
         }
         assertTrue(
                 taken <= 0.2 * 60_000 + 10 * 60 + 100 && taken >= 0.19 * 60_000,
                 "repeats: " + taken);
         now += 30 * SECOND;
         int quiet = 0;
-        while (budget.take(now)) {
+        while (budget.tryWithdraw(now)) {
             quiet++;
         }
         assertTrue(
@@ -252,15 +258,15 @@
     @Test
     void aRefusedCallThatComesAgainIsRecognisedForAWhile() {
         RetryBudget budget = new RetryBudget(0.2, 10);
-        budget.refused(SECOND, 77);
-        assertTrue(budget.recognised(2 * SECOND, 77));
-        assertFalse(budget.recognised(2 * SECOND, 78));
-        assertFalse(budget.recognised(2 * SECOND, 0));
-        assertFalse(budget.recognised(60 * SECOND, 77));
+        budget.rejected(SECOND, 77);
+        assertTrue(budget.isRetry(2 * SECOND, 77));
+        assertFalse(budget.isRetry(2 * SECOND, 78));
+        assertFalse(budget.isRetry(2 * SECOND, 0));
+        assertFalse(budget.isRetry(60 * SECOND, 77));
         for (int i = 100; i < 100_100; i++) {
-            budget.refused(2 * SECOND, i);
+            budget.rejected(2 * SECOND, i);
         }
-        assertFalse(budget.recognised(2 * SECOND, 100), "bounded");
+        assertFalse(budget.isRetry(2 * SECOND, 100), "bounded");
     }
 
     /** Ten seconds without a server while clients come again and again; then all are back. */
@@ -292,44 +298,44 @@
      */
     @Test
     void aStormOfRepeatsIsCutToItsBudget() {
-        Overload gate =
-                new Overload(
-                        new Overload.Settings(true, 16, 0.2, 10),
+        OverloadControl gate =
+                new OverloadControl(
+                        new OverloadControl.Settings(true, 16, 0.2, 10),
                         20_000,
                         TENANTS,
                         List.of(),
                         CLASSES);
         long now = SECOND;
         for (long mark = 1; mark <= 5_000; mark++) { // ten seconds of refusals
-            gate.began(now, 0, 0);
-            gate.over(now, 0, 0, mark, true, false);
+            gate.requestStarted(now, 0, 0);
+            gate.requestCompleted(now, 0, 0, mark, true, false);
             now += 2_000;
         }
         int passed = 0;
         for (long mark = 1; mark <= 5_000; mark++) { // all come again within a second
-            passed += gate.refuse(now, 0, 0, mark) == null ? 1 : 0;
+            passed += gate.rejectionReason(now, 0, 0, mark) == null ? 1 : 0;
             now += 200;
         }
         assertTrue(passed > 0 && passed <= 120, "repeats let through: " + passed);
-        assertEquals(Why.OVER_RETRIES, gate.refuse(now, 0, 0, 5));
-        assertNull(gate.refuse(now, 1, 0, 900_000), "first calls are not repeats");
+        assertEquals(Reason.RETRY_BUDGET_EXHAUSTED, gate.rejectionReason(now, 0, 0, 5));
+        assertNull(gate.rejectionReason(now, 1, 0, 900_000), "first calls are not repeats");
     }
 
     @Test
     void bodiesWaitTheirTurnAndNoneIsDropped() {
         ByteBudget budget = new ByteBudget(1_000_000);
-        assertTrue(budget.ask(1, 800_000));
-        assertFalse(budget.ask(2, 200_000), "a tenth is kept for small ones");
-        assertFalse(budget.ask(3, 100_000), "in turn");
-        assertTrue(budget.ask(4, 16_000), "a small one passes");
-        assertFalse(budget.possible(950_000));
+        assertTrue(budget.tryReserve(1, 800_000));
+        assertFalse(budget.tryReserve(2, 200_000), "a tenth is kept for small ones");
+        assertFalse(budget.tryReserve(3, 100_000), "in turn");
+        assertTrue(budget.tryReserve(4, 16_000), "a small one passes");
+        assertFalse(budget.isGrantable(950_000));
         List<Long> let = new ArrayList<>();
         budget.release(1, let::add);
         assertEquals(List.of(2L, 3L), let);
-        budget.ask(5, 800_000);
+        budget.tryReserve(5, 800_000);
         budget.release(5, let::add);
         assertEquals(2, let.size(), "one that left while waiting lets nobody in");
-        budget.add(2, 500_000);
+        budget.reserve(2, 500_000);
         for (long id = 2; id <= 4; id++) {
             budget.release(id, let::add);
         }
@@ -339,18 +345,23 @@
 
     @Test
     void connectionsAreBoundedInAllAndByNetwork() {
-        ConnectionGate gate = new ConnectionGate(5, 2);
-        assertNull(gate.take("a", ConnectionGate.Standing.ORDINARY));
-        assertNull(gate.take("a", ConnectionGate.Standing.ORDINARY));
+        ConnectionAdmission gate = new ConnectionAdmission(5, 2);
+        assertNull(gate.tryAdmit("a", ConnectionAdmission.TrustLevel.ORDINARY));
+        assertNull(gate.tryAdmit("a", ConnectionAdmission.TrustLevel.ORDINARY));
         assertEquals(
-                ConnectionGate.Reason.NETWORK, gate.take("a", ConnectionGate.Standing.ORDINARY));
-        assertNull(gate.take("a", ConnectionGate.Standing.TRUSTED));
-        assertEquals(ConnectionGate.Reason.BARRED, gate.take("b", ConnectionGate.Standing.BARRED));
-        assertNull(gate.take("b", ConnectionGate.Standing.ORDINARY));
-        assertNull(gate.take("c", ConnectionGate.Standing.ORDINARY));
-        assertEquals(ConnectionGate.Reason.TOTAL, gate.take("d", ConnectionGate.Standing.TRUSTED));
-        gate.closed("a");
-        assertNull(gate.take("d", ConnectionGate.Standing.ORDINARY));
+                ConnectionAdmission.Reason.NETWORK,
+                gate.tryAdmit("a", ConnectionAdmission.TrustLevel.ORDINARY));
+        assertNull(gate.tryAdmit("a", ConnectionAdmission.TrustLevel.TRUSTED));
+        assertEquals(
+                ConnectionAdmission.Reason.BARRED,
+                gate.tryAdmit("b", ConnectionAdmission.TrustLevel.BARRED));
+        assertNull(gate.tryAdmit("b", ConnectionAdmission.TrustLevel.ORDINARY));
+        assertNull(gate.tryAdmit("c", ConnectionAdmission.TrustLevel.ORDINARY));
+        assertEquals(
+                ConnectionAdmission.Reason.TOTAL,
+                gate.tryAdmit("d", ConnectionAdmission.TrustLevel.TRUSTED));
+        gate.release("a");
+        assertNull(gate.tryAdmit("d", ConnectionAdmission.TrustLevel.ORDINARY));
         assertEquals(5, gate.open());
     }
 }
--- a/src/test/java/waytrestle/gateway/platform/CrossingTest.java
+++ b/src/test/java/waytrestle/platform/ConcurrentEventsTest.java
@@ -1,4 +1,4 @@
-package waytrestle.gateway.platform;
+package waytrestle.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -10,10 +10,12 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -24,12 +26,12 @@
  * Two events that meet, forced by order: what must hold is in docs/platform.md, a row for each of
  * these.
  */
-class CrossingTest {
-    private NodeBed bed;
+class ConcurrentEventsTest {
+    private PlatformFixture bed;
 
     @BeforeEach
     void make() throws Exception {
-        bed = new NodeBed();
+        bed = new PlatformFixture();
     }
 
     @AfterEach
@@ -63,14 +65,14 @@
             for (int c = s.getInputStream().read(); c >= 0; c = s.getInputStream().read()) {
                 all.append((char) c);
             }
-        } catch (java.net.SocketException reset) {
+        } catch (SocketException reset) {
             // what came before it counts
         }
         return all.toString();
     }
 
     private void awaitClosedDoor() throws Exception {
-        NodeBed.until(
+        PlatformFixture.until(
                 () -> {
                     try (Socket s = bed.socket()) {
                         return false;
@@ -87,10 +89,10 @@
             throws Exception {
         bed.start();
         try (Socket s = bed.socket()) {
-            write(s, NodeBed.call("read", id(1), "", "x"));
-            assertFalse(NodeBed.answer(s).contains("Connection: close"));
+            write(s, PlatformFixture.call("read", id(1), "", "x"));
+            assertFalse(PlatformFixture.answer(s).contains("Connection: close"));
             bed.node.stop();
-            NodeBed.until(
+            PlatformFixture.until(
                     () -> {
                         try {
                             return status(bed.ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n"))
@@ -100,19 +102,19 @@
                         }
                     },
                     "TERM was not seen");
-            write(s, NodeBed.call("read", id(2), "", "x"));
-            String last = NodeBed.answer(s);
+            write(s, PlatformFixture.call("read", id(2), "", "x"));
+            String last = PlatformFixture.answer(s);
             assertEquals(200, status(last));
             assertTrue(last.contains("Connection: close\r\n"), last);
             assertEquals(-1, s.getInputStream().read(), "and it closes");
-            assertEquals(200, status(bed.ask(NodeBed.call("read", id(3), "", "x"))));
+            assertEquals(200, status(bed.ask(PlatformFixture.call("read", id(3), "", "x"))));
         }
     }
 
     @Test
     void aRequestOfWhichOnlyPiecesCameBeforeTheEndIsAwaitedAndAnswered() throws Exception {
         bed.start();
-        String call = NodeBed.call("book", id(1), "", "body");
+        String call = PlatformFixture.call("book", id(1), "", "body");
         try (Socket s = bed.socket()) {
             write(s, call.substring(0, 60));
             passed();
@@ -120,7 +122,7 @@
             awaitClosedDoor();
             Thread.sleep(300); // far beyond what a process without open calls used to stay
             write(s, call.substring(60));
-            assertEquals(200, status(NodeBed.answer(s)));
+            assertEquals(200, status(PlatformFixture.answer(s)));
         }
         assertEquals(0, bed.node.join(10_000));
     }
@@ -129,7 +131,7 @@
     @Test
     void nothingBeginsForAClientThatLeftWhileTheConnectionToTheInvokerWasComingUp()
             throws Exception {
-        try (HeldDoor door = new HeldDoor()) {
+        try (DelayedAcceptServer door = new DelayedAcceptServer()) {
             bed.edit =
                     s ->
                             s.replace("127.0.0.1:" + bed.invoker.port(), "127.0.0.1:" + door.port())
@@ -139,7 +141,7 @@
                                             "\"connect_timeout_us\":9000000");
             bed.start();
             try (Socket s = bed.socket()) {
-                write(s, NodeBed.call("book", id(1), "", "x"));
+                write(s, PlatformFixture.call("book", id(1), "", "x"));
                 passed();
             }
             passed();
@@ -153,7 +155,7 @@
     // ---- Hand-overs. ----
     @Test
     void nothingBeginsAtAnInvokerThatWasToldToEndWhileTheConnectionWasComingUp() throws Exception {
-        try (HeldDoor door = new HeldDoor()) {
+        try (DelayedAcceptServer door = new DelayedAcceptServer()) {
             bed.edit =
                     s ->
                             s.replace("127.0.0.1:" + bed.invoker.port(), "127.0.0.1:" + door.port())
@@ -162,20 +164,20 @@
                                             "\"connect_timeout_us\":9000000");
             bed.start();
             try (Socket s = bed.socket()) {
-                write(s, NodeBed.call("book", id(1), "", "x"));
+                write(s, PlatformFixture.call("book", id(1), "", "x"));
                 passed();
                 bed.board.say(
-                        NodeBed.event(
+                        PlatformFixture.event(
                                 2,
                                 false,
-                                NodeBed.host("s-1", "Terminating", door.port()),
+                                PlatformFixture.host("s-1", "Terminating", door.port()),
                                 bed.host("s-2", "Ready")));
                 try (Socket late = door.open()) {
                     assertNotNull(late, "the connection was still coming up");
                     assertEquals(
                             "", all(late), "the invoker was told to end before anything was sent");
                 }
-                assertEquals(200, status(NodeBed.answer(s)), "another one serves it");
+                assertEquals(200, status(PlatformFixture.answer(s)), "another one serves it");
                 assertEquals(1, bed.asked.size());
             }
         }
@@ -184,7 +186,7 @@
     @Test
     void noLoadIsOrderedAtAnInvokerThatWasToldToEndWhileTheConnectionWasComingUp()
             throws Exception {
-        try (HeldDoor door = new HeldDoor()) {
+        try (DelayedAcceptServer door = new DelayedAcceptServer()) {
             bed.edit =
                     s ->
                             s.replace("127.0.0.1:" + bed.invoker.port(), "127.0.0.1:" + door.port())
@@ -201,28 +203,34 @@
                     };
             bed.start();
             bed.board.say(
-                    NodeBed.event(
+                    PlatformFixture.event(
                             2,
                             false,
                             bed.host("s-2", "Ready"),
-                            NodeBed.host("s-1", "Terminating", door.port())));
+                            PlatformFixture.host("s-1", "Terminating", door.port())));
             for (int i = 0; i < 4; i++) { // misses at s-2 teach that guesses find no copy
-                bed.ask(NodeBed.call("book", id(i), "X-Extras: load_ms:9000\r\n", "x"));
+                bed.ask(PlatformFixture.call("book", id(i), "X-Extras: load_ms:9000\r\n", "x"));
             }
             bed.board.say(
-                    NodeBed.event(
+                    PlatformFixture.event(
                             3,
                             false,
                             bed.host("s-2", "Terminating"),
-                            NodeBed.host("s-1", "Ready", door.port())));
+                            PlatformFixture.host("s-1", "Ready", door.port())));
             passed();
             int refused =
                     status(
                             bed.ask(
-                                    NodeBed.call("book", id(9), "X-Extras: load_ms:9000\r\n", "x")
+                                    PlatformFixture.call(
+                                                    "book",
+                                                    id(9),
+                                                    "X-Extras: load_ms:9000\r\n",
+                                                    "x")
                                             .replace("7f3a9c21e0b4d655", "00000000000000aa")));
             assertEquals(503, refused, "its load is ordered at the only invoker, and outlasts it");
-            bed.board.say(NodeBed.event(4, false, NodeBed.host("s-1", "Terminating", door.port())));
+            bed.board.say(
+                    PlatformFixture.event(
+                            4, false, PlatformFixture.host("s-1", "Terminating", door.port())));
             passed();
             try (Socket late = door.open()) {
                 assertNotNull(late, "the connection was still coming up");
@@ -234,9 +242,8 @@
     @Test
     void aKnownInvokerAtANewAddressIsAskedThere() throws Exception {
         bed.start();
-        assertEquals(200, status(bed.ask(NodeBed.call("read", id(1), "", "x"))));
-        java.util.concurrent.atomic.AtomicInteger elsewhere =
-                new java.util.concurrent.atomic.AtomicInteger();
+        assertEquals(200, status(bed.ask(PlatformFixture.call("read", id(1), "", "x"))));
+        AtomicInteger elsewhere = new AtomicInteger();
         HttpServer moved =
                 new HttpServer(
                         bed.loop,
@@ -247,13 +254,16 @@
                             elsewhere.incrementAndGet();
                             e.answer(200, "", "there".getBytes());
                         });
-        bed.board.say(NodeBed.event(2, false, NodeBed.host("s-1", "Ready", moved.port())));
-        bed.board.say(NodeBed.event(3, false, NodeBed.host("s-9", "Gone", moved.port())));
-        NodeBed.until(
+        bed.board.say(
+                PlatformFixture.event(
+                        2, false, PlatformFixture.host("s-1", "Ready", moved.port())));
+        bed.board.say(
+                PlatformFixture.event(3, false, PlatformFixture.host("s-9", "Gone", moved.port())));
+        PlatformFixture.until(
                 () -> {
                     try {
                         return bed.ask(
-                                        NodeBed.call(
+                                        PlatformFixture.call(
                                                 "read",
                                                 id((int) System.nanoTime() & 0xffff),
                                                 "",
@@ -265,7 +275,7 @@
                 },
                 "it was asked at the address it had left");
         int before = bed.asked.size();
-        assertTrue(bed.ask(NodeBed.call("book", id(2), "", "x")).endsWith("there"));
+        assertTrue(bed.ask(PlatformFixture.call("book", id(2), "", "x")).endsWith("there"));
         assertEquals(before, bed.asked.size());
         assertTrue(elsewhere.get() >= 2);
     }
@@ -288,11 +298,11 @@
      * come.
      */
     private String drains(HttpServer other) {
-        return NodeBed.event(
+        return PlatformFixture.event(
                 2,
                 false,
                 bed.host("s-1", "Terminating"),
-                NodeBed.host("s-2", "Ready", other.port()));
+                PlatformFixture.host("s-2", "Ready", other.port()));
     }
 
     @Test
@@ -302,7 +312,7 @@
         bed.board.answers = false;
         bed.startUnready();
         try (Socket s = bed.socket()) {
-            write(s, NodeBed.call("book", id(1), "", "x"));
+            write(s, PlatformFixture.call("book", id(1), "", "x"));
             passed();
             assertEquals(
                     503,
@@ -311,7 +321,7 @@
             Thread.sleep(150); // several looks at calls that wait
             assertEquals(0, bed.asked.size(), "nothing is sent by a list that may be old");
             bed.board.say(drains(elsewhere()));
-            assertTrue(NodeBed.answer(s).endsWith("elsewhere"));
+            assertTrue(PlatformFixture.answer(s).endsWith("elsewhere"));
         }
         assertEquals(200, status(bed.ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n")));
         assertEquals(0, bed.asked.size());
@@ -319,7 +329,7 @@
 
     @Test
     void aBoardWhoseConnectionComesUpLateIsAwaited() throws Exception {
-        try (HeldDoor late = new HeldDoor()) {
+        try (DelayedAcceptServer late = new DelayedAcceptServer()) {
             bed.edit =
                     s ->
                             s.replace("\"drain_grace_us\":1000000", LONG_GRACE)
@@ -328,13 +338,13 @@
                                             "\"board\":\"127.0.0.1:" + late.port() + "\"");
             bed.startUnready();
             try (Socket s = bed.socket()) {
-                write(s, NodeBed.call("book", id(1), "", "x"));
+                write(s, PlatformFixture.call("book", id(1), "", "x"));
                 passed();
                 try (Socket board = late.open()) {
                     assertNotNull(board, "the connection was still coming up");
                     assertEquals(0, bed.asked.size());
                     write(board, drains(elsewhere()) + "\n");
-                    assertTrue(NodeBed.answer(s).endsWith("elsewhere"));
+                    assertTrue(PlatformFixture.answer(s).endsWith("elsewhere"));
                 }
             }
             assertEquals(0, bed.asked.size());
@@ -343,7 +353,7 @@
 
     @Test
     void withABoardThatNeverAnswersCallsAreServedByWhatIsKnown() throws Exception {
-        try (HeldDoor never = new HeldDoor()) {
+        try (DelayedAcceptServer never = new DelayedAcceptServer()) {
             bed.edit =
                     s ->
                             s.replaceFirst(
@@ -352,7 +362,7 @@
             bed.startUnready();
             assertEquals(
                     200,
-                    status(bed.ask(NodeBed.call("book", id(1), "", "x"))),
+                    status(bed.ask(PlatformFixture.call("book", id(1), "", "x"))),
                     "it waited, and was served");
             assertEquals(200, status(bed.ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n")));
             assertEquals(1, bed.asked.size());
@@ -362,26 +372,26 @@
     @Test
     void ofTwoConfigurationsReadAtOnceTheLaterOneCountsThoughTheOlderIsReadLast() throws Exception {
         bed.start();
-        NodeBed.until(() -> bed.board.asked.contains("watch 1"), "never asked");
+        PlatformFixture.until(() -> bed.board.asked.contains("watch 1"), "never asked");
         Path older = Path.of(bed.file + ".older");
         assertEquals(0, new ProcessBuilder("mkfifo", older.toString()).start().waitFor());
-        try (NodeBed.Board later = bed.new Board();
-                NodeBed.Board wrong = bed.new Board()) {
+        try (PlatformFixture.Board later = bed.new Board();
+                PlatformFixture.Board wrong = bed.new Board()) {
             Thread reading = new Thread(() -> bed.node.reload(older));
             reading.start();
             try (OutputStream out =
                     Files.newOutputStream(older)) { // opens once the older reading has begun
                 Files.writeString(bed.file, bed.json(later));
                 bed.node.reload(bed.file);
-                NodeBed.until(
+                PlatformFixture.until(
                         () -> later.asked.contains("watch 1"), "the new address was not asked");
                 out.write(bed.json(wrong).getBytes(StandardCharsets.UTF_8));
             }
             reading.join(TimeUnit.SECONDS.toMillis(10));
             passed();
-            later.say(NodeBed.event(2, false, bed.host("s-2", "Ready")));
+            later.say(PlatformFixture.event(2, false, bed.host("s-2", "Ready")));
             later.last.close();
-            NodeBed.until(
+            PlatformFixture.until(
                     () -> later.asked.contains("watch 2") || !wrong.asked.isEmpty(),
                     "no longer followed");
             assertTrue(wrong.asked.isEmpty(), "the older configuration was let count");
--- a/src/test/java/waytrestle/gateway/platform/HeldDoor.java
+++ b/src/test/java/waytrestle/platform/DelayedAcceptServer.java
@@ -1,4 +1,4 @@
-package waytrestle.gateway.platform;
+package waytrestle.platform;
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -15,12 +15,12 @@
  * An address at which connections neither come up nor fail until told: its backlog is full of
  * connections of its own.
  */
-final class HeldDoor implements AutoCloseable {
+final class DelayedAcceptServer implements AutoCloseable {
     private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
     private final List<SocketChannel> fillers = new ArrayList<>();
     private final Set<Integer> ports = new HashSet<>();
 
-    HeldDoor() throws Exception {
+    DelayedAcceptServer() throws Exception {
         for (boolean full = false; !full; ) {
             SocketChannel filler = SocketChannel.open();
             filler.configureBlocking(false);
--- a/src/test/java/waytrestle/gateway/platform/NodeTest.java
+++ b/src/test/java/waytrestle/platform/PlatformControllerTest.java
@@ -1,13 +1,15 @@
-package waytrestle.gateway.platform;
+package waytrestle.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -20,12 +22,12 @@
 import waytrestle.config.platform.PlatformConfig;
 
 /** The platform's controller over sockets: what crosses them, message by message. */
-class NodeTest {
-    private NodeBed bed;
+class PlatformControllerTest {
+    private PlatformFixture bed;
 
     @BeforeEach
     void start() throws Exception {
-        bed = new NodeBed().start();
+        bed = new PlatformFixture().start();
     }
 
     @AfterEach
@@ -46,14 +48,14 @@
         assertTrue(bed.ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n").startsWith("HTTP/1.1 200 "));
         String answer =
                 bed.ask(
-                        NodeBed.call(
+                        PlatformFixture.call(
                                 "read",
                                 id(1),
                                 "X-Extras: memory_mb:512;lanes:2;load_ms:640\r\n",
                                 "a b\nc"));
         assertEquals(200, status(answer));
         assertTrue(answer.endsWith("\r\n\r\ndone"), answer);
-        assertEquals(200, status(bed.ask(NodeBed.call("book", id(2), "", ""))));
+        assertEquals(200, status(bed.ask(PlatformFixture.call("book", id(2), "", ""))));
         String first = bed.asked.get(0);
         assertTrue(
                 first.matches(
@@ -71,7 +73,7 @@
 
     @Test
     void whatNoClientCouldMeanIsTurnedAwayAndReachesNoInvoker() throws Exception {
-        String good = NodeBed.call("read", id(1), "", "x");
+        String good = PlatformFixture.call("read", id(1), "", "x");
         String[][] cases = {
             {"X-Class: read", "X-Class: none"},
             {"X-Class: read\r\n", ""},
@@ -116,14 +118,14 @@
                     bed.loop.after(300_000, () -> e.answer(200, "", "late".getBytes()));
                 };
         try (Socket s = bed.socket()) {
-            s.getOutputStream().write(NodeBed.call("book", id(1), "", "x").getBytes());
-            NodeBed.until(() -> come.get() == 1, "the first never came");
-            assertEquals(409, status(bed.ask(NodeBed.call("book", id(1), "", "y"))));
-            assertEquals(200, status(NodeBed.answer(s)));
+            s.getOutputStream().write(PlatformFixture.call("book", id(1), "", "x").getBytes());
+            PlatformFixture.until(() -> come.get() == 1, "the first never came");
+            assertEquals(409, status(bed.ask(PlatformFixture.call("book", id(1), "", "y"))));
+            assertEquals(200, status(PlatformFixture.answer(s)));
         }
         assertEquals(
                 200,
-                status(bed.ask(NodeBed.call("book", id(1), "", "x"))),
+                status(bed.ask(PlatformFixture.call("book", id(1), "", "x"))),
                 "open no more, so taken");
     }
 
@@ -140,8 +142,9 @@
             for (int i = 1;
                     i <= 20;
                     i++) { // bodies: what is read of them must not be touched by the look
-                s.getOutputStream().write(NodeBed.call("book", id(i), "", "body " + i).getBytes());
-                assertEquals(200, status(NodeBed.answer(s)), "call " + i);
+                s.getOutputStream()
+                        .write(PlatformFixture.call("book", id(i), "", "body " + i).getBytes());
+                assertEquals(200, status(PlatformFixture.answer(s)), "call " + i);
                 assertTrue(bed.asked.get(i - 1).endsWith("|body " + i), bed.asked.get(i - 1));
                 Thread.sleep(i == 1 ? 50 : 0);
             }
@@ -158,12 +161,12 @@
                         e.answer(200, "", "done".getBytes());
                     }
                 };
-        int unsafe = status(bed.ask(NodeBed.call("book", id(1), "", "x")));
+        int unsafe = status(bed.ask(PlatformFixture.call("book", id(1), "", "x")));
         assertTrue(unsafe >= 500 && unsafe != 503, "it may have run: " + unsafe);
         assertEquals(1, bed.asked.size());
-        bed.board.say(NodeBed.event(2, false, bed.host("s-2", "Ready")));
+        bed.board.say(PlatformFixture.event(2, false, bed.host("s-2", "Ready")));
         Thread.sleep(200);
-        assertEquals(200, status(bed.ask(NodeBed.call("read", id(2), "", "x"))));
+        assertEquals(200, status(bed.ask(PlatformFixture.call("read", id(2), "", "x"))));
         assertEquals(3, bed.asked.size());
     }
 
@@ -176,14 +179,15 @@
                     }
                 };
         long before = System.nanoTime();
-        String answer = bed.ask(NodeBed.call("book", id(1), "X-Extras: load_ms:9000\r\n", "x"));
+        String answer =
+                bed.ask(PlatformFixture.call("book", id(1), "X-Extras: load_ms:9000\r\n", "x"));
         assertEquals(
                 503,
                 status(answer),
                 "the load outlasts the call, and a miss proves that nothing ran");
         assertTrue(answer.contains("X-Pushback-Ms: 2000\r\n"), answer);
         assertTrue(System.nanoTime() - before < 2_000_000_000L, "not held until its time is up");
-        NodeBed.until(() -> bed.asked.size() > 1, "nothing was ordered");
+        PlatformFixture.until(() -> bed.asked.size() > 1, "nothing was ordered");
         assertTrue(
                 bed.asked.get(1).startsWith("PUT /fetch/7f3a9c21e0b4d655/1|"),
                 "ordered for those who come back");
@@ -191,29 +195,31 @@
 
     @Test
     void theBoardIsFollowedOverBreaksAndToAnotherAddress() throws Exception {
-        NodeBed.until(() -> bed.board.asked.contains("watch 1"), "never asked");
-        bed.board.say(NodeBed.event(2, false, bed.host("s-2", "Ready")));
-        bed.board.say(NodeBed.event(2, false, bed.host("s-2", "Ready")));
+        PlatformFixture.until(() -> bed.board.asked.contains("watch 1"), "never asked");
+        bed.board.say(PlatformFixture.event(2, false, bed.host("s-2", "Ready")));
+        bed.board.say(PlatformFixture.event(2, false, bed.host("s-2", "Ready")));
         bed.board.last.getOutputStream().write("{\"rev\":3,\"po".getBytes(StandardCharsets.UTF_8));
         Thread.sleep(100);
         bed.board.last.close();
-        NodeBed.until(
+        PlatformFixture.until(
                 () -> bed.board.asked.contains("watch 2"),
                 "not asked again from the last whole event");
-        try (NodeBed.Board other = bed.new Board()) {
+        try (PlatformFixture.Board other = bed.new Board()) {
             Files.writeString(bed.file, bed.json(other));
             bed.node.reload(bed.file);
-            NodeBed.until(() -> other.asked.contains("watch 2"), "the new address was not asked");
+            PlatformFixture.until(
+                    () -> other.asked.contains("watch 2"), "the new address was not asked");
             Files.writeString(bed.file, "{\"board\":");
             Thread reading = new Thread(() -> bed.node.reload(bed.file));
             reading.start();
             assertEquals(
                     200,
-                    status(bed.ask(NodeBed.call("read", id(1), "", "x"))),
+                    status(bed.ask(PlatformFixture.call("read", id(1), "", "x"))),
                     "a torn file changes nothing");
-            try (NodeBed.Board third = bed.new Board()) {
+            try (PlatformFixture.Board third = bed.new Board()) {
                 Files.writeString(bed.file, bed.json(third));
-                NodeBed.until(() -> third.asked.contains("watch 2"), "once whole it is read");
+                PlatformFixture.until(
+                        () -> third.asked.contains("watch 2"), "once whole it is read");
                 reading.join();
             }
         }
@@ -225,30 +231,31 @@
         try (Socket s = bed.socket()) {
             bed.node.stop();
             Thread.sleep(150);
-            s.getOutputStream().write(NodeBed.call("book", id(1), "", "x").getBytes());
+            s.getOutputStream().write(PlatformFixture.call("book", id(1), "", "x").getBytes());
             try (Socket another = bed.socket()) {
-                another.getOutputStream().write(NodeBed.call("read", id(2), "", "x").getBytes());
-                assertEquals(200, status(NodeBed.answer(another)));
-                assertEquals(200, status(NodeBed.answer(s)));
+                another.getOutputStream()
+                        .write(PlatformFixture.call("read", id(2), "", "x").getBytes());
+                assertEquals(200, status(PlatformFixture.answer(another)));
+                assertEquals(200, status(PlatformFixture.answer(s)));
             }
         }
         assertEquals(0, bed.node.join(10_000));
-        assertThrows(java.io.IOException.class, () -> bed.socket(), "nobody listens any more");
+        assertThrows(IOException.class, () -> bed.socket(), "nobody listens any more");
     }
 
     @Test
     void silentConnectionsGiveWayToThoseThatAsk() throws Exception {
         bed.close();
-        bed = new NodeBed();
+        bed = new PlatformFixture();
         bed.sockets = "64"; // 8 for clients
         bed.start();
-        java.util.List<Socket> silent = new java.util.ArrayList<>();
+        List<Socket> silent = new ArrayList<>();
         for (int i = 0; i < 30; i++) {
             silent.add(bed.socket());
         }
         Thread.sleep(400);
         for (int i = 0; i < 6; i++) {
-            assertEquals(200, status(bed.ask(NodeBed.call("read", id(i), "", "x"))));
+            assertEquals(200, status(bed.ask(PlatformFixture.call("read", id(i), "", "x"))));
         }
         for (Socket s : silent) {
             String said =
@@ -290,7 +297,7 @@
 
     @Test
     void thousandsOfInvokersAndClientsComeAndGoAndEveryTableIsAsItWas() throws Exception {
-        assertEquals(200, status(bed.ask(NodeBed.call("read", id(0), "", "x"))));
+        assertEquals(200, status(bed.ask(PlatformFixture.call("read", id(0), "", "x"))));
         int number = 1;
         Map<String, Integer> first = null;
         for (int round = 0; round < 40; round++) {
@@ -304,14 +311,17 @@
                                         "\"born_ms\":" + System.currentTimeMillis());
                 go[i] = bed.host(host, "Gone");
             }
-            bed.board.say(NodeBed.event(++number, false, come));
+            bed.board.say(PlatformFixture.event(++number, false, come));
             for (int i = 0; i < 10; i++) {
                 assertEquals(
                         200,
-                        status(bed.ask(NodeBed.call("read", id(1 + round * 10 + i), "", "x"))));
+                        status(
+                                bed.ask(
+                                        PlatformFixture.call(
+                                                "read", id(1 + round * 10 + i), "", "x"))));
             }
-            bed.board.say(NodeBed.event(++number, false, go));
-            NodeBed.until(
+            bed.board.say(PlatformFixture.event(++number, false, go));
+            PlatformFixture.until(
                     () -> {
                         try {
                             Map<String, Integer> now = tables();
@@ -331,7 +341,7 @@
         for (String each : List.of("ids", "addresses", "starts", "ways")) {
             assertEquals(first.get(each), last.get(each), each);
         }
-        NodeBed.until(
+        PlatformFixture.until(
                 () -> {
                     try {
                         return tables().get("timers") <= 30;
@@ -414,6 +424,6 @@
                     status == 200 || status >= 400 && status < 500 && status != 429, head + answer);
             assertEquals(before + (status == 200 ? 1 : 0), bed.asked.size(), head.toString());
         }
-        assertEquals(200, status(bed.ask(NodeBed.call("read", id(9_999), "", "x"))));
+        assertEquals(200, status(bed.ask(PlatformFixture.call("read", id(9_999), "", "x"))));
     }
 }
--- a/src/test/java/waytrestle/gateway/platform/NodeBed.java
+++ b/src/test/java/waytrestle/platform/PlatformFixture.java
@@ -1,5 +1,6 @@
-package waytrestle.gateway.platform;
+package waytrestle.platform;
 
+import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -11,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
 import waytrestle.config.platform.PlatformConfig;
 import waytrestle.http.HttpLimits;
@@ -21,7 +23,7 @@
  * A node in this process, with scripted invokers and notice boards on loopback, spoken to over
  * plain sockets.
  */
-final class NodeBed implements AutoCloseable {
+final class PlatformFixture implements AutoCloseable {
     interface Script {
         void asked(HttpServer.Exchange e) throws Exception;
     }
@@ -58,7 +60,7 @@
                                         last = s;
                                         asked.add(line.toString());
                                     }
-                                } catch (java.io.IOException closed) {
+                                } catch (IOException closed) {
                                     // the board was closed
                                 }
                             });
@@ -71,7 +73,7 @@
             write(last, line);
         }
 
-        private void write(Socket to, String line) throws java.io.IOException {
+        private void write(Socket to, String line) throws IOException {
             to.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
         }
 
@@ -90,9 +92,9 @@
     volatile Script script = e -> e.answer(200, "", "done".getBytes());
     String sockets = "256";
     UnaryOperator<String> edit = s -> s; // of the configuration
-    Node node;
+    PlatformController node;
 
-    NodeBed() throws Exception {
+    PlatformFixture() throws Exception {
         invoker =
                 new HttpServer(
                         loop,
@@ -170,7 +172,7 @@
     }
 
     /** Starts it, and waits as its clients do until it is ready. */
-    NodeBed start() throws Exception {
+    PlatformFixture start() throws Exception {
         startUnready();
         until(
                 () -> {
@@ -185,9 +187,11 @@
         return this;
     }
 
-    NodeBed startUnready() throws Exception {
+    PlatformFixture startUnready() throws Exception {
         Files.writeString(file, edit.apply(json(board)));
-        node = Node.start(PlatformConfig.read(file), System::currentTimeMillis, System.err);
+        node =
+                PlatformController.start(
+                        PlatformConfig.read(file), System::currentTimeMillis, System.err);
         return this;
     }
 
@@ -239,8 +243,7 @@
         return text.toString();
     }
 
-    static void until(java.util.function.BooleanSupplier condition, String otherwise)
-            throws InterruptedException {
+    static void until(BooleanSupplier condition, String otherwise) throws InterruptedException {
         for (int i = 0; i < 1_500; i++) {
             if (condition.getAsBoolean()) {
                 return;
--- a/src/test/java/waytrestle/gateway/platform/RunLineTest.java
+++ b/src/test/java/waytrestle/platform/RunLineTest.java
@@ -1,4 +1,4 @@
-package waytrestle.gateway.platform;
+package waytrestle.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -25,8 +25,8 @@
                                         + System.getProperty("java.class.path")
                                         + "' waytrestle.Main");
         assertTrue(run.startsWith("exec ") && run.contains("waytrestle.Main platform"), run);
-        try (NodeBed bed = new NodeBed();
-                NodeBed.Board moved = bed.new Board()) {
+        try (PlatformFixture bed = new PlatformFixture();
+                PlatformFixture.Board moved = bed.new Board()) {
             Files.writeString(bed.file, bed.json(bed.board));
             Path log = Files.createTempFile("platform", ".log");
             ProcessBuilder starting =
@@ -36,7 +36,7 @@
             starting.environment().put("BALANCER_CONFIG", bed.file.toString());
             Process controller = starting.start();
             try {
-                NodeBed.until(
+                PlatformFixture.until(
                         () -> bed.board.asked.contains("watch 1"),
                         "it never followed its notice board");
                 assertEquals(0, controller.children().count(), "one process, by exec");
@@ -46,7 +46,7 @@
                         new ProcessBuilder("kill", "-HUP", "" + controller.pid())
                                 .start()
                                 .waitFor());
-                NodeBed.until(() -> moved.asked.contains("watch 1"), "HUP was not heard");
+                PlatformFixture.until(() -> moved.asked.contains("watch 1"), "HUP was not heard");
                 assertEquals(
                         0,
                         new ProcessBuilder("kill", "-TERM", "" + controller.pid())
--- a/src/test/java/waytrestle/gateway/platform/TwoCustomersTest.java
+++ b/src/test/java/waytrestle/platform/TwoCustomersTest.java
@@ -1,4 +1,4 @@
-package waytrestle.gateway.platform;
+package waytrestle.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -52,7 +52,7 @@
     private static Seen under(
             UnaryOperator<String> customer, String safe, String unsafe, String others)
             throws Exception {
-        try (NodeBed bed = new NodeBed()) {
+        try (PlatformFixture bed = new PlatformFixture()) {
             List<String> hosts = new ArrayList<>();
             for (int i = 1; i <= 8; i++) {
                 hosts.add(bed.host("s-" + i, "Ready"));
@@ -61,16 +61,21 @@
                     customer.andThen(
                                     s ->
                                             s.replace(
-                                                    NodeBed.event(
+                                                    PlatformFixture.event(
                                                             1, true, bed.host("s-1", "Ready")),
-                                                    NodeBed.event(
+                                                    PlatformFixture.event(
                                                             1, true, hosts.toArray(String[]::new))))
                             ::apply;
             bed.start();
             String short1 = "X-Deadline-Ms: 900", as = "X-Deadline-Ms: 3000";
-            int known = status(bed.ask(NodeBed.call(safe, id(1), "", "x").replace(as, short1)));
-            int other = status(bed.ask(NodeBed.call(others, id(2), "", "x").replace(as, short1)));
-            int longDeadline = status(bed.ask(NodeBed.call(safe, id(3), "", "x")));
+            int known =
+                    status(bed.ask(PlatformFixture.call(safe, id(1), "", "x").replace(as, short1)));
+            int other =
+                    status(
+                            bed.ask(
+                                    PlatformFixture.call(others, id(2), "", "x")
+                                            .replace(as, short1)));
+            int longDeadline = status(bed.ask(PlatformFixture.call(safe, id(3), "", "x")));
             bed.asked.clear();
             bed.script =
                     e ->
@@ -79,18 +84,24 @@
                                     "",
                                     "no mark"
                                             .getBytes()); // may have run: safe calls are sent again
-            bed.ask(NodeBed.call(safe, id(4), "", "x").replace(as, short1));
+            bed.ask(PlatformFixture.call(safe, id(4), "", "x").replace(as, short1));
             int attempts = bed.asked.size();
             bed.script = e -> bed.loop.after(400_000, () -> e.answer(200, "", "done".getBytes()));
             int whileOneIsOpen;
             try (Socket s = bed.socket()) {
                 int before = bed.asked.size();
                 s.getOutputStream()
-                        .write(NodeBed.call(unsafe, id(5), "", "x").replace(as, short1).getBytes());
-                NodeBed.until(() -> bed.asked.size() > before, "it was not passed on");
+                        .write(
+                                PlatformFixture.call(unsafe, id(5), "", "x")
+                                        .replace(as, short1)
+                                        .getBytes());
+                PlatformFixture.until(() -> bed.asked.size() > before, "it was not passed on");
                 whileOneIsOpen =
-                        status(bed.ask(NodeBed.call(safe, id(6), "", "x").replace(as, short1)));
-                NodeBed.answer(s);
+                        status(
+                                bed.ask(
+                                        PlatformFixture.call(safe, id(6), "", "x")
+                                                .replace(as, short1)));
+                PlatformFixture.answer(s);
             }
             bed.script =
                     e -> {
@@ -102,7 +113,11 @@
             for (int i = 0; i < 20; i++) {
                 String refused =
                         bed.ask(
-                                NodeBed.call(unsafe, id(10 + i), "X-Extras: load_ms:9000\r\n", "x")
+                                PlatformFixture.call(
+                                                unsafe,
+                                                id(10 + i),
+                                                "X-Extras: load_ms:9000\r\n",
+                                                "x")
                                         .replace(as, short1)
                                         .replace("7f3a9c21e0b4d655", "00000000000000aa"));
                 assertEquals(503, status(refused));
--- /dev/null
+++ b/src/test/java/waytrestle/scheduler/EmbeddingTest.java
@@ -0,0 +1,45 @@
+package waytrestle.scheduler;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import waytrestle.scheduler.SchedulerCommand.ForwardAttempt;
+import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
+import waytrestle.scheduler.SchedulerEvent.RequestReceived;
+
+/** The README's embedding example. */
+class EmbeddingTest {
+    private interface Transport {
+        void send(long id, String invoker);
+    }
+
+    @Test
+    void readmeExample() {
+        SchedulerFixture bed = new SchedulerFixture();
+        bed.orders = false;
+        SchedulerSettings settings = bed.settings();
+        long seed = 1;
+        long nowMicros = 1_000;
+        List<InvokerEndpoint> invokers =
+                List.of(new InvokerEndpoint("10.0.0.1:80", 0, 0, 0, EndpointState.READY, 1, 0));
+        RequestReceived request =
+                new RequestReceived(
+                        1, 0, -1, "resize", 2_000_000, 0, 256, 4, 500_000, false, false);
+        List<SchedulerCommand> actions = new ArrayList<>();
+        List<String> sent = new ArrayList<>();
+        Transport transport = (id, invoker) -> sent.add(id + " to " + invoker);
+
+        RequestScheduler control = new FinishTimeScheduler(settings, seed);
+        control.handle(nowMicros, new EndpointsUpdated(true, false, invokers), actions::add);
+        control.handle(nowMicros, request, actions::add);
+        for (SchedulerCommand action : actions) {
+            if (action instanceof ForwardAttempt send) {
+                transport.send(send.id(), send.invoker());
+            }
+        }
+
+        assertEquals(List.of("1 to 10.0.0.1:80"), sent);
+    }
+}
--- a/src/test/java/waytrestle/RulesTest.java
+++ b/src/test/java/waytrestle/scheduler/SchedulingRulesTest.java
@@ -1,4 +1,4 @@
-package waytrestle;
+package waytrestle.scheduler;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -11,10 +11,18 @@
 import java.util.TreeMap;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import waytrestle.ControlApi.*;
+import waytrestle.scheduler.SchedulerCommand.FailRequest;
+import waytrestle.scheduler.SchedulerCommand.ForwardAttempt;
+import waytrestle.scheduler.SchedulerCommand.PreloadFunction;
+import waytrestle.scheduler.SchedulerCommand.RejectRequest;
+import waytrestle.scheduler.SchedulerCommand.SetTimer;
+import waytrestle.scheduler.SchedulerEvent.AttemptCompleted;
+import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
+import waytrestle.scheduler.SchedulerEvent.PreloadCompleted;
+import waytrestle.scheduler.SchedulerEvent.TimerExpired;
 
 /** Seeded random event streams; the rules are checked on every action. */
-class RulesTest {
+class SchedulingRulesTest {
     private static final class Track {
         int attempts;
         int out;
@@ -32,33 +40,34 @@
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
     void rulesHoldOnRandomStreams(long seed) {
         SplittableRandom dice = new SplittableRandom(seed);
-        Bed bed = new Bed();
-        bed.repeat = Repeat.values()[(int) (seed % 3)];
+        SchedulerFixture bed = new SchedulerFixture();
+        bed.repeat = Idempotency.values()[(int) (seed % 3)];
         bed.missAnswers = seed % 2 == 0;
         bed.loadPeriod = seed % 4 < 2 ? 1_000_000 : 0;
         bed.freeLoads = 3;
         bed.loadRatio = 0.2;
-        Map<String, State> told = new TreeMap<>();
+        Map<String, EndpointState> told = new TreeMap<>();
         Map<String, Integer> cell = new HashMap<>();
-        List<Invoker> first = new ArrayList<>();
+        List<InvokerEndpoint> first = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
-            Invoker invoker = new Invoker("w" + i, 0, i % 2, 0, State.READY, 1, 0);
+            InvokerEndpoint invoker =
+                    new InvokerEndpoint("w" + i, 0, i % 2, 0, EndpointState.READY, 1, 0);
             first.add(invoker);
-            told.put(invoker.id(), State.READY);
+            told.put(invoker.id(), EndpointState.READY);
             cell.put(invoker.id(), i % 2);
         }
-        bed.start(first.toArray(new Invoker[0]));
+        bed.start(first.toArray(new InvokerEndpoint[0]));
         Map<Long, Track> tracks = new TreeMap<>();
-        TreeMap<Long, List<String>> timers = new TreeMap<>();
+        TreeMap<Long, List<SchedulerTimer>> timers = new TreeMap<>();
         List<Object[]> out = new ArrayList<>();
-        List<Order> orders = new ArrayList<>();
+        List<PreloadFunction> orders = new ArrayList<>();
         List<Long> orderTimes = new ArrayList<>();
         List<Long> arrivals = new ArrayList<>();
         long id = 0;
         int checked = 0;
         for (int step = 0; step < 6_000; step++) {
             bed.now += 1 + dice.nextInt(8_000);
-            List<Action> actions = new ArrayList<>();
+            List<SchedulerCommand> actions = new ArrayList<>();
             int what = dice.nextInt(20);
             if (what < 8) {
                 Track track = new Track();
@@ -73,57 +82,61 @@
                 long request = (Long) attempt[0];
                 int number = (Integer) attempt[1];
                 Track track = tracks.get(request);
-                Code code = Code.values()[dice.nextInt(Code.values().length)];
+                ResponseCode code =
+                        ResponseCode.values()[dice.nextInt(ResponseCode.values().length)];
                 boolean proved =
-                        code == Code.FULL
-                                || code == Code.CONNECT_FAILED
-                                || code == Code.MOOT
-                                || code == Code.MISS;
+                        code == ResponseCode.FULL
+                                || code == ResponseCode.CONNECT_FAILED
+                                || code == ResponseCode.NOT_SENT
+                                || code == ResponseCode.NOT_LOADED;
                 track.out--;
                 if (!proved && !track.unproved) {
                     track.unproved = true;
                     track.firstUnproved = track.sentAt.get(number);
                     track.cell = track.cells.get(number);
                 }
-                boolean last = code == Code.OK || track.over;
-                track.ends += code == Code.OK && !track.over ? 1 : 0;
+                boolean last = code == ResponseCode.OK || track.over;
+                track.ends += code == ResponseCode.OK && !track.over ? 1 : 0;
                 track.over |= last;
                 actions.addAll(
                         bed.feed(
-                                new AttemptEnded(
+                                new AttemptCompleted(
                                         request,
                                         number,
                                         (String) attempt[2],
                                         code,
                                         last,
                                         50_000,
-                                        Start.values()[dice.nextInt(5)],
+                                        StartKind.values()[dice.nextInt(5)],
                                         -1,
                                         Map.of())));
             } else if (what < 18 && !orders.isEmpty()) {
-                Order order = orders.remove(dice.nextInt(orders.size()));
-                Code code = dice.nextInt(4) == 0 ? Code.values()[1 + dice.nextInt(5)] : Code.OK;
+                PreloadFunction order = orders.remove(dice.nextInt(orders.size()));
+                ResponseCode code =
+                        dice.nextInt(4) == 0
+                                ? ResponseCode.values()[1 + dice.nextInt(5)]
+                                : ResponseCode.OK;
                 actions.addAll(
                         bed.feed(
-                                new OrderEnded(
+                                new PreloadCompleted(
                                         order.invoker(),
                                         order.function(),
                                         code,
                                         dice.nextInt(400_000),
-                                        code == Code.OK
-                                                ? Math.max(order.copies(), dice.nextInt(2))
+                                        code == ResponseCode.OK
+                                                ? Math.max(order.instances(), dice.nextInt(2))
                                                 : 0)));
             } else if (what == 18) {
                 String w = "w" + dice.nextInt(6);
-                State state = State.values()[dice.nextInt(3)];
+                EndpointState state = EndpointState.values()[dice.nextInt(3)];
                 told.put(w, state);
                 actions.addAll(
                         bed.feed(
-                                new InvokerList(
+                                new EndpointsUpdated(
                                         false,
                                         false,
                                         List.of(
-                                                new Invoker(
+                                                new InvokerEndpoint(
                                                         w,
                                                         0,
                                                         cell.get(w),
@@ -133,20 +146,20 @@
                                                         dice.nextInt(2) * bed.now)))));
             }
             while (!timers.isEmpty() && timers.firstKey() <= bed.now) {
-                for (String tag : timers.pollFirstEntry().getValue()) {
-                    actions.addAll(bed.feed(new TimerFired(tag)));
+                for (SchedulerTimer timer : timers.pollFirstEntry().getValue()) {
+                    actions.addAll(bed.feed(new TimerExpired(timer)));
                 }
             }
-            for (Action action : actions) {
+            for (SchedulerCommand action : actions) {
                 checked++;
-                if (action instanceof Send send) {
+                if (action instanceof ForwardAttempt send) {
                     Track track = tracks.get(send.id());
-                    assertEquals(State.READY, told.get(send.invoker()), "drain");
+                    assertEquals(EndpointState.READY, told.get(send.invoker()), "drain");
                     assertTrue(!track.over, "sent after the end");
                     assertEquals(0, track.out, "overlap");
                     if (track.unproved) {
-                        assertTrue(bed.repeat != Repeat.UNSAFE, "unsafe repeat");
-                        if (bed.repeat == Repeat.KEYED) {
+                        assertTrue(bed.repeat != Idempotency.NON_IDEMPOTENT, "unsafe repeat");
+                        if (bed.repeat == Idempotency.KEYED) {
                             assertEquals(track.cell, cell.get(send.invoker()), "cell");
                             assertTrue(bed.now <= track.firstUnproved + 3_000_000, "window");
                         }
@@ -156,20 +169,22 @@
                     track.cells.add(cell.get(send.invoker()));
                     out.add(new Object[] {send.id(), track.attempts++, send.invoker()});
                     assertTrue(track.attempts <= 5, "attempts");
-                } else if (action instanceof Refuse refuse) {
+                } else if (action instanceof RejectRequest refuse) {
                     Track track = tracks.get(refuse.id());
                     assertTrue(
-                            bed.repeat == Repeat.SAFE || (!track.unproved && track.out == 0),
+                            bed.repeat == Idempotency.IDEMPOTENT
+                                    || (!track.unproved && track.out == 0),
                             "refusal");
                     track.over = true;
                     track.ends++;
-                } else if (action instanceof Fail fail) {
+                } else if (action instanceof FailRequest fail) {
                     tracks.get(fail.id()).over = true;
                     tracks.get(fail.id()).ends++;
-                } else if (action instanceof Order order) {
+                } else if (action instanceof PreloadFunction order) {
                     orders.add(order);
-                    if (order.copies() > 0) {
-                        assertEquals(State.READY, told.get(order.invoker()), "order on drain");
+                    if (order.instances() > 0) {
+                        assertEquals(
+                                EndpointState.READY, told.get(order.invoker()), "order on drain");
                         orderTimes.add(bed.now);
                         long from = bed.now - 1_000_000;
                         long placed = orderTimes.stream().filter(t -> t >= from).count();
@@ -179,7 +194,7 @@
                     }
                 } else if (action instanceof SetTimer timer) {
                     timers.computeIfAbsent(bed.now + timer.afterMicros(), t -> new ArrayList<>())
-                            .add(timer.tag());
+                            .add(timer.timer());
                 }
             }
             for (Track track : tracks.values()) {
