--- a/src/test/java/waytrestle/ArchitectureTest.java
+++ b/src/test/java/waytrestle/ArchitectureTest.java
@@ -13,8 +13,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * The layers: decisions know no I/O and no clock, fronts no invokers, and only tools know
- * stand-ins.
+ * The layers: decisions know no I/O and no clock, front ends no invokers, and only test tools know
+ * simulated invokers.
  */
 class ArchitectureTest {
     private static final JavaClasses ALL =
@@ -22,7 +22,27 @@
                     .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
                     .importPackages("waytrestle");
 
-    private static ArchRule pure(String... names) {
+    private static final String PLAIN_JAVA = "java\\.(lang|util|util\\.function|util\\.stream)";
+
+    /** What decisions may know beside plain Java. */
+    private static final String DECISION_LAYER =
+            "(\\[L)?waytrestle\\.(Bytes|(scheduler|stats|requests|overload|responses)\\.[A-Za-z]+"
+                    + "|discovery\\.EndpointDirectory|discovery\\.watch\\.(WatchState|WatchEvent)"
+                    + "|invoker\\.platform\\.PlatformResponseClassifier"
+                    + "|controller\\.FailureThreshold)(\\$.*)?;?";
+
+    private static boolean isPlainJavaOrDecision(JavaClass type) {
+        if (type.isArray()) {
+            return type.getBaseComponentType().isPrimitive()
+                    || type.getPackageName().startsWith("java.")
+                    || type.getName().matches(DECISION_LAYER);
+        }
+        return type.isPrimitive()
+                || type.getPackageName().matches(PLAIN_JAVA)
+                || type.getName().matches(DECISION_LAYER);
+    }
+
+    private static ArchRule knowsDecisionsAndPlainJavaOnly(String... names) {
         return classes()
                 .that()
                 .haveNameMatching("waytrestle\\.(" + String.join("|", names) + ")(\\$.*)?")
@@ -30,20 +50,7 @@
                 .onlyDependOnClassesThat(
                         DescribedPredicate.describe(
                                 "are decisions or plain Java",
-                                c ->
-                                        c.getPackageName()
-                                                        .matches(
-                                                                "java\\.(lang|util|util\\.function|util\\.stream)")
-                                                || c.isPrimitive()
-                                                || c.isArray()
-                                                        && c.getBaseComponentType().isPrimitive()
-                                                || c.getName()
-                                                        .matches(
-                                                                "(\\[L)?waytrestle\\.(Bytes|scheduler\\.[A-Za-z]+|stats\\.[A-Za-z]+|requests\\.[A-Za-z]+|overload\\.[A-Za-z]+"
-                                                                    + "|responses\\.[A-Za-z]+|discovery\\.EndpointDirectory|discovery\\.watch\\.(WatchState|WatchEvent)"
-                                                                    + "|invoker\\.platform\\.PlatformResponseClassifier|controller\\.FailureThreshold)(\\$.*)?;?")
-                                                || c.isArray()
-                                                        && c.getPackageName().startsWith("java.")));
+                                ArchitectureTest::isPlainJavaOrDecision));
     }
 
     private static final String[] DECISIONS = {
@@ -60,10 +67,10 @@
 
     @Test
     void decisionsKnowNoInputOutputAndNoLibraries() {
-        pure(DECISIONS).check(ALL);
+        knowsDecisionsAndPlainJavaOnly(DECISIONS).check(ALL);
         assertThrows(
                 AssertionError.class,
-                () -> pure("controller\\.Controller").check(ALL),
+                () -> knowsDecisionsAndPlainJavaOnly("controller\\.Controller").check(ALL),
                 "the rule catches a breach");
     }
 
@@ -85,7 +92,7 @@
     }
 
     @Test
-    void frontsKnowNoInvokersAndNoModule() {
+    void frontEndsKnowNoInvokersAndNoScheduler() {
         noClasses()
                 .that()
                 .resideInAPackage("..front..")
@@ -102,7 +109,7 @@
     }
 
     @Test
-    void theProtocolsLayersKnowNothingAboveThem() {
+    void theNetworkLayersKnowNothingAboveThem() {
         noClasses()
                 .that()
                 .resideInAPackage("waytrestle.net")
@@ -128,7 +135,7 @@
     }
 
     @Test
-    void onlyToolsKnowStandInsAndPlays() {
+    void onlyTestToolsKnowSimulatedInvokersAndScenarios() {
         noClasses()
                 .that()
                 .resideOutsideOfPackages(
@@ -146,7 +153,7 @@
     }
 
     @Test
-    void theAuditKnowsNothingOfTheGatewayButItsConfiguration() {
+    void theHistoryCheckerKnowsNothingOfTheGatewayButItsConfiguration() {
         noClasses()
                 .that()
                 .resideInAPackage("..audit..")
@@ -165,7 +172,7 @@
     }
 
     @Test
-    void theAdapterStaysLean() {
+    void theBenchAdapterLoadsNoLargeLibraries() {
         noClasses()
                 .that()
                 .resideInAPackage("waytrestle.bench")
--- a/src/test/java/waytrestle/scheduler/EmbeddingTest.java
+++ b/src/test/java/waytrestle/scheduler/EmbeddingTest.java
@@ -16,10 +16,10 @@
     }
 
     @Test
-    void readmeExample() {
-        SchedulerFixture bed = new SchedulerFixture();
-        bed.orders = false;
-        SchedulerSettings settings = bed.settings();
+    void theExampleOfTheReadmeSendsTheRequest() {
+        SchedulerFixture fixture = new SchedulerFixture();
+        fixture.acceptsPreloads = false;
+        SchedulerSettings settings = fixture.settings();
         long seed = 1;
         long nowMicros = 1_000;
         List<InvokerEndpoint> invokers =
@@ -27,16 +27,16 @@
         RequestReceived request =
                 new RequestReceived(
                         1, 0, -1, "resize", 2_000_000, 0, 256, 4, 500_000, false, false);
-        List<SchedulerCommand> actions = new ArrayList<>();
+        List<SchedulerCommand> commands = new ArrayList<>();
         List<String> sent = new ArrayList<>();
         Transport transport = (id, invoker) -> sent.add(id + " to " + invoker);
 
-        RequestScheduler control = new FinishTimeScheduler(settings, seed);
-        control.handle(nowMicros, new EndpointsUpdated(true, false, invokers), actions::add);
-        control.handle(nowMicros, request, actions::add);
-        for (SchedulerCommand action : actions) {
-            if (action instanceof ForwardAttempt send) {
-                transport.send(send.id(), send.invoker());
+        RequestScheduler scheduler = new FinishTimeScheduler(settings, seed);
+        scheduler.handle(nowMicros, new EndpointsUpdated(true, false, invokers), commands::add);
+        scheduler.handle(nowMicros, request, commands::add);
+        for (SchedulerCommand command : commands) {
+            if (command instanceof ForwardAttempt attempt) {
+                transport.send(attempt.id(), attempt.invoker());
             }
         }
 
--- a/src/test/java/waytrestle/scheduler/SchedulerFixture.java
+++ b/src/test/java/waytrestle/scheduler/SchedulerFixture.java
@@ -15,59 +15,68 @@
 import waytrestle.scheduler.SchedulerSettings.RequestClass;
 import waytrestle.scheduler.SchedulerSettings.Rules;
 
-/** Settings and events for tests: one controller, driven by hand. */
+/** Settings and events for tests: one scheduler, driven by hand. */
 final class SchedulerFixture {
-    boolean missAnswers;
-    boolean orders = true;
-    double probePrice = 0.01;
-    int controllers = 2;
-    int classes = 1;
-    double freeLoads;
-    double loadRatio;
-    long loadPeriod;
-    Idempotency repeat = Idempotency.IDEMPOTENT;
-    DeduplicationScope group = DeduplicationScope.CELL;
+    boolean reportsNotLoaded;
+    boolean acceptsPreloads = true;
+    double healthCheckCost = 0.01;
+    int controllerCount = 2;
+    int classCount = 1;
+    double freePreloads;
+    double preloadsPerRequest;
+    long preloadPeriodMicros;
+    Idempotency idempotency = Idempotency.IDEMPOTENT;
+    DeduplicationScope scope = DeduplicationScope.CELL;
     int maxAttempts = 5;
     DiscoveryMode discovery = DiscoveryMode.PUSH;
     long now = 50_000_000;
-    FinishTimeScheduler control;
-    final List<SchedulerCommand> all = new ArrayList<>();
+    FinishTimeScheduler scheduler;
+    final List<SchedulerCommand> commands = new ArrayList<>();
 
     SchedulerSettings settings() {
-        RequestClass kind =
+        RequestClass requestClass =
                 new RequestClass(
-                        "call", repeat, group, 3_000_000, 800_000, 0, 5_000_000, 1, 0.3, false);
+                        "call",
+                        idempotency,
+                        scope,
+                        3_000_000,
+                        800_000,
+                        0,
+                        5_000_000,
+                        1,
+                        0.3,
+                        false);
         return new SchedulerSettings(
                 0,
-                controllers,
+                controllerCount,
                 0,
                 4_000,
                 discovery,
                 LoadReportSource.RESPONSES,
                 "none",
                 0.1,
-                Collections.nCopies(classes, kind),
+                Collections.nCopies(classCount, requestClass),
                 List.of(),
                 new Limits(
                         maxAttempts, 20_000, true, false, false, false, true, 1_000_000, 250_000),
                 new Rules(16_000, 500_000, 0.25, 10_000_000, 2, 2_000_000, 10_000_000),
                 new Preloading(
-                        missAnswers,
-                        orders,
+                        reportsNotLoaded,
+                        acceptsPreloads,
                         true,
                         false,
                         10_000_000,
                         10_000_000,
                         0,
-                        freeLoads,
-                        loadRatio,
-                        loadPeriod,
+                        freePreloads,
+                        preloadsPerRequest,
+                        preloadPeriodMicros,
                         List.of(8_000.0)),
-                new Costs(0.02, 0.03, probePrice, 0.05, 0.03, 0, 0, 0, 0));
+                new Costs(0.02, 0.03, healthCheckCost, 0.05, 0.03, 0, 0, 0, 0));
     }
 
     SchedulerFixture start(InvokerEndpoint... invokers) {
-        control = new FinishTimeScheduler(settings(), 7);
+        scheduler = new FinishTimeScheduler(settings(), 7);
         feed(new EndpointsUpdated(true, true, List.of(invokers)));
         return this;
     }
@@ -77,10 +86,10 @@
     }
 
     List<SchedulerCommand> feed(SchedulerEvent event) {
-        List<SchedulerCommand> out = new ArrayList<>();
-        control.handle(now, event, out::add);
-        all.addAll(out);
-        return out;
+        List<SchedulerCommand> handled = new ArrayList<>();
+        scheduler.handle(now, event, handled::add);
+        commands.addAll(handled);
+        return handled;
     }
 
     List<SchedulerCommand> request(long id, String function) {
@@ -93,8 +102,13 @@
                         id, 0, -1, function, left, 0, 300, 2, loadMicros, false, false));
     }
 
-    List<SchedulerCommand> ended(
-            long id, int attempt, String invoker, ResponseCode code, StartKind start, long took) {
+    List<SchedulerCommand> completed(
+            long id,
+            int attempt,
+            String invoker,
+            ResponseCode code,
+            StartKind start,
+            long elapsed) {
         return feed(
                 new AttemptCompleted(
                         id,
@@ -102,35 +116,32 @@
                         invoker,
                         code,
                         code == ResponseCode.OK,
-                        took,
+                        elapsed,
                         start,
                         -1,
                         Map.of()));
     }
 
-    List<SchedulerCommand> ordered(String invoker, String function, int copies) {
-        return feed(new PreloadCompleted(invoker, function, ResponseCode.OK, 1_000, copies));
+    List<SchedulerCommand> preloaded(String invoker, String function, int instances) {
+        return feed(new PreloadCompleted(invoker, function, ResponseCode.OK, 1_000, instances));
     }
 
-    /**
-     * Makes the controller believe that an invoker holds the function, by a served request; says
-     * which.
-     */
+    /** Has a request of the function served, and returns the invoker that holds it now. */
     String warm(long id, String function) {
-        ForwardAttempt send = one(request(id, function), ForwardAttempt.class);
+        ForwardAttempt attempt = onlyOne(request(id, function), ForwardAttempt.class);
         now += 100_000;
-        ended(id, 0, send.invoker(), ResponseCode.OK, StartKind.WARM, 100_000);
-        return send.invoker();
+        completed(id, 0, attempt.invoker(), ResponseCode.OK, StartKind.WARM, 100_000);
+        return attempt.invoker();
     }
 
-    static <T> List<T> every(List<SchedulerCommand> actions, Class<T> kind) {
-        return actions.stream().filter(kind::isInstance).map(kind::cast).toList();
+    static <T> List<T> allOf(List<SchedulerCommand> commands, Class<T> kind) {
+        return commands.stream().filter(kind::isInstance).map(kind::cast).toList();
     }
 
-    static <T> T one(List<SchedulerCommand> actions, Class<T> kind) {
-        List<T> found = every(actions, kind);
+    static <T> T onlyOne(List<SchedulerCommand> commands, Class<T> kind) {
+        List<T> found = allOf(commands, kind);
         if (found.size() != 1) {
-            throw new AssertionError("wanted one " + kind.getSimpleName() + " in " + actions);
+            throw new AssertionError("wanted one " + kind.getSimpleName() + " in " + commands);
         }
         return found.get(0);
     }
--- a/src/test/java/waytrestle/scheduler/SchedulingRulesTest.java
+++ b/src/test/java/waytrestle/scheduler/SchedulingRulesTest.java
@@ -21,188 +21,242 @@
 import waytrestle.scheduler.SchedulerEvent.PreloadCompleted;
 import waytrestle.scheduler.SchedulerEvent.TimerExpired;
 
-/** Seeded random event streams; the rules are checked on every action. */
+/** Seeded random event streams; the rules are checked on every command. */
 class SchedulingRulesTest {
-    private static final class Track {
-        int attempts;
-        int out;
-        int ends;
-        int cell = -1;
-        boolean unproved;
-        long firstUnproved;
-        long deadline;
-        boolean over;
+    private static final int STEPS = 6_000;
+    private static final int INVOKERS = 6;
+    private static final int FUNCTIONS = 12;
+    private static final int MAX_ATTEMPTS = 5;
+    private static final long DEDUPLICATION_WINDOW_MICROS = 3_000_000;
+    private static final long RESPONSE_SLACK_MICROS = 16_000;
+    private static final long PRELOAD_PERIOD_MICROS = 1_000_000;
+    private static final int FREE_PRELOADS = 3;
+    private static final double PRELOADS_PER_REQUEST = 0.2;
+
+    /** What the checks remember of a request. */
+    private static final class TrackedRequest {
+        final long deadline;
         final List<Long> sentAt = new ArrayList<>();
         final List<Integer> cells = new ArrayList<>();
+        int attempts;
+        int inFlight;
+        int responses;
+        boolean mayHaveRun;
+        int boundCell = -1;
+        long boundAt;
+        boolean completed;
+
+        TrackedRequest(long deadline) {
+            this.deadline = deadline;
+        }
     }
 
+    private record AttemptInFlight(long requestId, int number, String invoker) {}
+
+    private SplittableRandom random;
+    private SchedulerFixture scheduler;
+    private final Map<String, EndpointState> states = new TreeMap<>();
+    private final Map<String, Integer> cells = new HashMap<>();
+    private final Map<Long, TrackedRequest> requests = new TreeMap<>();
+    private final TreeMap<Long, List<SchedulerTimer>> timers = new TreeMap<>();
+    private final List<AttemptInFlight> attempts = new ArrayList<>();
+    private final List<PreloadFunction> preloads = new ArrayList<>();
+    private final List<Long> preloadTimes = new ArrayList<>();
+    private final List<Long> requestTimes = new ArrayList<>();
+    private long lastRequestId;
+    private int checked;
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
-    void rulesHoldOnRandomStreams(long seed) {
-        SplittableRandom dice = new SplittableRandom(seed);
-        SchedulerFixture bed = new SchedulerFixture();
-        bed.repeat = Idempotency.values()[(int) (seed % 3)];
-        bed.missAnswers = seed % 2 == 0;
-        bed.loadPeriod = seed % 4 < 2 ? 1_000_000 : 0;
-        bed.freeLoads = 3;
-        bed.loadRatio = 0.2;
-        Map<String, EndpointState> told = new TreeMap<>();
-        Map<String, Integer> cell = new HashMap<>();
-        List<InvokerEndpoint> first = new ArrayList<>();
-        for (int i = 0; i < 6; i++) {
-            InvokerEndpoint invoker =
-                    new InvokerEndpoint("w" + i, 0, i % 2, 0, EndpointState.READY, 1, 0);
-            first.add(invoker);
-            told.put(invoker.id(), EndpointState.READY);
-            cell.put(invoker.id(), i % 2);
+    void rulesHoldOnRandomEvents(long seed) {
+        start(seed);
+        for (int step = 0; step < STEPS; step++) {
+            scheduler.now += 1 + random.nextInt(8_000);
+            List<SchedulerCommand> commands = new ArrayList<>(randomEvent());
+            commands.addAll(expireTimers());
+            commands.forEach(this::check);
+            checked += commands.size();
+            checkResponses();
         }
-        bed.start(first.toArray(new InvokerEndpoint[0]));
-        Map<Long, Track> tracks = new TreeMap<>();
-        TreeMap<Long, List<SchedulerTimer>> timers = new TreeMap<>();
-        List<Object[]> out = new ArrayList<>();
-        List<PreloadFunction> orders = new ArrayList<>();
-        List<Long> orderTimes = new ArrayList<>();
-        List<Long> arrivals = new ArrayList<>();
-        long id = 0;
-        int checked = 0;
-        for (int step = 0; step < 6_000; step++) {
-            bed.now += 1 + dice.nextInt(8_000);
-            List<SchedulerCommand> actions = new ArrayList<>();
-            int what = dice.nextInt(20);
-            if (what < 8) {
-                Track track = new Track();
-                long left = 200_000 + dice.nextInt(1_500_000);
-                track.deadline = bed.now + left;
-                tracks.put(++id, track);
-                arrivals.add(bed.now);
-                actions.addAll(
-                        bed.request(id, "f" + dice.nextInt(12), left, dice.nextInt(2) * 300_000));
-            } else if (what < 16 && !out.isEmpty()) {
-                Object[] attempt = out.remove(dice.nextInt(out.size()));
-                long request = (Long) attempt[0];
-                int number = (Integer) attempt[1];
-                Track track = tracks.get(request);
-                ResponseCode code =
-                        ResponseCode.values()[dice.nextInt(ResponseCode.values().length)];
-                boolean proved =
-                        code == ResponseCode.FULL
-                                || code == ResponseCode.CONNECT_FAILED
-                                || code == ResponseCode.NOT_SENT
-                                || code == ResponseCode.NOT_LOADED;
-                track.out--;
-                if (!proved && !track.unproved) {
-                    track.unproved = true;
-                    track.firstUnproved = track.sentAt.get(number);
-                    track.cell = track.cells.get(number);
-                }
-                boolean last = code == ResponseCode.OK || track.over;
-                track.ends += code == ResponseCode.OK && !track.over ? 1 : 0;
-                track.over |= last;
-                actions.addAll(
-                        bed.feed(
-                                new AttemptCompleted(
-                                        request,
-                                        number,
-                                        (String) attempt[2],
-                                        code,
-                                        last,
-                                        50_000,
-                                        StartKind.values()[dice.nextInt(5)],
-                                        -1,
-                                        Map.of())));
-            } else if (what < 18 && !orders.isEmpty()) {
-                PreloadFunction order = orders.remove(dice.nextInt(orders.size()));
-                ResponseCode code =
-                        dice.nextInt(4) == 0
-                                ? ResponseCode.values()[1 + dice.nextInt(5)]
-                                : ResponseCode.OK;
-                actions.addAll(
-                        bed.feed(
-                                new PreloadCompleted(
-                                        order.invoker(),
-                                        order.function(),
-                                        code,
-                                        dice.nextInt(400_000),
-                                        code == ResponseCode.OK
-                                                ? Math.max(order.instances(), dice.nextInt(2))
-                                                : 0)));
-            } else if (what == 18) {
-                String w = "w" + dice.nextInt(6);
-                EndpointState state = EndpointState.values()[dice.nextInt(3)];
-                told.put(w, state);
-                actions.addAll(
-                        bed.feed(
-                                new EndpointsUpdated(
-                                        false,
-                                        false,
-                                        List.of(
-                                                new InvokerEndpoint(
-                                                        w,
-                                                        0,
-                                                        cell.get(w),
-                                                        0,
-                                                        state,
-                                                        1,
-                                                        dice.nextInt(2) * bed.now)))));
-            }
-            while (!timers.isEmpty() && timers.firstKey() <= bed.now) {
-                for (SchedulerTimer timer : timers.pollFirstEntry().getValue()) {
-                    actions.addAll(bed.feed(new TimerExpired(timer)));
-                }
-            }
-            for (SchedulerCommand action : actions) {
-                checked++;
-                if (action instanceof ForwardAttempt send) {
-                    Track track = tracks.get(send.id());
-                    assertEquals(EndpointState.READY, told.get(send.invoker()), "drain");
-                    assertTrue(!track.over, "sent after the end");
-                    assertEquals(0, track.out, "overlap");
-                    if (track.unproved) {
-                        assertTrue(bed.repeat != Idempotency.NON_IDEMPOTENT, "unsafe repeat");
-                        if (bed.repeat == Idempotency.KEYED) {
-                            assertEquals(track.cell, cell.get(send.invoker()), "cell");
-                            assertTrue(bed.now <= track.firstUnproved + 3_000_000, "window");
-                        }
-                    }
-                    track.out++;
-                    track.sentAt.add(bed.now);
-                    track.cells.add(cell.get(send.invoker()));
-                    out.add(new Object[] {send.id(), track.attempts++, send.invoker()});
-                    assertTrue(track.attempts <= 5, "attempts");
-                } else if (action instanceof RejectRequest refuse) {
-                    Track track = tracks.get(refuse.id());
-                    assertTrue(
-                            bed.repeat == Idempotency.IDEMPOTENT
-                                    || (!track.unproved && track.out == 0),
-                            "refusal");
-                    track.over = true;
-                    track.ends++;
-                } else if (action instanceof FailRequest fail) {
-                    tracks.get(fail.id()).over = true;
-                    tracks.get(fail.id()).ends++;
-                } else if (action instanceof PreloadFunction order) {
-                    orders.add(order);
-                    if (order.instances() > 0) {
-                        assertEquals(
-                                EndpointState.READY, told.get(order.invoker()), "order on drain");
-                        orderTimes.add(bed.now);
-                        long from = bed.now - 1_000_000;
-                        long placed = orderTimes.stream().filter(t -> t >= from).count();
-                        long took = arrivals.stream().filter(t -> t >= from).count();
-                        assertTrue(
-                                bed.loadPeriod == 0 || placed <= 3 + 0.2 * took + 1e-9, "ration");
-                    }
-                } else if (action instanceof SetTimer timer) {
-                    timers.computeIfAbsent(bed.now + timer.afterMicros(), t -> new ArrayList<>())
-                            .add(timer.timer());
-                }
+        assertTrue(checked > 3_000, "the events must exercise the scheduler: " + checked);
+    }
+
+    private void start(long seed) {
+        random = new SplittableRandom(seed);
+        scheduler = new SchedulerFixture();
+        scheduler.idempotency = Idempotency.values()[(int) (seed % 3)];
+        scheduler.reportsNotLoaded = seed % 2 == 0;
+        scheduler.preloadPeriodMicros = seed % 4 < 2 ? PRELOAD_PERIOD_MICROS : 0;
+        scheduler.freePreloads = FREE_PRELOADS;
+        scheduler.preloadsPerRequest = PRELOADS_PER_REQUEST;
+        InvokerEndpoint[] endpoints = new InvokerEndpoint[INVOKERS];
+        for (int i = 0; i < INVOKERS; i++) {
+            String id = "w" + i;
+            endpoints[i] = new InvokerEndpoint(id, 0, i % 2, 0, EndpointState.READY, 1, 0);
+            states.put(id, EndpointState.READY);
+            cells.put(id, i % 2);
+        }
+        scheduler.start(endpoints);
+    }
+
+    // ---- Random events. ----
+    private List<SchedulerCommand> randomEvent() {
+        int kind = random.nextInt(20);
+        if (kind < 8) {
+            return receiveRequest();
+        }
+        if (kind < 16 && !attempts.isEmpty()) {
+            return completeAttempt();
+        }
+        if (kind < 18 && !preloads.isEmpty()) {
+            return completePreload();
+        }
+        return kind == 18 ? changeEndpoint() : List.of();
+    }
+
+    private List<SchedulerCommand> receiveRequest() {
+        long timeLeft = 200_000 + random.nextInt(1_500_000);
+        requests.put(++lastRequestId, new TrackedRequest(scheduler.now + timeLeft));
+        requestTimes.add(scheduler.now);
+        String function = "f" + random.nextInt(FUNCTIONS);
+        return scheduler.request(lastRequestId, function, timeLeft, random.nextInt(2) * 300_000);
+    }
+
+    private List<SchedulerCommand> completeAttempt() {
+        AttemptInFlight attempt = attempts.remove(random.nextInt(attempts.size()));
+        TrackedRequest request = requests.get(attempt.requestId());
+        ResponseCode code = ResponseCode.values()[random.nextInt(ResponseCode.values().length)];
+        request.inFlight--;
+        if (!provesNotRun(code) && !request.mayHaveRun) {
+            request.mayHaveRun = true;
+            request.boundAt = request.sentAt.get(attempt.number());
+            request.boundCell = request.cells.get(attempt.number());
+        }
+        boolean last = code == ResponseCode.OK || request.completed;
+        request.responses += code == ResponseCode.OK && !request.completed ? 1 : 0;
+        request.completed |= last;
+        return scheduler.feed(
+                new AttemptCompleted(
+                        attempt.requestId(),
+                        attempt.number(),
+                        attempt.invoker(),
+                        code,
+                        last,
+                        50_000,
+                        StartKind.values()[random.nextInt(5)],
+                        SchedulerEvent.CONCURRENCY_NOT_REPORTED,
+                        Map.of()));
+    }
+
+    /** Stated here once more, apart from the program's own word. */
+    private static boolean provesNotRun(ResponseCode code) {
+        return code == ResponseCode.FULL
+                || code == ResponseCode.CONNECT_FAILED
+                || code == ResponseCode.NOT_SENT
+                || code == ResponseCode.NOT_LOADED;
+    }
+
+    private List<SchedulerCommand> completePreload() {
+        PreloadFunction preload = preloads.remove(random.nextInt(preloads.size()));
+        ResponseCode code =
+                random.nextInt(4) == 0
+                        ? ResponseCode.values()[1 + random.nextInt(5)]
+                        : ResponseCode.OK;
+        long elapsed = random.nextInt(400_000);
+        int instances =
+                code == ResponseCode.OK ? Math.max(preload.instances(), random.nextInt(2)) : 0;
+        return scheduler.feed(
+                new PreloadCompleted(
+                        preload.invoker(), preload.function(), code, elapsed, instances));
+    }
+
+    private List<SchedulerCommand> changeEndpoint() {
+        String id = "w" + random.nextInt(INVOKERS);
+        EndpointState state = EndpointState.values()[random.nextInt(3)];
+        states.put(id, state);
+        long startedAt = random.nextInt(2) * scheduler.now;
+        InvokerEndpoint endpoint =
+                new InvokerEndpoint(id, 0, cells.get(id), 0, state, 1, startedAt);
+        return scheduler.feed(new EndpointsUpdated(false, false, List.of(endpoint)));
+    }
+
+    private List<SchedulerCommand> expireTimers() {
+        List<SchedulerCommand> commands = new ArrayList<>();
+        while (!timers.isEmpty() && timers.firstKey() <= scheduler.now) {
+            for (SchedulerTimer timer : timers.pollFirstEntry().getValue()) {
+                commands.addAll(scheduler.feed(new TimerExpired(timer)));
             }
-            for (Track track : tracks.values()) {
-                assertTrue(track.ends <= 1, "two answers");
-                assertTrue(track.over || bed.now < track.deadline + 16_000, "no answer in time");
+        }
+        return commands;
+    }
+
+    // ---- The rules. ----
+    private void check(SchedulerCommand command) {
+        if (command instanceof ForwardAttempt attempt) {
+            checkAttempt(attempt);
+        } else if (command instanceof RejectRequest rejection) {
+            checkRejection(requests.get(rejection.id()));
+        } else if (command instanceof FailRequest failure) {
+            requests.get(failure.id()).completed = true;
+            requests.get(failure.id()).responses++;
+        } else if (command instanceof PreloadFunction preload) {
+            checkPreload(preload);
+        } else if (command instanceof SetTimer timer) {
+            timers.computeIfAbsent(scheduler.now + timer.afterMicros(), at -> new ArrayList<>())
+                    .add(timer.timer());
+        }
+    }
+
+    private void checkAttempt(ForwardAttempt attempt) {
+        TrackedRequest request = requests.get(attempt.id());
+        assertEquals(EndpointState.READY, states.get(attempt.invoker()), "draining");
+        assertTrue(!request.completed, "sent after the response");
+        assertEquals(0, request.inFlight, "two attempts at a time");
+        if (request.mayHaveRun) {
+            assertTrue(
+                    scheduler.idempotency != Idempotency.NON_IDEMPOTENT,
+                    "retry of a non-idempotent request");
+            if (scheduler.idempotency == Idempotency.KEYED) {
+                assertEquals(request.boundCell, cells.get(attempt.invoker()), "cell");
+                assertTrue(
+                        scheduler.now <= request.boundAt + DEDUPLICATION_WINDOW_MICROS, "window");
             }
-            tracks.values().removeIf(t -> t.over && t.out == 0);
         }
-        assertTrue(checked > 3_000, "the stream must exercise the module: " + checked);
+        request.inFlight++;
+        request.sentAt.add(scheduler.now);
+        request.cells.add(cells.get(attempt.invoker()));
+        attempts.add(new AttemptInFlight(attempt.id(), request.attempts++, attempt.invoker()));
+        assertTrue(request.attempts <= MAX_ATTEMPTS, "attempts");
+    }
+
+    private void checkRejection(TrackedRequest request) {
+        boolean notRun = !request.mayHaveRun && request.inFlight == 0;
+        assertTrue(scheduler.idempotency == Idempotency.IDEMPOTENT || notRun, "rejection");
+        request.completed = true;
+        request.responses++;
+    }
+
+    private void checkPreload(PreloadFunction preload) {
+        preloads.add(preload);
+        if (preload.instances() == 0) {
+            return;
+        }
+        assertEquals(EndpointState.READY, states.get(preload.invoker()), "preload on draining");
+        preloadTimes.add(scheduler.now);
+        long from = scheduler.now - PRELOAD_PERIOD_MICROS;
+        long sent = preloadTimes.stream().filter(at -> at >= from).count();
+        long received = requestTimes.stream().filter(at -> at >= from).count();
+        double allowed = FREE_PRELOADS + PRELOADS_PER_REQUEST * received + 1e-9;
+        assertTrue(scheduler.preloadPeriodMicros == 0 || sent <= allowed, "preload rate limit");
+    }
+
+    private void checkResponses() {
+        for (TrackedRequest request : requests.values()) {
+            assertTrue(request.responses <= 1, "two responses");
+            assertTrue(
+                    request.completed || scheduler.now < request.deadline + RESPONSE_SLACK_MICROS,
+                    "no response in time");
+        }
+        requests.values().removeIf(request -> request.completed && request.inFlight == 0);
     }
 }
