--- a/src/main/java/waytrestle/requests/AdmissionControl.java
+++ b/src/main/java/waytrestle/requests/AdmissionControl.java
@@ -3,35 +3,49 @@
 import waytrestle.requests.RequestOutcome.Reason;
 
 /**
- * What is offered to the module when more comes than the fleet can do. Where a call runs, and
- * whether it can finish in time, stays the module's; a gate only says whether a new call, or one
- * more attempt, is put before it at all.
+ * Sheds load that exceeds what the fleet can serve: decides whether a new request, or one more
+ * attempt, reaches the scheduler at all. Where a request runs, and whether it can finish in time,
+ * remains the scheduler's decision.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 public interface AdmissionControl {
-    /** Lets everything through. */
+    /** Admits everything. */
     AdmissionControl ADMIT_ALL = new AdmissionControl() {};
 
     /**
-     * Why a new call is turned away, or null. A mark recognises a client's retry of what was
-     * refused; 0 has none.
+     * Why a new request is rejected, or null if it is admitted.
+     *
+     * @param retryMark recognises a client's retry of a rejected request, 0 without one
      */
-    default Reason rejectionReason(long now, int tenant, int requestClass, long mark) {
+    default Reason rejectionReason(long nowMicros, int tenant, int requestClass, long retryMark) {
         return null;
     }
 
-    default void requestStarted(long now, int tenant, int requestClass) {}
+    /** An admitted request is in flight. */
+    default void requestStarted(long nowMicros, int tenant, int requestClass) {}
 
-    /** A call ended, however; timedOut when its time ran out on it. */
+    /**
+     * A request that was started has its outcome.
+     *
+     * @param timedOut whether its deadline was exceeded
+     */
     default void requestCompleted(
-            long now, int tenant, int requestClass, long mark, boolean refused, boolean timedOut) {}
+            long nowMicros,
+            int tenant,
+            int requestClass,
+            long retryMark,
+            boolean rejected,
+            boolean timedOut) {}
 
     /**
-     * Whether a further attempt of a call may go out; asked only where the last one was no miss.
+     * Whether a further attempt of a request may be forwarded; not asked when the last invoker did
+     * not have the function loaded.
      */
-    default boolean admitsRetry(long now) {
+    default boolean admitsRetry(long nowMicros) {
         return true;
     }
 
-    /** A warm attempt of a function was served in this time. */
-    default void warmResponseServed(long now, String function, long tookMicros) {}
+    /** An attempt that found a loaded instance of the function was served. */
+    default void warmResponseServed(long nowMicros, String function, long tookMicros) {}
 }
--- a/src/main/java/waytrestle/requests/IdempotencyStore.java
+++ b/src/main/java/waytrestle/requests/IdempotencyStore.java
@@ -3,28 +3,51 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
 import waytrestle.requests.RequestOutcome.Failed;
-import waytrestle.requests.RequestOutcome.FunctionError;
 import waytrestle.requests.RequestOutcome.Reason;
 import waytrestle.requests.RequestOutcome.Rejected;
-import waytrestle.requests.RequestOutcome.Served;
 import waytrestle.scheduler.Idempotency;
 
 /**
- * What is known of the ids of calls, so that a call that comes again is not run again. While a call
- * is open a repeat joins it; after an end that may have run, the end is given again; after a
- * refusal a repeat is a new call.
+ * The idempotency keys of recent requests, so that a repeated request is not run again. While the
+ * first request is in flight a repeat joins it; after an outcome that may have run the repeat gets
+ * the same outcome; after a rejection it is a new request.
  *
- * <p>Bounded in entries and bytes. What gives way at the bound: first answers of safe calls with
- * their entries (a run again does no harm), then answers of others, whose entries stay (a repeat is
- * told that it was served). An entry of a call that must not run twice is never let go early: when
- * only such entries are left, new calls are refused.
+ * <p>Bounded in entries and bytes. At the bound, completed idempotent requests are evicted first
+ * with their entries (running them again does no harm), then the responses of other requests, whose
+ * entries stay (a repeat is notified that it was served). The entry of a request that must not run
+ * twice is never evicted early: when only such entries are left, new requests are rejected.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 public final class IdempotencyStore {
-    /** Bounds; tolerance is how far a signing time may lie from the wall clock, either way. */
-    public record Bounds(int entries, long bytes, long toleranceSeconds) {}
+    private static final long MICROS_PER_SECOND = 1_000_000;
+
+    /**
+     * Retry-After when the store is full, as a fraction of the tolerance after which entries
+     * expire: some of them have expired by then.
+     */
+    private static final long FULL_RETRY_AFTER_DIVISOR = 10;
 
-    /** A call as it arrives; signedAt is the wall clock's second at which its client signed it. */
+    /**
+     * The bounds of a store.
+     *
+     * @param toleranceSeconds how far a signing time may lie from the wall clock, either way
+     */
+    public record Bounds(int entries, long bytes, long toleranceSeconds) {
+        long toleranceMicros() {
+            return toleranceSeconds * MICROS_PER_SECOND;
+        }
+    }
+
+    /**
+     * A request with an idempotency key, as it arrives.
+     *
+     * @param deduplicationWindowMicros how long invokers drop duplicates of the key
+     * @param signedAtSeconds wall-clock time at which the client signed it
+     */
     public record KeyedRequest(
             String key,
             Idempotency idempotency,
@@ -32,201 +55,219 @@
             long signedAtSeconds,
             long payloadDigest) {}
 
-    /** What an arrival comes to. */
+    /** What the store knows of a request that arrives. */
     public sealed interface LookupResult {
         /**
-         * A new call; a positive notAfter is when the invokers cease to drop repeats of what may
-         * have run.
+         * The request is to be run.
+         *
+         * @param notAfterMicros when invokers cease to drop duplicates of an earlier request that
+         *     may have run, {@link #NO_LIMIT} without one
          */
-        record NewRequest(long notAfterMicros) implements LookupResult {}
+        record NewRequest(long notAfterMicros) implements LookupResult {
+            static final long NO_LIMIT = 0;
 
+            boolean isLimited() {
+                return notAfterMicros > NO_LIMIT;
+            }
+        }
+
+        /** The same request is in flight: join it. */
         record InFlight(long requestId) implements LookupResult {}
 
+        /** The request is not to be run: this is its outcome. */
         record Completed(RequestOutcome outcome) implements LookupResult {}
     }
 
-    private static final int ENTRY_BYTES =
-            200; // bytes that an entry weighs beside its key and answer
+    private final Bounds bounds;
+    private final Map<String, IdempotencyEntry> entries = new HashMap<>();
+    private final Map<Long, IdempotencyEntry> inFlight = new HashMap<>();
 
-    private static final class Entry {
-        final KeyedRequest arrival;
-        long call; // 0: ended
-        RequestOutcome end;
-        long endedAt;
-        long mayRunAt; // first send of a call that may have run; 0: proved not to have
+    /** All completed entries, by time of completion. */
+    private final Set<IdempotencyEntry> completed = new LinkedHashSet<>();
 
-        Entry(KeyedRequest arrival) {
-            this.arrival = arrival;
-        }
+    /** Completed idempotent entries, by time of completion: may be evicted. */
+    private final Set<IdempotencyEntry> evictable = new LinkedHashSet<>();
 
-        long bytes() {
-            return ENTRY_BYTES + 2L * arrival.key().length() + answerBytes();
-        }
+    /** Other completed entries whose responses may be evicted, by time of completion. */
+    private final Set<IdempotencyEntry> evictableResponses = new LinkedHashSet<>();
 
-        long answerBytes() {
-            return end instanceof Served served
-                    ? served.body().size()
-                    : end instanceof FunctionError own ? own.body().size() : 0;
-        }
-    }
-
-    private final Bounds bounds;
-    private final HashMap<String, Entry> entries = new HashMap<>();
-    private final HashMap<Long, Entry> open = new HashMap<>();
-    private final LinkedHashSet<Entry> requestCompleted =
-            new LinkedHashSet<>(); // by time of their end
-    private final LinkedHashSet<Entry> safe = new LinkedHashSet<>(); // ended, safe: may be let go
-    private final LinkedHashSet<Entry> answers =
-            new LinkedHashSet<>(); // ended, others: their answers may be
     private long bytes;
-    private long horizon; // wall second: what was signed up to then may have been forgotten
 
-    /** A gateway that starts remembers nothing signed before. */
+    /** Wall-clock time: requests signed until then may have been forgotten. */
+    private long forgottenUntilSeconds;
+
+    /** Creates an empty store, which knows no request signed before now. */
     public IdempotencyStore(Bounds bounds, long wallSeconds) {
         this.bounds = bounds;
-        this.horizon = wallSeconds;
+        this.forgottenUntilSeconds = wallSeconds;
     }
 
+    /** Number of keys held. */
     public int size() {
         return entries.size();
     }
 
-    /** Ends held, which are never more than the entries. */
+    /** Number of outcomes held, never more than the keys. */
     int outcomesHeld() {
-        return requestCompleted.size();
+        return completed.size();
     }
 
+    /** Estimated memory of all entries. */
     public long bytes() {
         return bytes;
     }
 
-    /** Judges an arrival; a fresh one is not remembered before {@link #requestStarted}. */
-    public LookupResult lookUp(long now, long wallSeconds, KeyedRequest a) {
-        evictExpired(now, wallSeconds);
-        Entry known = entries.get(a.key());
-        if (known == null) {
+    /** Looks a request up; a new one is not recorded before {@link #requestStarted}. */
+    public LookupResult lookUp(long nowMicros, long wallSeconds, KeyedRequest request) {
+        evictExpired(nowMicros, wallSeconds);
+        IdempotencyEntry known = entries.get(request.key());
+        return known == null ? lookUpUnknown(request) : lookUpKnown(known, request, nowMicros);
+    }
+
+    private LookupResult lookUpUnknown(KeyedRequest request) {
+        boolean mayBeForgotten = request.signedAtSeconds() <= forgottenUntilSeconds;
+        if (mayBeForgotten && request.idempotency() != Idempotency.IDEMPOTENT) {
             // Guards against a replay after a restart, or after the wall clock stepped back over
-            // what was let go.
-            if (a.idempotency() != Idempotency.IDEMPOTENT && a.signedAtSeconds() <= horizon) {
-                return new LookupResult.Completed(new Failed(Reason.SIGNED_BEFORE_STORE, true));
-            }
-            return makeRoom()
-                    ? new LookupResult.NewRequest(0)
-                    : new LookupResult.Completed(
-                            new Rejected(
-                                    Reason.IDEMPOTENCY_STORE_FULL,
-                                    bounds.toleranceSeconds() * 1_000_000 / 10));
-        }
-        if (known.arrival.payloadDigest() != a.payloadDigest()) {
+            // what was evicted.
+            return new LookupResult.Completed(new Failed(Reason.SIGNED_BEFORE_STORE, true));
+        }
+        if (!makeRoom()) {
+            long retryAfterMicros = bounds.toleranceMicros() / FULL_RETRY_AFTER_DIVISOR;
+            return new LookupResult.Completed(
+                    new Rejected(Reason.IDEMPOTENCY_STORE_FULL, retryAfterMicros));
+        }
+        return new LookupResult.NewRequest(LookupResult.NewRequest.NO_LIMIT);
+    }
+
+    private LookupResult lookUpKnown(IdempotencyEntry known, KeyedRequest request, long nowMicros) {
+        if (known.request.payloadDigest() != request.payloadDigest()) {
             return new LookupResult.Completed(new Failed(Reason.PAYLOAD_MISMATCH, false));
         }
-        if (known.call != 0) {
-            return new LookupResult.InFlight(known.call);
+        if (known.isInFlight()) {
+            return new LookupResult.InFlight(known.requestId());
+        }
+        if (!(known.outcome() instanceof Rejected)) {
+            return new LookupResult.Completed(known.outcome());
         }
-        if (!(known.end instanceof Rejected)) {
-            return new LookupResult.Completed(known.end);
+        // Rejected although it may have run: only a request whose duplicates all invokers drop is,
+        // and they drop them within the deduplication window only.
+        long notAfterMicros = known.mayHaveRunSince + request.deduplicationWindowMicros();
+        if (nowMicros < notAfterMicros) {
+            return new LookupResult.NewRequest(notAfterMicros);
         }
-        // Refused although it may have run: a keyed call whose repeats all invokers drop, for its
-        // window only.
-        long notAfter = known.mayRunAt + a.deduplicationWindowMicros();
-        return now < notAfter
-                ? new LookupResult.NewRequest(notAfter)
-                : new LookupResult.Completed(new Failed(Reason.DEDUPLICATION_WINDOW_PASSED, true));
+        return new LookupResult.Completed(new Failed(Reason.DEDUPLICATION_WINDOW_PASSED, true));
     }
 
-    /** Remembers a fresh call as open. */
-    public void requestStarted(long call, KeyedRequest a) {
-        Entry before = entries.get(a.key());
-        Entry entry = new Entry(a);
-        if (before != null) {
-            entry.mayRunAt = before.mayRunAt;
-            discard(before);
+    /** Records a new request as in flight. */
+    public void requestStarted(long requestId, KeyedRequest request) {
+        IdempotencyEntry entry = new IdempotencyEntry(request, requestId);
+        IdempotencyEntry previous = entries.get(request.key());
+        if (previous != null) {
+            entry.mayHaveRunSince = previous.mayHaveRunSince;
+            remove(previous);
         }
-        entry.call = call;
-        entries.put(a.key(), entry);
-        open.put(call, entry);
+        entries.put(request.key(), entry);
+        inFlight.put(requestId, entry);
         bytes += entry.bytes();
     }
 
-    /** A call ended; mayRunAt is the first send that may have run, 0 without one. */
-    public void requestCompleted(long now, long call, RequestOutcome end, long mayRunAt) {
-        Entry entry = open.remove(call);
+    /**
+     * Records the outcome of a request; ignores requests that were never recorded.
+     *
+     * @param mayHaveRunSince when the first attempt that may have run was forwarded, 0 without one
+     */
+    public void requestCompleted(
+            long nowMicros, long requestId, RequestOutcome outcome, long mayHaveRunSince) {
+        IdempotencyEntry entry = inFlight.remove(requestId);
         if (entry == null) {
             return;
         }
-        entry.call = 0;
-        long first = entry.mayRunAt != 0 ? entry.mayRunAt : mayRunAt;
-        boolean safeToRun = entry.arrival.idempotency() == Idempotency.IDEMPOTENT;
-        boolean abandoned = end instanceof Failed failed && failed.reason() == Reason.ABANDONED;
-        if (end instanceof Rejected
-                ? first == 0 || safeToRun
-                : abandoned && (first == 0 || safeToRun)) {
-            entries.remove(entry.arrival.key());
+        if (entry.mayHaveRunSince == AttemptLog.NEVER) {
+            entry.mayHaveRunSince = mayHaveRunSince;
+        }
+        if (isRepeatNew(entry, outcome)) {
+            entries.remove(entry.request.key());
             bytes -= entry.bytes();
             return;
         }
-        entry.mayRunAt = first;
-        entry.end = end;
-        entry.endedAt = now;
-        bytes += entry.answerBytes();
-        requestCompleted.add(entry);
-        (safeToRun ? safe : answers).add(entry);
-        while (bytes > bounds.bytes() && (!safe.isEmpty() || !answers.isEmpty())) {
+        entry.complete(outcome, nowMicros);
+        bytes += entry.responseBytes();
+        completed.add(entry);
+        if (entry.isIdempotent()) {
+            evictable.add(entry);
+        } else {
+            evictableResponses.add(entry);
+        }
+        while (bytes > bounds.bytes() && canEvict()) {
             evictOne();
         }
     }
 
+    /** Whether a repeat after this outcome is a new request, of which nothing need be known. */
+    private static boolean isRepeatNew(IdempotencyEntry entry, RequestOutcome outcome) {
+        boolean rejected = outcome instanceof Rejected;
+        boolean abandoned = outcome instanceof Failed failed && failed.reason() == Reason.ABANDONED;
+        boolean harmless = entry.mayHaveRunSince == AttemptLog.NEVER || entry.isIdempotent();
+        return (rejected || abandoned) && harmless;
+    }
+
     private boolean makeRoom() {
-        long more = ENTRY_BYTES;
-        while ((entries.size() >= bounds.entries() || bytes + more > bounds.bytes())
-                && !safe.isEmpty()) {
+        while (!hasRoom() && !evictable.isEmpty()) {
             evictOne();
         }
-        while (bytes + more > bounds.bytes() && !answers.isEmpty()) {
+        while (!hasBytesLeft() && !evictableResponses.isEmpty()) {
             evictOne();
         }
-        return entries.size() < bounds.entries() && bytes + more <= bounds.bytes();
+        return hasRoom();
+    }
+
+    private boolean hasRoom() {
+        return entries.size() < bounds.entries() && hasBytesLeft();
+    }
+
+    private boolean hasBytesLeft() {
+        return bytes + IdempotencyEntry.OVERHEAD_BYTES <= bounds.bytes();
+    }
+
+    private boolean canEvict() {
+        return !evictable.isEmpty() || !evictableResponses.isEmpty();
     }
 
     private void evictOne() {
-        if (!safe.isEmpty()) {
-            discard(safe.iterator().next());
+        if (!evictable.isEmpty()) {
+            remove(evictable.iterator().next());
             return;
         }
-        Iterator<Entry> first = answers.iterator();
-        Entry entry = first.next();
-        first.remove();
-        if (entry.answerBytes() > 0 || entry.end instanceof Served) {
-            bytes -= entry.answerBytes();
-            entry.end = new Failed(Reason.RESPONSE_EVICTED, true);
-        }
+        Iterator<IdempotencyEntry> oldest = evictableResponses.iterator();
+        bytes -= oldest.next().evictResponse();
+        oldest.remove();
     }
 
-    private void discard(Entry entry) {
-        if (entries.remove(entry.arrival.key(), entry)) {
+    private void remove(IdempotencyEntry entry) {
+        if (entries.remove(entry.request.key(), entry)) {
             bytes -= entry.bytes();
         }
-        requestCompleted.remove(entry);
-        safe.remove(entry);
-        answers.remove(entry);
+        completed.remove(entry);
+        evictable.remove(entry);
+        evictableResponses.remove(entry);
     }
 
     /**
-     * Lets go what no accepted signature can bring back; both clocks must agree, since the wall's
-     * may step.
+     * Removes the entries that no accepted signature can repeat. Both clocks must agree on that,
+     * since the wall clock may step.
      */
-    private void evictExpired(long now, long wallSeconds) {
-        while (!requestCompleted.isEmpty()) {
-            Entry entry = requestCompleted.iterator().next();
-            boolean span = now - entry.endedAt > bounds.toleranceSeconds() * 1_000_000;
-            boolean signed =
-                    wallSeconds - entry.arrival.signedAtSeconds() > bounds.toleranceSeconds();
-            if (!(span && signed)) {
+    private void evictExpired(long nowMicros, long wallSeconds) {
+        while (!completed.isEmpty()) {
+            IdempotencyEntry entry = completed.iterator().next();
+            long signedAtSeconds = entry.request.signedAtSeconds();
+            boolean agedOut = nowMicros - entry.completedAt() > bounds.toleranceMicros();
+            boolean signatureExpired = wallSeconds - signedAtSeconds > bounds.toleranceSeconds();
+            if (!agedOut || !signatureExpired) {
                 return;
             }
-            discard(entry);
-            if (entry.arrival.idempotency() != Idempotency.IDEMPOTENT) {
-                horizon = Math.max(horizon, entry.arrival.signedAtSeconds());
+            remove(entry);
+            if (!entry.isIdempotent()) {
+                forgottenUntilSeconds = Math.max(forgottenUntilSeconds, signedAtSeconds);
             }
         }
     }
--- a/src/main/java/waytrestle/requests/PendingRequests.java
+++ b/src/main/java/waytrestle/requests/PendingRequests.java
@@ -1,60 +1,80 @@
 package waytrestle.requests;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import waytrestle.requests.RequestOutcome.AttemptSummary;
+import waytrestle.requests.IdempotencyStore.KeyedRequest;
+import waytrestle.requests.IdempotencyStore.LookupResult;
 import waytrestle.requests.RequestOutcome.Failed;
 import waytrestle.requests.RequestOutcome.FunctionError;
 import waytrestle.requests.RequestOutcome.Reason;
 import waytrestle.requests.RequestOutcome.Rejected;
-import waytrestle.scheduler.DeduplicationScope;
 import waytrestle.scheduler.Idempotency;
 import waytrestle.scheduler.ResponseCode;
 import waytrestle.scheduler.SchedulerSettings.RequestClass;
 
 /**
- * What a client is owed: each waiter of each call gets one final answer before its own time is up,
- * and nothing after. Fronts bring waiters, the controller brings what the module decided and how
- * attempts ended. Free of I/O, clock and threads. Where calls run and whether they are refused is
- * the module's; here is only who is told what, once.
+ * The requests in flight and the clients that wait for them: each client gets one response before
+ * its deadline and none after. Requests with the same idempotency key are joined.
+ *
+ * <p>Front ends bring the clients; the controller brings what the scheduler decided and how
+ * attempts ended. Where a request runs and whether it is rejected is decided by the scheduler; this
+ * class only decides which client gets which outcome.
+ *
+ * <p>Free of I/O, clock and threads. Not thread-safe: used by the controller's event loop. A
+ * command may lead to further events before {@link #handle} returns.
  */
 public final class PendingRequests {
-    // ---- Tuned numbers. ----
-    private static final long BACKSTOP =
-            2; // ticks before the end at which an unanswered call is failed here;
-    // the module's own end comes one tick before, so this is later
-
-    private static final long GATE_PAUSE =
-            500_000; // micros after which a call that a gate turned away may come again:
+    /**
+     * Time left, in scheduler ticks, at or below which a request counts as expired. The scheduler
+     * ends a request one tick before its deadline, so one tick more covers every outcome that comes
+     * of that.
+     */
+    private static final long EXPIRY_MARGIN_TICKS = 2;
 
-    // two steps of the limit, so that it finds another state
+    /**
+     * Retry-After of a request that admission control rejected: two adjustment steps of the
+     * concurrency limit, so that the retry meets another state.
+     */
+    private static final long ADMISSION_RETRY_AFTER_MICROS = 500_000;
 
-    /** What happens at the desk. */
+    /** What happens to pending requests. */
     public sealed interface Event {}
 
-    /** A waiter with its call; key null: a call without an id, never joined or remembered. */
+    /** What happens to one request; ignored when that request is no longer in flight. */
+    public sealed interface RequestEvent extends Event {
+        /** The request's number, as given by {@link StartRequest}. */
+        long requestId();
+    }
+
+    /**
+     * A client with its request.
+     *
+     * @param idempotencyKey null for a request that is never joined or remembered
+     */
     public record RequestArrived(
             long clientId,
             int requestClass,
             int tenant,
             long retryMark,
-            IdempotencyStore.KeyedRequest idempotencyKey,
+            KeyedRequest idempotencyKey,
             long timeLeftMicros)
             implements Event {}
 
-    /** The waiter's client went away. */
+    /** The connection of a waiting client was closed. */
     public record ClientDisconnected(long clientId) implements Event {}
 
-    /** The module let an attempt go out. */
-    public record AttemptForwarded(long requestId, int attempt) implements Event {}
+    /** An attempt of the request was sent to an invoker. */
+    public record AttemptForwarded(long requestId, int attempt) implements RequestEvent {}
 
     /**
-     * An attempt ended: by the function's answer (Served), its own error (Answered, which the call
-     * ends with if nothing better comes) or without a word of it (null). Where the call ends with
-     * this attempt it does so here and now; a function that nobody knows has no word either. The
-     * last is what came, for whoever asks why.
+     * An attempt ended.
+     *
+     * @param outcome {@link RequestOutcome.Served} for the function's response, {@link
+     *     FunctionError} for its own error (the outcome of the request if nothing better follows),
+     *     null without either
+     * @param endsRequest whether the request ends with this attempt
+     * @param responseText HTTP status of the response, or a word in place of one
      */
     public record AttemptCompleted(
             long requestId,
@@ -63,525 +83,379 @@
             RequestOutcome outcome,
             boolean endsRequest,
             String responseText)
-            implements Event {}
+            implements RequestEvent {}
 
-    /** The module refused; the estimate behind that is negative where another reason was. */
+    /**
+     * The scheduler rejected the request.
+     *
+     * @param estimateMicros expected time to the response that led to the rejection, negative if
+     *     there was another reason
+     */
     public record SchedulerRejectedRequest(
-            long requestId, long retryAfterMicros, long estimateMicros) implements Event {}
+            long requestId, long retryAfterMicros, long estimateMicros) implements RequestEvent {
+        boolean hasEstimate() {
+            return estimateMicros >= 0;
+        }
+    }
 
     /** No invoker knows the function. */
-    public record FunctionNotFound(long requestId) implements Event {}
+    public record FunctionNotFound(long requestId) implements RequestEvent {}
 
-    /** The call never went before the module: its function fails everywhere and said so last. */
+    /** The circuit of the function is open: the request never reached the scheduler. */
     public record CircuitRejectedRequest(
-            long requestId, String lastResponseText, long retryAfterMicros) implements Event {}
+            long requestId, String lastResponseText, long retryAfterMicros)
+            implements RequestEvent {}
 
-    public record SchedulerFailedRequest(long requestId) implements Event {}
+    /** The scheduler gave the request up. */
+    public record SchedulerFailedRequest(long requestId) implements RequestEvent {}
 
-    /** A decision about this call threw. */
-    public record SchedulerThrew(long requestId) implements Event {}
+    /** The scheduler threw an exception on an event of this request. */
+    public record SchedulerThrew(long requestId) implements RequestEvent {}
 
-    /** The time of an earlier Wake has come. */
+    /** The timer of an earlier {@link SetDeadlineTimer} has expired. */
     public record DeadlineExpired(long clientId) implements Event {}
 
-    /** No more calls are taken. */
+    /** No further requests are accepted. */
     public record ShutdownStarted() implements Event {}
 
-    /** The grace of a stop is over: what is still open ends now. */
+    /** The grace period of the shutdown is over: requests still in flight end now. */
     public record ShutdownGraceExpired() implements Event {}
 
-    /** What is to be done. */
+    /** What the controller is to do. */
     public sealed interface Command {}
 
-    /** The one answer to a waiter. */
+    /** Send the client its one response. */
     public record RespondToClient(long clientId, RequestOutcome outcome) implements Command {}
 
-    /** A new call for the module. */
+    /** Give a new request to the scheduler. */
     public record StartRequest(long requestId, long clientId, long timeLeftMicros)
             implements Command {}
 
-    /** Nobody waits for the call any more: tell the module. */
+    /** Notify the scheduler that nobody waits for the request any more. */
     public record AbandonRequest(long requestId) implements Command {}
 
-    /** Come back with Due. */
+    /** Return a {@link DeadlineExpired} after the given time. */
     public record SetDeadlineTimer(long clientId, long afterMicros) implements Command {}
 
-    /** Takes the actions in order. */
+    /** Carries out commands, in order and at once. */
     public interface CommandSink {
-        void add(Command action);
+        /** Carries out one command. */
+        void add(Command command);
     }
 
-    private static final class Waiter {
-        final long id;
-        final Call call;
-
-        Waiter(long id, Call call) {
-            this.id = id;
-            this.call = call;
-        }
-    }
-
-    private static final class Call {
-        final long id, deadline;
-        final RequestClass kind;
-        final RequestArrived from;
-        final List<Waiter> waiters = new ArrayList<>(1);
-        final List<Long> sentAt = new ArrayList<>(2);
-        final List<Boolean> out = new ArrayList<>(2);
-        long mayRunAt; // first send not proved never to have run; 0 without one
-        int tries; // attempts that went out
-        ResponseCode lastCode; // of the attempt that ended last, null without one
-        String last = "";
-        FunctionError own; // the function's own error, if that ended last
-        boolean left; // the module knows it no more; it ends with its last attempt
-
-        Call(long id, long deadline, RequestClass kind, RequestArrived from) {
-            this.from = from;
-            this.id = id;
-            this.deadline = deadline;
-            this.kind = kind;
-        }
-
-        /** The first send that ran, may have run or may still run. */
-        long mayRunAt() {
-            long first = mayRunAt;
-            for (int i = 0; i < out.size(); i++) {
-                if (out.get(i) && (first == 0 || sentAt.get(i) < first)) {
-                    first = sentAt.get(i);
-                }
-            }
-            return first;
-        }
-    }
-
-    private final List<RequestClass> classes;
-    private final int maxOpen;
-    private final long tick;
+    private final List<RequestClass> requestClasses;
+    private final int maxInFlight;
+    private final long tickMicros;
+    private final long expiryMarginMicros;
     private final IdempotencyStore idempotencyStore;
-    private final AdmissionControl gate;
-    private final boolean cancels;
-    private final Map<Long, Waiter> waiters = new HashMap<>();
-    private final Map<Long, Call> inFlight = new HashMap<>();
-    private long calls;
-    private boolean stopping;
+    private final AdmissionControl admissionControl;
+    private final boolean cancelsAttempts;
+    private final OutcomeFactory outcomes;
+    private final Map<Long, WaitingClient> clients = new HashMap<>();
+    private final Map<Long, PendingRequest> inFlight = new HashMap<>();
+    private long lastRequestId;
+    private boolean shuttingDown;
     private long now;
-    private CommandSink actions;
+    private CommandSink commands;
 
     /**
-     * Where attempts cannot be cancelled, a call whose clients have left goes on while one is out,
-     * for repeats to join.
+     * Creates it without any request.
+     *
+     * @param tickMicros the scheduler's tick
+     * @param cancelsAttempts whether attempts can be cancelled; where not, a request whose clients
+     *     have left stays in flight while an attempt is, for repeats to join
      */
     public PendingRequests(
-            List<RequestClass> classes,
-            int maxOpen,
+            List<RequestClass> requestClasses,
+            int maxInFlight,
             long tickMicros,
-            IdempotencyStore memory,
-            AdmissionControl gate,
-            boolean cancels) {
-        this.cancels = cancels;
-        this.gate = gate;
-        this.classes = classes;
-        this.maxOpen = maxOpen;
-        this.tick = tickMicros;
-        this.idempotencyStore = memory;
+            IdempotencyStore idempotencyStore,
+            AdmissionControl admissionControl,
+            boolean cancelsAttempts) {
+        this.requestClasses = requestClasses;
+        this.maxInFlight = maxInFlight;
+        this.tickMicros = tickMicros;
+        this.expiryMarginMicros = EXPIRY_MARGIN_TICKS * tickMicros;
+        this.idempotencyStore = idempotencyStore;
+        this.admissionControl = admissionControl;
+        this.cancelsAttempts = cancelsAttempts;
+        this.outcomes = new OutcomeFactory(new ReasonSelector(expiryMarginMicros));
     }
 
+    /** Number of requests in flight. */
     public int inFlight() {
         return inFlight.size();
     }
 
+    /** Number of clients that wait for a response. */
     public int waitingClients() {
-        return waiters.size();
+        return clients.size();
     }
 
+    /** The store of idempotency keys that it works with. */
     public IdempotencyStore idempotencyStore() {
         return idempotencyStore;
     }
 
-    /** Takes one event; wall seconds serve the signing times alone. */
-    public void handle(long nowMicros, long wallSeconds, Event event, CommandSink out) {
+    /**
+     * Whether a response code proves that the attempt never ran; the same as {@link
+     * ResponseCode#provesNotRun}.
+     */
+    public static boolean provesNotRun(ResponseCode code) {
+        return code.provesNotRun();
+    }
+
+    /**
+     * Handles one event.
+     *
+     * @param nowMicros monotonic time
+     * @param wallSeconds wall-clock time, for the signing times of requests only
+     */
+    public void handle(long nowMicros, long wallSeconds, Event event, CommandSink sink) {
         now = nowMicros;
-        actions = out;
-        if (event instanceof RequestArrived e) {
-            arrived(e, wallSeconds);
-        } else if (event instanceof ClientDisconnected e) {
-            left(e.clientId());
-        } else if (event instanceof AttemptForwarded e) {
-            sent(e);
-        } else if (event instanceof AttemptCompleted e) {
-            attemptOver(e);
-        } else if (event instanceof SchedulerRejectedRequest e) {
-            moduleRefused(inFlight.get(e.requestId()), e);
-        } else if (event instanceof SchedulerFailedRequest e) {
-            failed(inFlight.get(e.requestId()), null);
-        } else if (event instanceof SchedulerThrew e) {
-            failed(inFlight.get(e.requestId()), Reason.INTERNAL_ERROR);
-        } else if (event instanceof FunctionNotFound e) {
-            absent(inFlight.get(e.requestId()));
-        } else if (event instanceof CircuitRejectedRequest e) {
-            failedFast(inFlight.get(e.requestId()), e);
-        } else if (event instanceof DeadlineExpired e) {
-            due(waiters.get(e.clientId()));
+        commands = sink;
+        if (event instanceof RequestArrived arrived) {
+            requestArrived(arrived, wallSeconds);
+        } else if (event instanceof ClientDisconnected disconnected) {
+            clientDisconnected(clients.get(disconnected.clientId()));
+        } else if (event instanceof DeadlineExpired expired) {
+            deadlineExpired(clients.get(expired.clientId()));
         } else if (event instanceof ShutdownStarted) {
-            stopping = true;
+            shuttingDown = true;
         } else if (event instanceof ShutdownGraceExpired) {
-            for (Call call : List.copyOf(inFlight.values())) {
-                actions.add(new AbandonRequest(call.id));
-                refused(call, Reason.SHUTTING_DOWN, 0);
+            shutdownGraceExpired();
+        } else if (event instanceof RequestEvent requestEvent) {
+            PendingRequest request = inFlight.get(requestEvent.requestId());
+            if (request != null) {
+                handle(request, requestEvent);
             }
         }
     }
 
-    private void arrived(RequestArrived e, long wallSeconds) {
-        long deadline = now + e.timeLeftMicros();
-        IdempotencyStore.LookupResult verdict =
-                e.idempotencyKey() == null
-                        ? new IdempotencyStore.LookupResult.NewRequest(0)
-                        : idempotencyStore.lookUp(now, wallSeconds, e.idempotencyKey());
-        if (verdict instanceof IdempotencyStore.LookupResult.Completed again) {
-            actions.add(new RespondToClient(e.clientId(), again.outcome()));
-            return;
+    private void handle(PendingRequest request, RequestEvent event) {
+        if (event instanceof AttemptForwarded forwarded) {
+            request.attempts.forwarded(forwarded.attempt(), now);
+        } else if (event instanceof AttemptCompleted completed) {
+            attemptCompleted(request, completed);
+        } else if (event instanceof SchedulerRejectedRequest rejected) {
+            complete(request, outcomes.schedulerRejection(request, rejected, now));
+        } else if (event instanceof SchedulerFailedRequest) {
+            complete(request, outcomes.failure(request, now));
+        } else if (event instanceof SchedulerThrew) {
+            complete(request, outcomes.failure(request, Reason.INTERNAL_ERROR));
+        } else if (event instanceof FunctionNotFound) {
+            complete(request, outcomes.failure(request, Reason.FUNCTION_NOT_FOUND));
+        } else if (event instanceof CircuitRejectedRequest rejected) {
+            complete(request, outcomes.circuitRejection(rejected));
         }
-        if (verdict instanceof IdempotencyStore.LookupResult.InFlight
-                && e.timeLeftMicros() <= BACKSTOP * tick) {
-            actions.add(
-                    new RespondToClient(
-                            e.clientId(),
-                            new Failed(
-                                    Reason.STILL_IN_FLIGHT,
-                                    e.idempotencyKey().idempotency() != Idempotency.IDEMPOTENT)));
-            return;
+    }
+
+    private void requestArrived(RequestArrived event, long wallSeconds) {
+        LookupResult known = lookUp(event, wallSeconds);
+        if (known instanceof LookupResult.Completed completed) {
+            respond(event.clientId(), completed.outcome());
+        } else if (known instanceof LookupResult.InFlight duplicate) {
+            joinInFlight(event, inFlight.get(duplicate.requestId()));
+        } else if (known instanceof LookupResult.NewRequest newRequest) {
+            startIfAdmitted(event, newRequest);
         }
-        if (verdict instanceof IdempotencyStore.LookupResult.InFlight join
-                && inFlight.containsKey(join.requestId())) {
-            wait(e.clientId(), deadline, inFlight.get(join.requestId()));
-            return;
+    }
+
+    private LookupResult lookUp(RequestArrived event, long wallSeconds) {
+        if (event.idempotencyKey() == null) {
+            return new LookupResult.NewRequest(LookupResult.NewRequest.NO_LIMIT);
         }
-        if (e.timeLeftMicros() <= BACKSTOP * tick) {
-            actions.add(
-                    new RespondToClient(e.clientId(), new Rejected(Reason.NO_FINISH_IN_TIME, 0)));
+        return idempotencyStore.lookUp(now, wallSeconds, event.idempotencyKey());
+    }
+
+    private void joinInFlight(RequestArrived event, PendingRequest request) {
+        if (isExpired(event.timeLeftMicros())) {
+            Idempotency idempotency = event.idempotencyKey().idempotency();
+            boolean idempotent = idempotency == Idempotency.IDEMPOTENT;
+            respond(event.clientId(), outcomes.stillInFlight(idempotent));
             return;
         }
-        if (stopping || inFlight.size() >= maxOpen) {
-            actions.add(
-                    new RespondToClient(
-                            e.clientId(),
-                            new Rejected(
-                                    stopping ? Reason.SHUTTING_DOWN : Reason.TOO_MANY_IN_FLIGHT,
-                                    0)));
+        addClient(event, request);
+    }
+
+    private void startIfAdmitted(RequestArrived event, LookupResult.NewRequest newRequest) {
+        Rejected rejection = rejectionOnArrival(event);
+        if (rejection != null) {
+            respond(event.clientId(), rejection);
             return;
         }
-        Reason offered = gate.rejectionReason(now, e.tenant(), e.requestClass(), e.retryMark());
-        if (offered != null) {
-            actions.add(new RespondToClient(e.clientId(), new Rejected(offered, GATE_PAUSE)));
-            return;
+        long deadline = now + event.timeLeftMicros();
+        if (newRequest.isLimited()) {
+            deadline = Math.min(deadline, newRequest.notAfterMicros());
         }
-        long notAfter = ((IdempotencyStore.LookupResult.NewRequest) verdict).notAfterMicros();
-        Call call =
-                new Call(
-                        ++calls,
-                        notAfter > 0 ? Math.min(deadline, notAfter) : deadline,
-                        classes.get(e.requestClass()),
-                        e);
-        inFlight.put(call.id, call);
-        gate.requestStarted(now, e.tenant(), e.requestClass());
-        if (e.idempotencyKey() != null) {
-            idempotencyStore.requestStarted(call.id, e.idempotencyKey());
+        RequestClass requestClass = requestClasses.get(event.requestClass());
+        PendingRequest request = new PendingRequest(++lastRequestId, deadline, requestClass, event);
+        inFlight.put(request.id, request);
+        admissionControl.requestStarted(now, event.tenant(), event.requestClass());
+        if (event.idempotencyKey() != null) {
+            idempotencyStore.requestStarted(request.id, event.idempotencyKey());
         }
-        wait(e.clientId(), deadline, call);
-        actions.add(new StartRequest(call.id, e.clientId(), call.deadline - now));
+        addClient(event, request);
+        commands.add(new StartRequest(request.id, event.clientId(), request.deadline - now));
     }
 
-    private void wait(long id, long deadline, Call call) {
-        Waiter waiter = new Waiter(id, call);
-        waiters.put(id, waiter);
-        call.waiters.add(waiter);
-        actions.add(
-                new SetDeadlineTimer(
-                        id,
-                        Math.max(
-                                0,
-                                deadline
-                                        - now
-                                        - (call.waiters.size() > 1 ? BACKSTOP * tick : tick / 2))));
+    /** Why a new request is rejected before the scheduler sees it, or null if it is admitted. */
+    private Rejected rejectionOnArrival(RequestArrived event) {
+        if (isExpired(event.timeLeftMicros())) {
+            return new Rejected(Reason.NO_FINISH_IN_TIME, 0);
+        }
+        if (shuttingDown) {
+            return new Rejected(Reason.SHUTTING_DOWN, 0);
+        }
+        if (inFlight.size() >= maxInFlight) {
+            return new Rejected(Reason.TOO_MANY_IN_FLIGHT, 0);
+        }
+        Reason reason =
+                admissionControl.rejectionReason(
+                        now, event.tenant(), event.requestClass(), event.retryMark());
+        return reason == null ? null : new Rejected(reason, ADMISSION_RETRY_AFTER_MICROS);
+    }
+
+    private void addClient(RequestArrived event, PendingRequest request) {
+        WaitingClient client = new WaitingClient(event.clientId(), request);
+        clients.put(client.id(), client);
+        request.clients.add(client);
+        // The first client's timer is only a backstop behind the scheduler's own deadline; a client
+        // that joined may have less time than the request and is answered before it runs out.
+        boolean joined = request.clients.size() > 1;
+        long marginMicros = joined ? expiryMarginMicros : tickMicros / 2;
+        long afterMicros = Math.max(0, event.timeLeftMicros() - marginMicros);
+        commands.add(new SetDeadlineTimer(client.id(), afterMicros));
     }
 
     /**
-     * A waiter's time is nearly up. A joined one may have less time than its call, which then goes
-     * on for the others. The first one is here only if the module has not ended the call in its own
-     * time: a backstop for whatever kept it from that (a failed decision, a stalled process).
+     * Responds to a client whose time is nearly up. One that joined may have less time than its
+     * request, which then continues for the others. The request itself expires here only if the
+     * scheduler has not ended it in time: the backstop for a failed decision or a stalled process.
      */
-    private void due(Waiter waiter) {
-        if (waiter == null) {
+    private void deadlineExpired(WaitingClient client) {
+        if (client == null) {
             return;
         }
-        Call call = waiter.call;
-        if (call.waiters.size() > 1 || call.deadline - now > BACKSTOP * tick) {
-            forget(waiter);
-            actions.add(
-                    new RespondToClient(
-                            waiter.id,
-                            new Failed(
-                                    Reason.STILL_IN_FLIGHT,
-                                    call.kind.idempotency() != Idempotency.IDEMPOTENT)));
-            if (call.waiters.isEmpty()) {
-                abandon(call);
-            }
+        PendingRequest request = client.request();
+        if (request.clients.size() == 1 && isExpired(request.deadline - now)) {
+            commands.add(new AbandonRequest(request.id));
+            complete(request, outcomes.failure(request, Reason.DEADLINE_EXCEEDED));
             return;
         }
-        actions.add(new AbandonRequest(call.id));
-        failed(call, Reason.DEADLINE_EXCEEDED);
+        removeClient(client);
+        respond(client.id(), outcomes.stillInFlight(request.isIdempotent()));
+        if (request.clients.isEmpty()) {
+            abandon(request);
+        }
     }
 
-    private void left(long id) {
-        Waiter waiter = waiters.get(id);
-        if (waiter == null) {
+    private void clientDisconnected(WaitingClient client) {
+        if (client == null) {
             return;
         }
-        forget(waiter);
-        Call call = waiter.call;
-        if (call.waiters.isEmpty() && (cancels || !call.out.contains(true))) {
-            abandon(call);
-        } else if (call.waiters.isEmpty() && !call.left) {
-            // Guards against a repeat of the same id that runs beside the attempt its client left
-            // behind: it joins.
-            call.left = true;
-            actions.add(new AbandonRequest(call.id));
+        removeClient(client);
+        PendingRequest request = client.request();
+        if (!request.clients.isEmpty()) {
+            return;
+        }
+        if (cancelsAttempts || !request.attempts.anyInFlight()) {
+            abandon(request);
+        } else if (!request.detached) {
+            // Guards against a repeat that runs beside the attempt which its client left behind:
+            // the request stays in flight, so that the repeat joins it.
+            request.detached = true;
+            commands.add(new AbandonRequest(request.id));
         }
     }
 
-    /** Nobody waits: for the module it is over; a repeat is judged by whether it may have run. */
-    private void abandon(Call call) {
-        inFlight.remove(call.id);
-        gate.requestCompleted(
-                now,
-                call.from.tenant(),
-                call.from.requestClass(),
-                call.from.retryMark(),
-                false,
-                false);
-        idempotencyStore.requestCompleted(
-                now, call.id, new Failed(Reason.ABANDONED, call.mayRunAt() != 0), call.mayRunAt());
-        actions.add(new AbandonRequest(call.id));
-    }
-
-    private void forget(Waiter waiter) {
-        waiters.remove(waiter.id);
-        waiter.call.waiters.remove(waiter);
+    private void removeClient(WaitingClient client) {
+        clients.remove(client.id());
+        client.request().clients.remove(client);
     }
 
-    private void sent(AttemptForwarded e) {
-        Call call = inFlight.get(e.requestId());
-        if (call != null) {
-            while (call.out.size() <= e.attempt()) {
-                call.out.add(false);
-                call.sentAt.add(now);
-            }
-            call.out.set(e.attempt(), true);
-            call.tries++;
+    private void attemptCompleted(PendingRequest request, AttemptCompleted event) {
+        AttemptLog attempts = request.attempts;
+        attempts.responseReceived(event.code(), event.responseText());
+        if (!attempts.isInFlight(event.attempt())) {
+            return; // It was withheld: nothing was sent to an invoker.
         }
-    }
-
-    private void attemptOver(AttemptCompleted e) {
-        Call call = inFlight.get(e.requestId());
-        if (call == null) {
+        if (event.code() == ResponseCode.OK) {
+            complete(request, event.outcome());
             return;
         }
-        call.lastCode = e.code();
-        call.last =
-                e.code() == ResponseCode.NOT_SENT && !call.last.isEmpty()
-                        ? call.last
-                        : e.responseText();
-        if (e.attempt() >= call.out.size() || !call.out.get(e.attempt())) {
-            return; // it never went out
-        }
-        if (e.code() == ResponseCode.OK) {
-            end(call, e.outcome(), call.mayRunAt());
-            return;
-        }
-        call.out.set(e.attempt(), false);
-        if (!provesNotRun(e.code())
-                && (call.mayRunAt == 0 || call.sentAt.get(e.attempt()) < call.mayRunAt)) {
-            call.mayRunAt = call.sentAt.get(e.attempt());
-        }
-        call.own = e.outcome() instanceof FunctionError own ? own : null;
-        if (call.left) {
-            leftEnds(call);
-        } else if (e.endsRequest() && e.code() == ResponseCode.NOT_LOADED) {
-            absent(call);
-        } else if (e.endsRequest()) {
-            failed(call, null);
+        FunctionError error = event.outcome() instanceof FunctionError own ? own : null;
+        attempts.failed(event.attempt(), event.code(), error);
+        if (request.detached) {
+            detachedAttemptFailed(request);
+        } else if (event.endsRequest() && event.code() == ResponseCode.NOT_LOADED) {
+            complete(request, outcomes.failure(request, Reason.FUNCTION_NOT_FOUND));
+        } else if (event.endsRequest()) {
+            complete(request, outcomes.failure(request, now));
         }
     }
 
     /**
-     * The last attempt of a call that its first client left; who joined it since is told how that
-     * ended.
+     * Ends a detached request with its last attempt; clients that have joined it since get what
+     * came of that.
      */
-    private void leftEnds(Call call) {
-        if (call.out.contains(true)) {
+    private void detachedAttemptFailed(PendingRequest request) {
+        if (request.attempts.anyInFlight()) {
             return;
         }
-        if (call.waiters.isEmpty()) {
-            inFlight.remove(call.id);
-            gate.requestCompleted(
-                    now,
-                    call.from.tenant(),
-                    call.from.requestClass(),
-                    call.from.retryMark(),
-                    false,
-                    false);
-            idempotencyStore.requestCompleted(
-                    now,
-                    call.id,
-                    new Failed(Reason.ABANDONED, call.mayRunAt() != 0),
-                    call.mayRunAt());
+        if (request.clients.isEmpty()) {
+            close(request, outcomes.abandonment(request));
         } else {
-            refused(call, why(call), 0);
+            complete(request, outcomes.detachedCompletion(request, now));
         }
     }
 
-    /** Whether an end proves that the attempt never ran. */
-    public static boolean provesNotRun(ResponseCode code) {
-        return code == ResponseCode.FULL
-                || code == ResponseCode.CONNECT_FAILED
-                || code == ResponseCode.NOT_SENT
-                || code == ResponseCode.NOT_LOADED;
-    }
-
-    /**
-     * Says of a refusal what it was for: the estimate where that said so, else how the last attempt
-     * ended.
-     */
-    private void moduleRefused(Call call, SchedulerRejectedRequest e) {
-        if (call == null) {
-            return;
-        }
-        if (call.own != null) {
-            failed(call, null); // the function's own word is truer than that its time is up
-            return;
+    private void shutdownGraceExpired() {
+        for (PendingRequest request : List.copyOf(inFlight.values())) {
+            commands.add(new AbandonRequest(request.id));
+            complete(request, outcomes.shutdown(request, now));
         }
-        Reason why =
-                e.estimateMicros() < 0
-                        ? call.out.contains(true) ? Reason.DEADLINE_EXCEEDED : why(call)
-                        : e.estimateMicros() > call.deadline - now
-                                ? Reason.NO_FINISH_IN_TIME
-                                : Reason.OVERLOADED;
-        refused(call, why, e.retryAfterMicros());
     }
 
-    private static Reason why(Call call) {
-        return call.lastCode == null
-                ? Reason.NO_READY_INVOKER
-                : switch (call.lastCode) {
-                    case FULL -> Reason.INVOKERS_AT_CAPACITY;
-                    case CONNECT_FAILED -> Reason.UNREACHABLE;
-                    case NOT_LOADED -> Reason.NOT_LOADED;
-                    case NOT_SENT -> Reason.ATTEMPT_BUDGET_EXHAUSTED;
-                    case RESET -> Reason.CONNECTION_LOST;
-                    case TIMEOUT -> Reason.NO_RESPONSE;
-                    case ERROR ->
-                            call.last.equals("unreadable")
-                                    ? Reason.MALFORMED_RESPONSE
-                                    : Reason.INVOKER_ERROR;
-                    default -> Reason.ATTEMPTS_FAILED;
-                };
+    /** Ends a request that nobody waits for; a repeat depends on whether it may have run. */
+    private void abandon(PendingRequest request) {
+        close(request, outcomes.abandonment(request));
+        commands.add(new AbandonRequest(request.id));
     }
 
-    private void absent(Call call) {
-        if (call != null) {
-            end(
-                    call,
-                    new Failed(
-                            Reason.FUNCTION_NOT_FOUND,
-                            call.mayRunAt() != 0
-                                    && call.kind.idempotency() != Idempotency.IDEMPOTENT,
-                            tried(call)),
-                    call.mayRunAt());
+    /** Ends a request and gives its outcome to all its clients. */
+    private void complete(PendingRequest request, RequestOutcome outcome) {
+        close(request, outcome);
+        for (WaitingClient client : request.clients) {
+            clients.remove(client.id());
+            respond(client.id(), outcome);
         }
+        request.clients.clear();
     }
 
-    private void failedFast(Call call, CircuitRejectedRequest e) {
-        if (call != null) {
-            end(
-                    call,
-                    new Rejected(
-                            e.lastResponseText().equals("404")
-                                    ? Reason.FUNCTION_NOT_FOUND
-                                    : Reason.CIRCUIT_OPEN,
-                            e.retryAfterMicros(),
-                            new AttemptSummary(0, e.lastResponseText())),
-                    0);
-        }
+    private void close(PendingRequest request, RequestOutcome outcome) {
+        inFlight.remove(request.id);
+        RequestArrived arrival = request.arrival;
+        admissionControl.requestCompleted(
+                now,
+                arrival.tenant(),
+                arrival.requestClass(),
+                arrival.retryMark(),
+                outcome instanceof Rejected,
+                isTimeout(outcome));
+        idempotencyStore.requestCompleted(
+                now, request.id, outcome, request.attempts.mayHaveRunSince());
     }
 
-    private static AttemptSummary tried(Call call) {
-        return new AttemptSummary(call.tries, call.last);
+    private void respond(long clientId, RequestOutcome outcome) {
+        commands.add(new RespondToClient(clientId, outcome));
     }
 
-    private void refused(Call call, Reason why, long comeBackAfter) {
-        if (call == null) {
-            return;
-        }
-        // A refusal promises that coming again is harmless; where that is not proved the promise is
-        // not given.
-        boolean harmless =
-                call.mayRunAt() == 0
-                        || call.kind.idempotency() == Idempotency.IDEMPOTENT
-                        || (call.kind.idempotency() == Idempotency.KEYED
-                                && call.kind.deduplicationScope() == DeduplicationScope.ALL
-                                && now + comeBackAfter
-                                        < call.mayRunAt()
-                                                + call.kind
-                                                        .deduplicationWindowMicros()); // later its
-        // repeat
-        // would
-        // run
-        if (harmless) {
-            end(call, new Rejected(why, comeBackAfter, tried(call)), call.mayRunAt());
-        } else {
-            failed(call, why == Reason.SHUTTING_DOWN ? why : null);
-        }
-    }
-
-    private void failed(Call call, Reason why) {
-        if (call == null) {
-            return;
-        }
-        boolean mayHaveRun =
-                call.mayRunAt() != 0 && call.kind.idempotency() != Idempotency.IDEMPOTENT;
-        if (call.own != null && why == null) {
-            FunctionError own = call.own;
-            end(
-                    call,
-                    new FunctionError(
-                            own.status(), own.contentType(), own.body(), mayHaveRun, tried(call)),
-                    call.mayRunAt());
-            return;
-        }
-        Reason told =
-                why != null
-                        ? why
-                        : call.deadline - now <= BACKSTOP * tick
-                                ? Reason.DEADLINE_EXCEEDED
-                                : call.out.contains(true) ? Reason.ATTEMPTS_FAILED : why(call);
-        end(call, new Failed(told, mayHaveRun, tried(call)), call.mayRunAt());
+    private boolean isExpired(long timeLeftMicros) {
+        return timeLeftMicros <= expiryMarginMicros;
     }
 
-    private void end(Call call, RequestOutcome end, long mayRunAt) {
-        inFlight.remove(call.id);
-        gate.requestCompleted(
-                now,
-                call.from.tenant(),
-                call.from.requestClass(),
-                call.from.retryMark(),
-                end instanceof Rejected,
-                end instanceof Failed f && f.reason() == Reason.DEADLINE_EXCEEDED);
-        idempotencyStore.requestCompleted(now, call.id, end, mayRunAt);
-        for (Waiter waiter : call.waiters) {
-            waiters.remove(waiter.id);
-            actions.add(new RespondToClient(waiter.id, end));
-        }
-        call.waiters.clear();
+    private static boolean isTimeout(RequestOutcome outcome) {
+        return outcome instanceof Failed failed && failed.reason() == Reason.DEADLINE_EXCEEDED;
     }
 }
--- a/src/main/java/waytrestle/requests/RequestHandler.java
+++ b/src/main/java/waytrestle/requests/RequestHandler.java
@@ -1,12 +1,19 @@
 package waytrestle.requests;
 
 import waytrestle.Bytes;
+import waytrestle.requests.IdempotencyStore.KeyedRequest;
 
-/** What a front needs of the core: it brings a call and hears its end, once. */
+/**
+ * What a protocol front end needs of the controller: it hands over a request and is notified of the
+ * outcome, once.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
+ */
 public interface RequestHandler {
     /**
-     * What is told of a call's function, 0 or less where untold, and whether its client sent the
-     * call before.
+     * What a request declares of its function; a number of 0 or less is not declared.
+     *
+     * @param retry whether the client has sent the request before
      */
     record FunctionHints(
             double memoryMb,
@@ -14,20 +21,26 @@
             long loadMicros,
             long workMicros,
             boolean retry) {
+        /** Nothing is declared. */
         public static final FunctionHints NONE = new FunctionHints(0, 0, 0, 0, false);
     }
 
     /**
-     * A call as a front has understood and admitted it; the id may be null, tenant -1. With
-     * jsonBytes of 0 or more the payload is an infer request already, whose JSON part is so long,
-     * and its answer is wanted whole. Facts are null where the call tells none; the passed id, null
-     * without, is what invokers are to see unchanged.
+     * A request that a front end has parsed and authorized.
+     *
+     * @param tenant -1 without one
+     * @param idempotencyKey null for a request that is never joined or remembered
+     * @param retryMark recognises a client's retry of a rejected request, 0 without one
+     * @param jsonBytes if not negative, the payload is an inference request whose JSON part has
+     *     this length, and the whole inference response is wanted
+     * @param hints null if the request declares none
+     * @param forwardedId request id that invokers are to see unchanged, null without one
      */
     record IncomingRequest(
             int requestClass,
             int tenant,
             String function,
-            IdempotencyStore.KeyedRequest idempotencyKey,
+            KeyedRequest idempotencyKey,
             long retryMark,
             long timeLeftMicros,
             String contentType,
@@ -35,11 +48,12 @@
             int jsonBytes,
             FunctionHints hints,
             String forwardedId) {
+        /** A request without hints and without a request id to forward. */
         public IncomingRequest(
                 int requestClass,
                 int tenant,
                 String function,
-                IdempotencyStore.KeyedRequest idempotencyKey,
+                KeyedRequest idempotencyKey,
                 long retryMark,
                 long timeLeftMicros,
                 String contentType,
@@ -60,28 +74,30 @@
         }
     }
 
-    /** Hears the end, on the loop, possibly within {@link #accept}. */
+    /** Notified of the outcome on the event loop, possibly before {@link #accept} returns. */
     interface ResponseListener {
-        void completed(RequestOutcome end);
+        /** The request has its outcome. */
+        void completed(RequestOutcome outcome);
 
         /**
-         * Asked before something is begun for it: one that has gone unseen is to be told as having
-         * left, now.
+         * Called before work is begun for the client: a listener that finds the connection closed
+         * reports it at once by {@link PendingResponse#clientDisconnected}.
          */
         default void checkConnected() {}
     }
 
-    /** Held by the front while the call is open. */
+    /** A response that has not been given yet; held by the front end. */
     interface PendingResponse {
-        /** The client went away; no end is told after this. */
+        /** The client's connection was closed; no outcome is reported after this. */
         void clientDisconnected();
     }
 
-    PendingResponse accept(IncomingRequest call, ResponseListener client);
+    /** Takes a request over; the listener is notified of its outcome once. */
+    PendingResponse accept(IncomingRequest request, ResponseListener listener);
 
     /** Whether any invoker is ready. */
     boolean ready();
 
-    /** Wall time in whole seconds, by which signing times are judged. */
+    /** Wall-clock time, by which signing times are verified. */
     long wallSeconds();
 }
--- a/src/main/java/waytrestle/requests/RequestOutcome.java
+++ b/src/main/java/waytrestle/requests/RequestOutcome.java
@@ -2,51 +2,69 @@
 
 import waytrestle.Bytes;
 
-/** How a call ends for whoever waits for it. */
+/** How a request ends for the clients that wait for it. */
 public sealed interface RequestOutcome {
     /**
-     * Attempts that went out, and what came of the last: a status, or a word in place of one; ""
-     * without any.
+     * The attempts of a request.
+     *
+     * @param attempts number of attempts that were forwarded
+     * @param lastResponse HTTP status of the last response, or a word in place of one; empty
+     *     without any
      */
     record AttemptSummary(int attempts, String lastResponse) {
+        /** No attempt was forwarded. */
         public static final AttemptSummary NONE = new AttemptSummary(0, "");
     }
 
     /**
-     * The function's own answer; jsonBytes is the length of its JSON part where it is an infer
-     * answer, else -1.
+     * The function's own response.
+     *
+     * @param jsonBytes length of the JSON part of an inference response, -1 for any other
      */
     record Served(String contentType, Bytes body, int jsonBytes) implements RequestOutcome {
+        private static final int NO_JSON_PART = -1;
+
+        /** A response that is no inference response. */
         public Served(String contentType, byte[] body) {
-            this(contentType, Bytes.of(body), -1);
+            this(contentType, Bytes.of(body), NO_JSON_PART);
         }
     }
 
     /**
-     * The function's own error, passed on as it came; unless it is of a safe class, a repeat may
-     * double an effect.
+     * The function's own error, passed on unchanged.
+     *
+     * @param mayHaveRun whether a retry may double an effect
      */
     record FunctionError(
             int status, String contentType, Bytes body, boolean mayHaveRun, AttemptSummary attempts)
             implements RequestOutcome {}
 
-    /** Nothing happened that a repeat could double: coming again is harmless. */
+    /** Rejected without an effect that a retry could double: retrying is harmless. */
     record Rejected(Reason reason, long retryAfterMicros, AttemptSummary attempts)
             implements RequestOutcome {
+        /** A rejection before any attempt. */
         public Rejected(Reason reason, long retryAfterMicros) {
             this(reason, retryAfterMicros, AttemptSummary.NONE);
         }
     }
 
-    /** No answer; unless it is proved not to have run, a repeat may double its effect. */
+    /**
+     * Failed without a response of the function.
+     *
+     * @param mayHaveRun whether a retry may double an effect
+     */
     record Failed(Reason reason, boolean mayHaveRun, AttemptSummary attempts)
             implements RequestOutcome {
+        /** A failure without any attempt to report. */
         public Failed(Reason reason, boolean mayHaveRun) {
             this(reason, mayHaveRun, AttemptSummary.NONE);
         }
     }
 
-    /** The reasons, as told to clients and counted. */
+    /**
+     * Why a request was rejected or failed. Codes and descriptions are seen by clients, in metrics
+     * and in logs, and do not change with the names in the code.
+     */
     enum Reason {
         NO_FINISH_IN_TIME("no-finish-in-time", "no invoker is expected to finish in the time left"),
         OVERLOADED(
@@ -88,16 +106,17 @@
         private final String code;
         private final String description;
 
-        Reason(String code, String text) {
+        Reason(String code, String description) {
             this.code = code;
-            this.description = text;
+            this.description = description;
         }
 
+        /** One sentence for the client. */
         public String description() {
             return description;
         }
 
-        /** As problem types, metrics and logs name it. */
+        /** Its name in problem types, metrics and logs. */
         public String code() {
             return code;
         }
