Requests: tests one behaviour each, with a fixture, random events in a class of their own

Cause: the tests were named in withdrawn terms, several covered more than one behaviour, and the property drew, played and checked in one method.

Change: tests renamed as sentences; those with several behaviours split with all their assertions. PendingRequestsFixture and RandomEventRun hold what they share; the run draws the same events in the same order.

--- a/src/test/java/waytrestle/requests/IdempotencyStoreTest.java
+++ b/src/test/java/waytrestle/requests/IdempotencyStoreTest.java
@@ -5,7 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
+import waytrestle.requests.IdempotencyStore.Bounds;
 import waytrestle.requests.IdempotencyStore.KeyedRequest;
+import waytrestle.requests.IdempotencyStore.LookupResult;
 import waytrestle.requests.IdempotencyStore.LookupResult.Completed;
 import waytrestle.requests.IdempotencyStore.LookupResult.InFlight;
 import waytrestle.requests.IdempotencyStore.LookupResult.NewRequest;
@@ -15,197 +17,222 @@
 import waytrestle.requests.RequestOutcome.Served;
 import waytrestle.scheduler.Idempotency;
 
-/** The memory of ids: joined, given again, forgotten, and what gives way at its bounds. */
+/** What a repeated request gets from the idempotency store, and what is evicted at its bounds. */
 class IdempotencyStoreTest {
-    private static final long START = 1_000; // wall seconds at the gateway's start
-    private static final long SECOND = 1_000_000;
-    private long now = 50 * SECOND, wall = START + 10, calls;
-    private IdempotencyStore memory =
-            new IdempotencyStore(new IdempotencyStore.Bounds(4, 1 << 20, 300), START);
+    private static final long MICROS_PER_SECOND = 1_000_000;
+    private static final long START_WALL_SECONDS = 1_000;
+    private static final long TOLERANCE_SECONDS = 300;
+    private static final long WINDOW_MICROS = 8 * MICROS_PER_SECOND;
+    private static final long PAYLOAD_DIGEST = 7;
+    private static final int MAX_ENTRIES = 4;
+    private static final Served EMPTY_RESPONSE = responseOf(0);
 
-    private KeyedRequest arrival(String id, Idempotency repeat) {
-        return new KeyedRequest(id, repeat, repeat == Idempotency.KEYED ? 8 * SECOND : 0, wall, 7);
+    private long now = 50 * MICROS_PER_SECOND;
+    private long wallSeconds = START_WALL_SECONDS + 10;
+    private long lastRequestId;
+    private IdempotencyStore store = storeOf(MAX_ENTRIES, 1 << 20);
+
+    private static IdempotencyStore storeOf(int entries, long bytes) {
+        return new IdempotencyStore(
+                new Bounds(entries, bytes, TOLERANCE_SECONDS), START_WALL_SECONDS);
+    }
+
+    private static Served responseOf(int bytes) {
+        return new Served("", new byte[bytes]);
     }
 
-    private IdempotencyStore.LookupResult arrive(KeyedRequest a) {
-        return memory.lookUp(now, wall, a);
+    private KeyedRequest request(String key, Idempotency idempotency) {
+        return signedAt(key, idempotency, wallSeconds);
     }
 
-    private long begin(KeyedRequest a) {
-        assertInstanceOf(NewRequest.class, arrive(a));
-        memory.requestStarted(++calls, a);
-        return calls;
+    private static KeyedRequest signedAt(
+            String key, Idempotency idempotency, long signedAtSeconds) {
+        long window = idempotency == Idempotency.KEYED ? WINDOW_MICROS : 0;
+        return new KeyedRequest(key, idempotency, window, signedAtSeconds, PAYLOAD_DIGEST);
     }
 
-    private KeyedRequest ended(String id, Idempotency repeat, RequestOutcome end, long mayRunAt) {
-        KeyedRequest a = arrival(id, repeat);
-        memory.requestCompleted(now, begin(a), end, mayRunAt);
-        return a;
+    private LookupResult lookUp(KeyedRequest request) {
+        return store.lookUp(now, wallSeconds, request);
     }
 
-    private Reason why(IdempotencyStore.LookupResult v) {
-        RequestOutcome end = assertInstanceOf(Completed.class, v).outcome();
-        return end instanceof Failed f ? f.reason() : ((Rejected) end).reason();
+    private long start(KeyedRequest request) {
+        assertInstanceOf(NewRequest.class, lookUp(request));
+        store.requestStarted(++lastRequestId, request);
+        return lastRequestId;
+    }
+
+    private KeyedRequest completed(
+            String key, Idempotency idempotency, RequestOutcome outcome, long mayHaveRunSince) {
+        KeyedRequest request = request(key, idempotency);
+        store.requestCompleted(now, start(request), outcome, mayHaveRunSince);
+        return request;
+    }
+
+    private static Reason reasonOf(LookupResult result) {
+        RequestOutcome outcome = assertInstanceOf(Completed.class, result).outcome();
+        if (outcome instanceof Failed failed) {
+            return failed.reason();
+        }
+        return ((Rejected) outcome).reason();
     }
 
     @Test
-    void anOpenCallIsJoinedAndItsEndGivenAgain() {
-        for (Idempotency repeat : Idempotency.values()) {
-            KeyedRequest a = arrival("id-" + repeat, repeat);
-            long call = begin(a);
-            assertEquals(new InFlight(call), arrive(a));
-            Served answer = new Served("text/plain", new byte[] {1});
-            memory.requestCompleted(now, call, answer, now);
-            assertEquals(new Completed(answer), arrive(a));
+    void repeatJoinsTheRequestInFlightAndThenGetsItsOutcome() {
+        for (Idempotency idempotency : Idempotency.values()) {
+            KeyedRequest request = request("key-" + idempotency, idempotency);
+            long requestId = start(request);
+            assertEquals(new InFlight(requestId), lookUp(request));
+            Served response = new Served("text/plain", new byte[] {1});
+            store.requestCompleted(now, requestId, response, now);
+            assertEquals(new Completed(response), lookUp(request));
         }
     }
 
     @Test
-    void aFailureThatMayHaveRunIsGivenAgainAndARefusalIsNot() {
+    void repeatAfterFailureThatMayHaveRunGetsTheFailure() {
         Failed failure = new Failed(Reason.ATTEMPTS_FAILED, true);
-        assertEquals(
-                new Completed(failure),
-                arrive(ended("a", Idempotency.NON_IDEMPOTENT, failure, now)));
-        assertEquals(
-                new NewRequest(0),
-                arrive(
-                        ended(
-                                "b",
-                                Idempotency.NON_IDEMPOTENT,
-                                new Rejected(Reason.NO_FINISH_IN_TIME, 0),
-                                0)));
-        assertEquals(1, memory.size());
+        KeyedRequest request = completed("a", Idempotency.NON_IDEMPOTENT, failure, now);
+        assertEquals(new Completed(failure), lookUp(request));
     }
 
     @Test
-    void whatItsClientLeftIsNewOnlyWhereRunningAgainIsHarmless() {
-        Failed left = new Failed(Reason.ABANDONED, true);
-        assertEquals(new NewRequest(0), arrive(ended("a", Idempotency.IDEMPOTENT, left, now)));
+    void repeatAfterRejectionIsNewAndTheKeyIsNotHeld() {
+        Failed failure = new Failed(Reason.ATTEMPTS_FAILED, true);
+        completed("a", Idempotency.NON_IDEMPOTENT, failure, now);
+        Rejected rejection = new Rejected(Reason.NO_FINISH_IN_TIME, 0);
+        KeyedRequest rejected = completed("b", Idempotency.NON_IDEMPOTENT, rejection, 0);
+        assertEquals(new NewRequest(0), lookUp(rejected));
+        assertEquals(1, store.size());
+    }
+
+    @Test
+    void repeatOfAbandonedRequestIsNewOnlyIfRunningAgainIsHarmless() {
+        Failed abandoned = new Failed(Reason.ABANDONED, true);
+        assertEquals(
+                new NewRequest(0), lookUp(completed("a", Idempotency.IDEMPOTENT, abandoned, now)));
         assertEquals(
                 new NewRequest(0),
-                arrive(ended("b", Idempotency.NON_IDEMPOTENT, left, 0)),
-                "never sent");
+                lookUp(completed("b", Idempotency.NON_IDEMPOTENT, abandoned, 0)),
+                "never forwarded");
         assertEquals(
-                new Completed(left), arrive(ended("c", Idempotency.NON_IDEMPOTENT, left, now)));
+                new Completed(abandoned),
+                lookUp(completed("c", Idempotency.NON_IDEMPOTENT, abandoned, now)));
     }
 
     @Test
-    void aKeyedRefusalThatMayHaveRunIsNewOnlyWithinItsWindow() {
-        KeyedRequest a =
-                ended("k", Idempotency.KEYED, new Rejected(Reason.NO_FINISH_IN_TIME, 0), now);
-        assertEquals(new NewRequest(now + 8 * SECOND), arrive(a));
-        long first = now;
-        now += 3 * SECOND;
-        memory.requestStarted(++calls, a);
-        memory.requestCompleted(now, calls, new Rejected(Reason.NO_FINISH_IN_TIME, 0), now);
+    void repeatOfRejectedKeyedRequestIsNewOnlyWithinItsDeduplicationWindow() {
+        Rejected rejection = new Rejected(Reason.NO_FINISH_IN_TIME, 0);
+        KeyedRequest request = completed("k", Idempotency.KEYED, rejection, now);
+        assertEquals(new NewRequest(now + WINDOW_MICROS), lookUp(request));
+        long firstForwardedAt = now;
+        now += 3 * MICROS_PER_SECOND;
+        store.requestStarted(++lastRequestId, request);
+        store.requestCompleted(now, lastRequestId, rejection, now);
         assertEquals(
-                new NewRequest(first + 8 * SECOND),
-                arrive(a),
-                "the window begins with the first that may have run");
-        now = first + 8 * SECOND;
-        assertEquals(Reason.DEDUPLICATION_WINDOW_PASSED, why(arrive(a)));
+                new NewRequest(firstForwardedAt + WINDOW_MICROS),
+                lookUp(request),
+                "the window begins with the first attempt that may have run");
+        now = firstForwardedAt + WINDOW_MICROS;
+        assertEquals(Reason.DEDUPLICATION_WINDOW_PASSED, reasonOf(lookUp(request)));
     }
 
     @Test
-    void anotherPayloadUnderAnIdIsTurnedAway() {
-        KeyedRequest a = arrival("a", Idempotency.IDEMPOTENT);
-        begin(a);
-        assertEquals(
-                Reason.PAYLOAD_MISMATCH,
-                why(arrive(new KeyedRequest("a", Idempotency.IDEMPOTENT, 0, wall, 8))));
+    void anotherPayloadWithTheSameKeyFails() {
+        start(request("a", Idempotency.IDEMPOTENT));
+        KeyedRequest other =
+                new KeyedRequest("a", Idempotency.IDEMPOTENT, 0, wallSeconds, PAYLOAD_DIGEST + 1);
+        assertEquals(Reason.PAYLOAD_MISMATCH, reasonOf(lookUp(other)));
     }
 
     @Test
-    void whatWasSignedBeforeTheStartIsNotRunUnlessSafe() {
-        KeyedRequest before = new KeyedRequest("a", Idempotency.NON_IDEMPOTENT, 0, START, 7);
-        assertEquals(Reason.SIGNED_BEFORE_STORE, why(arrive(before)));
+    void requestSignedBeforeTheStartIsRunOnlyIfIdempotent() {
+        assertEquals(
+                Reason.SIGNED_BEFORE_STORE,
+                reasonOf(lookUp(signedAt("a", Idempotency.NON_IDEMPOTENT, START_WALL_SECONDS))));
         assertEquals(
                 Reason.SIGNED_BEFORE_STORE,
-                why(arrive(new KeyedRequest("a", Idempotency.KEYED, 1, START - 5, 7))));
+                reasonOf(lookUp(signedAt("a", Idempotency.KEYED, START_WALL_SECONDS - 5))));
         assertInstanceOf(
                 NewRequest.class,
-                arrive(new KeyedRequest("a", Idempotency.IDEMPOTENT, 0, START - 5, 7)));
+                lookUp(signedAt("a", Idempotency.IDEMPOTENT, START_WALL_SECONDS - 5)));
         assertInstanceOf(
                 NewRequest.class,
-                arrive(new KeyedRequest("a", Idempotency.NON_IDEMPOTENT, 0, START + 1, 7)));
+                lookUp(signedAt("a", Idempotency.NON_IDEMPOTENT, START_WALL_SECONDS + 1)));
     }
 
     @Test
-    void itIsForgottenOnlyWhenNoSignatureOfItIsAcceptedAnyMore() {
-        KeyedRequest a =
-                ended(
-                        "a",
-                        Idempotency.NON_IDEMPOTENT,
-                        new Failed(Reason.ATTEMPTS_FAILED, true),
-                        now);
-        now += 301 * SECOND;
+    void entryExpiresOnlyWhenItsSignatureIsNoLongerAccepted() {
+        Failed failure = new Failed(Reason.ATTEMPTS_FAILED, true);
+        KeyedRequest request = completed("a", Idempotency.NON_IDEMPOTENT, failure, now);
+        now += (TOLERANCE_SECONDS + 1) * MICROS_PER_SECOND;
         assertInstanceOf(
                 Completed.class,
-                arrive(a),
+                lookUp(request),
                 "the wall clock stood still: its signature is still accepted");
-        wall += 301;
-        arrive(arrival("other", Idempotency.IDEMPOTENT));
-        assertEquals(0, memory.size());
+        wallSeconds += TOLERANCE_SECONDS + 1;
+        lookUp(request("other", Idempotency.IDEMPOTENT));
+        assertEquals(0, store.size());
     }
 
     @Test
-    void aWallClockThatStepsBackBringsNothingForgottenBack() {
-        KeyedRequest a = ended("a", Idempotency.NON_IDEMPOTENT, new Served("", new byte[0]), now);
-        now += 301 * SECOND;
-        wall += 301;
-        assertEquals(Reason.SIGNED_BEFORE_STORE, why(arrive(a)));
-        wall -= 301;
-        assertEquals(Reason.SIGNED_BEFORE_STORE, why(arrive(a)));
+    void requestWithExpiredEntryIsNotRunAgainAfterTheWallClockStepsBack() {
+        KeyedRequest request = completed("a", Idempotency.NON_IDEMPOTENT, EMPTY_RESPONSE, now);
+        now += (TOLERANCE_SECONDS + 1) * MICROS_PER_SECOND;
+        wallSeconds += TOLERANCE_SECONDS + 1;
+        assertEquals(Reason.SIGNED_BEFORE_STORE, reasonOf(lookUp(request)));
+        wallSeconds -= TOLERANCE_SECONDS + 1;
+        assertEquals(Reason.SIGNED_BEFORE_STORE, reasonOf(lookUp(request)));
     }
 
     @Test
-    void fullOfSafeEndsItLetsTheOldestGo() {
-        for (int i = 0; i < 4; i++) {
-            ended("s" + i, Idempotency.IDEMPOTENT, new Served("", new byte[0]), now);
+    void fullStoreEvictsTheOldestIdempotentEntry() {
+        for (int i = 0; i < MAX_ENTRIES; i++) {
+            completed("idempotent" + i, Idempotency.IDEMPOTENT, EMPTY_RESPONSE, now);
         }
-        begin(arrival("new", Idempotency.NON_IDEMPOTENT));
-        assertEquals(4, memory.size());
-        assertInstanceOf(NewRequest.class, arrive(arrival("s0", Idempotency.IDEMPOTENT)));
-        assertInstanceOf(Completed.class, arrive(arrival("s3", Idempotency.IDEMPOTENT)));
+        start(request("new", Idempotency.NON_IDEMPOTENT));
+        assertEquals(MAX_ENTRIES, store.size());
+        assertInstanceOf(NewRequest.class, lookUp(request("idempotent0", Idempotency.IDEMPOTENT)));
+        assertInstanceOf(Completed.class, lookUp(request("idempotent3", Idempotency.IDEMPOTENT)));
     }
 
-    /** What was let go is held nowhere, whatever older end still stands before it. */
+    /** Whatever older outcome still stands before the evicted ones. */
     @Test
-    void whatIsLetGoIsNotHeldOn() {
-        ended("old", Idempotency.NON_IDEMPOTENT, new Served("", new byte[0]), now);
+    void evictedOutcomesAreNotHeldInMemory() {
+        completed("old", Idempotency.NON_IDEMPOTENT, EMPTY_RESPONSE, now);
         for (int i = 0; i < 1_000; i++) {
             now += 1_000;
-            ended("s" + i, Idempotency.IDEMPOTENT, new Served("", new byte[1_000]), now);
+            completed("idempotent" + i, Idempotency.IDEMPOTENT, responseOf(1_000), now);
         }
         assertTrue(
-                memory.size() <= 4 && memory.outcomesHeld() <= 4,
-                memory.size() + " entries, " + memory.outcomesHeld() + " ends");
+                store.size() <= MAX_ENTRIES && store.outcomesHeld() <= MAX_ENTRIES,
+                store.size() + " entries, " + store.outcomesHeld() + " outcomes");
     }
 
     @Test
-    void fullOfWhatMustNotRunTwiceItRefusesAndNeverForgets() {
-        for (int i = 0; i < 4; i++) {
-            ended("u" + i, Idempotency.NON_IDEMPOTENT, new Served("", new byte[0]), now);
+    void storeFullOfNonIdempotentEntriesRejectsNewRequestsAndKeepsTheEntries() {
+        for (int i = 0; i < MAX_ENTRIES; i++) {
+            completed("unsafe" + i, Idempotency.NON_IDEMPOTENT, EMPTY_RESPONSE, now);
         }
-        for (Idempotency repeat : Idempotency.values()) {
-            assertEquals(Reason.IDEMPOTENCY_STORE_FULL, why(arrive(arrival("new", repeat))));
+        for (Idempotency idempotency : Idempotency.values()) {
+            assertEquals(
+                    Reason.IDEMPOTENCY_STORE_FULL, reasonOf(lookUp(request("new", idempotency))));
         }
-        for (int i = 0; i < 4; i++) {
-            assertInstanceOf(Completed.class, arrive(arrival("u" + i, Idempotency.NON_IDEMPOTENT)));
+        for (int i = 0; i < MAX_ENTRIES; i++) {
+            assertInstanceOf(
+                    Completed.class, lookUp(request("unsafe" + i, Idempotency.NON_IDEMPOTENT)));
         }
     }
 
     @Test
-    void fullOfBytesItLetsAnswersGoButNotThatTheyWereGiven() {
-        memory = new IdempotencyStore(new IdempotencyStore.Bounds(100, 4_000, 300), START);
-        KeyedRequest first =
-                ended("u0", Idempotency.NON_IDEMPOTENT, new Served("", new byte[1_500]), now);
-        ended("u1", Idempotency.NON_IDEMPOTENT, new Served("", new byte[1_500]), now);
-        ended("u2", Idempotency.NON_IDEMPOTENT, new Served("", new byte[1_500]), now);
-        assertTrue(memory.bytes() <= 4_000, "bytes " + memory.bytes());
-        assertEquals(Reason.RESPONSE_EVICTED, why(arrive(first)));
-        assertInstanceOf(
-                Served.class,
-                ((Completed) arrive(arrival("u2", Idempotency.NON_IDEMPOTENT))).outcome());
+    void storeFullOfBytesEvictsResponsesButNotThatTheyWereGiven() {
+        store = storeOf(100, 4_000);
+        KeyedRequest oldest =
+                completed("unsafe0", Idempotency.NON_IDEMPOTENT, responseOf(1_500), now);
+        completed("unsafe1", Idempotency.NON_IDEMPOTENT, responseOf(1_500), now);
+        KeyedRequest newest =
+                completed("unsafe2", Idempotency.NON_IDEMPOTENT, responseOf(1_500), now);
+        assertTrue(store.bytes() <= 4_000, "bytes " + store.bytes());
+        assertEquals(Reason.RESPONSE_EVICTED, reasonOf(lookUp(oldest)));
+        assertInstanceOf(Served.class, ((Completed) lookUp(newest)).outcome());
     }
 }
--- /dev/null
+++ b/src/test/java/waytrestle/requests/RandomEventRun.java
@@ -0,0 +1,144 @@
+package waytrestle.requests;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import waytrestle.Bytes;
+import waytrestle.requests.PendingRequests.AttemptCompleted;
+import waytrestle.requests.PendingRequests.AttemptForwarded;
+import waytrestle.requests.PendingRequests.ClientDisconnected;
+import waytrestle.requests.PendingRequests.Command;
+import waytrestle.requests.PendingRequests.DeadlineExpired;
+import waytrestle.requests.PendingRequests.Event;
+import waytrestle.requests.PendingRequests.RespondToClient;
+import waytrestle.requests.PendingRequests.SchedulerFailedRequest;
+import waytrestle.requests.PendingRequests.SchedulerRejectedRequest;
+import waytrestle.requests.PendingRequests.SchedulerThrew;
+import waytrestle.requests.PendingRequests.SetDeadlineTimer;
+import waytrestle.requests.PendingRequests.StartRequest;
+import waytrestle.requests.RequestOutcome.AttemptSummary;
+import waytrestle.requests.RequestOutcome.FunctionError;
+import waytrestle.scheduler.ResponseCode;
+
+/** Random events in random order, with a check of each response that they lead to. */
+final class RandomEventRun {
+    private static final int MAX_STEP_MICROS = 100_000;
+    private static final int MAX_ATTEMPTS = 3;
+    private static final int REQUEST_CLASSES = 3;
+    private static final int KEYS = 6;
+
+    private record Timer(long expiresAt, long clientId) {}
+
+    private final PendingRequestsFixture fixture;
+    private final Random random;
+    private final Map<Long, Long> deadlines = new HashMap<>();
+    private final Map<Long, Integer> responses = new HashMap<>();
+    private final Set<Long> disconnected = new HashSet<>();
+    private final List<Long> requestIds = new ArrayList<>(List.of(1L));
+    private final PriorityQueue<Timer> timers =
+            new PriorityQueue<>(Comparator.comparingLong(Timer::expiresAt));
+    private long lastClient;
+
+    RandomEventRun(PendingRequestsFixture fixture, long seed) {
+        this.fixture = fixture;
+        this.random = new Random(seed);
+    }
+
+    /** Draws so many events, then lets all timers expire. */
+    void play(int steps) {
+        for (int step = 0; step < steps || !timers.isEmpty(); step++) {
+            long next = fixture.now + random.nextInt(MAX_STEP_MICROS);
+            boolean drawn = step < steps;
+            if (!timers.isEmpty() && (timers.peek().expiresAt() <= next || !drawn)) {
+                Timer timer = timers.poll();
+                fixture.now = Math.max(fixture.now, timer.expiresAt());
+                checkAll(fixture.handle(new DeadlineExpired(timer.clientId())));
+            } else {
+                fixture.now = next;
+                checkAll(fixture.handle(nextEvent()));
+            }
+        }
+    }
+
+    Set<Long> clients() {
+        return deadlines.keySet();
+    }
+
+    boolean isAnsweredOrLeft(long clientId) {
+        return responses.containsKey(clientId) || disconnected.contains(clientId);
+    }
+
+    private Event nextEvent() {
+        long requestId = requestIds.get(random.nextInt(requestIds.size()));
+        return switch (random.nextInt(9)) {
+            case 0, 1, 2 -> arrival();
+            case 3 -> disconnection();
+            case 4 -> new AttemptForwarded(requestId, random.nextInt(MAX_ATTEMPTS));
+            case 5 -> attemptCompletion(requestId);
+            case 6 -> new SchedulerRejectedRequest(requestId, 5, random.nextInt(9) - 2);
+            case 7 -> new SchedulerFailedRequest(requestId);
+            default -> new SchedulerThrew(requestId);
+        };
+    }
+
+    private Event arrival() {
+        long timeLeft = PendingRequestsFixture.MICROS_PER_SECOND / 2 + random.nextInt(2_000_000);
+        lastClient++;
+        deadlines.put(lastClient, fixture.now + timeLeft);
+        int requestClass = random.nextInt(REQUEST_CLASSES);
+        String key = random.nextInt(4) == 0 ? null : "key" + random.nextInt(KEYS);
+        return fixture.arrival(lastClient, requestClass, key, timeLeft);
+    }
+
+    /** Of a client that waits, has its response, or has not arrived yet. */
+    private Event disconnection() {
+        long clientId = 1 + random.nextInt((int) lastClient + 1);
+        if (clientId <= lastClient) {
+            disconnected.add(clientId);
+        }
+        return new ClientDisconnected(clientId);
+    }
+
+    private Event attemptCompletion(long requestId) {
+        ResponseCode code = ResponseCode.values()[random.nextInt(ResponseCode.values().length)];
+        int attempt = random.nextInt(MAX_ATTEMPTS);
+        RequestOutcome outcome = outcomeOf(code);
+        return new AttemptCompleted(requestId, attempt, code, outcome, random.nextBoolean(), "x");
+    }
+
+    private RequestOutcome outcomeOf(ResponseCode code) {
+        if (code == ResponseCode.OK) {
+            return PendingRequestsFixture.RESPONSE;
+        }
+        if (random.nextInt(3) == 0) {
+            return new FunctionError(500, "t", Bytes.NONE, true, AttemptSummary.NONE);
+        }
+        return null;
+    }
+
+    private void checkAll(List<Command> commands) {
+        for (Command command : commands) {
+            if (command instanceof RespondToClient response) {
+                check(response.clientId());
+            } else if (command instanceof StartRequest start) {
+                requestIds.add(start.requestId());
+            } else if (command instanceof SetDeadlineTimer timer) {
+                timers.add(new Timer(fixture.now + timer.afterMicros(), timer.clientId()));
+            }
+        }
+    }
+
+    private void check(long clientId) {
+        assertEquals(1, responses.merge(clientId, 1, Integer::sum), "responses to one client");
+        assertTrue(fixture.now <= deadlines.get(clientId), "after its deadline");
+    }
+}
