--- a/src/main/java/waytrestle/responses/AttemptBudget.java
+++ b/src/main/java/waytrestle/responses/AttemptBudget.java
@@ -1,35 +1,45 @@
 package waytrestle.responses;
 
 /**
- * Attempts over calls: every call pays in a stated number of attempts, every attempt takes one out,
- * and a first attempt always goes. Guards against amplification of whatever makes attempts end
- * (misses too, which no retry budget counts): a fleet in trouble must not be asked several times
+ * Bounds the attempts over all requests: every request adds a stated number of attempts to the
+ * budget, every attempt takes one out, and a first attempt always goes.
+ *
+ * <p>Guards against amplification by whatever makes attempts end, including not-loaded responses,
+ * which no retry budget counts: a fleet with a fault would otherwise be asked several times for
  * what it cannot do once.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 final class AttemptBudget {
-    // ---- Tuned numbers. ----
-    private static final double SAVED =
-            5; // seconds of payments kept, so that a short trouble is ridden out
-    private static final double BURST =
-            20; // attempts kept at the least: quiet traffic must be able to try again
+    /** Unused attempts of so long a time are kept, so that a short fault is ridden out. */
+    private static final double RESERVE_SECONDS = 5;
 
-    private final double perCall;
-    private double balance = BURST, paidPerSecond;
-    private long at;
+    /** Attempts kept at the least: with little traffic retries must be possible too. */
+    private static final double MIN_RESERVE_ATTEMPTS = 20;
 
-    AttemptBudget(double perCall) {
-        this.perCall = perCall;
+    private static final double MICROS_PER_SECOND = 1e6;
+
+    private final double attemptsPerRequest;
+    private double balance = MIN_RESERVE_ATTEMPTS;
+    private double retriesEarnedPerSecond;
+    private long updatedAtMicros;
+
+    AttemptBudget(double attemptsPerRequest) {
+        this.attemptsPerRequest = attemptsPerRequest;
     }
 
-    void paid(long now) {
-        paidPerSecond = paidPerSecond * Math.exp((at - now) / 1e6) + perCall - 1;
-        at = now;
-        balance = Math.min(balance + perCall, BURST + SAVED * paidPerSecond);
+    /** Adds what one new request contributes. */
+    void addRequest(long nowMicros) {
+        double decay = Math.exp((updatedAtMicros - nowMicros) / MICROS_PER_SECOND);
+        retriesEarnedPerSecond = retriesEarnedPerSecond * decay + attemptsPerRequest - 1;
+        updatedAtMicros = nowMicros;
+        double maxBalance = MIN_RESERVE_ATTEMPTS + RESERVE_SECONDS * retriesEarnedPerSecond;
+        balance = Math.min(balance + attemptsPerRequest, maxBalance);
     }
 
-    /** Whether an attempt may go; takes it from the budget. */
-    boolean take(boolean first) {
-        if (!first && balance < 1) {
+    /** Takes an attempt from the budget; false if it must not be sent. */
+    boolean tryTake(boolean firstAttempt) {
+        if (!firstAttempt && balance < 1) {
             return false;
         }
         balance = Math.max(0, balance - 1);
--- /dev/null
+++ b/src/main/java/waytrestle/responses/AttemptOutcome.java
@@ -0,0 +1,14 @@
+package waytrestle.responses;
+
+/**
+ * How an attempt ended, and who took part.
+ *
+ * @param fromSuspect whether the invoker is suspected of a fault, so that its failures are no
+ *     evidence against the function
+ */
+record AttemptOutcome(
+        FunctionRecord function,
+        String invoker,
+        ResponseKind kind,
+        ExchangeResult result,
+        boolean fromSuspect) {}
--- a/src/main/java/waytrestle/responses/CapabilityVerifier.java
+++ b/src/main/java/waytrestle/responses/CapabilityVerifier.java
@@ -1,284 +1,204 @@
 package waytrestle.responses;
 
-import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.Map;
 import waytrestle.scheduler.StartKind;
 
 /**
- * Holds what invokers were promised to tell and do against what comes back, each invoker by itself,
- * and passes on only what is worth believing: an untold or refuted start is UNKNOWN, a refuted
- * report is none, so that the module goes by its own sends and answers there.
+ * Checks what invokers are declared to report and do against their responses, and passes on only
+ * what is to be believed: an unreported or refuted start is UNKNOWN and a refuted load report is
+ * empty, so that the scheduler goes by its own sends and responses there.
  *
- * <p>Guards against settings that are wrong of some invokers, and against invokers that tell
- * nonsense: one report of a million calls in hand would spoil the average that all others are
- * compared with.
+ * <p>Guards against settings that are wrong of some invokers, and against invokers whose reports
+ * are wrong.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 final class CapabilityVerifier {
-    // ---- Tuned numbers; times are microseconds. ----
-    private static final double NEWS =
-            0.1; // weight of one answer in what is believed: about the last ten count
-    private static final double TRUSTED =
-            0.6; // share of kept promises below which what is told is left out
-    private static final int WARN_AFTER =
-            10; // answers before an operator is told: one may be chance
-    private static final double MOST = 1e6; // of any count that a report may tell
-    private static final int OWN =
-            3; // own calls surely there before a report of fewer refutes itself
-    private static final double CROWDED =
-            8; // times the usual calls in hand: could not answer in the usual time
-    private static final double ROOM = 4; // calls in hand that slow nobody, as the estimate has it
-    private static final double QUICK = 1.5; // times the usual: no load and no crowd in it
-    private static final double LOAD_PART =
-            0.5; // of a load that an answer must have taken to have waited for one
-    private static final double FAR = 2; // times, either way, by which a told load time is wrong
-    private static final double WORK_FAR = 3; // the same of work, which varies by what is asked
-
-    private static final String[] USED = {
-        "inflight", "queue", "x1"
-    }; // of a report, by the estimate
-
-    /** What the settings promise. */
-    record Made(
-            boolean start,
-            boolean company,
-            boolean orders,
-            boolean reports,
-            boolean missAnswers,
-            long keepAliveMicros) {}
+    /** Multiple of the usual latency up to which a response waited for nothing. */
+    private static final double UNDELAYED_LATENCY_RATIO = 1.5;
 
-    /** What was seen of one promise of one invoker. */
-    static final class Count {
-        long untold, kept, broken;
-        private double trust = 1;
-        private boolean warned;
+    /** Share of a load that a response must have taken to have waited for one. */
+    private static final double MIN_WAITED_LOAD_SHARE = 0.5;
 
-        private void saw(boolean good) {
-            kept += good ? 1 : 0;
-            broken += good ? 0 : 1;
-            trust += NEWS * ((good ? 1 : 0) - trust);
-        }
-
-        private boolean trusted() {
-            return trust >= TRUSTED;
-        }
-    }
-
-    /** Hears of an invoker that does not keep what the settings promise; once for each promise. */
-    interface Warn {
-        void warn(String invoker, DeclaredCapability promise, boolean untold);
-    }
+    /** Share of the run time below which a load is too short to be told from noise. */
+    private static final double MIN_LOAD_TO_RUN_SHARE = 0.5;
 
-    private static final class Standing {
-        final Map<DeclaredCapability, Count> counts = new EnumMap<>(DeclaredCapability.class);
+    /** Factor, either way, by which a declared load time must be off to be wrong. */
+    private static final double WRONG_LOAD_TIME_RATIO = 2;
 
-        Count of(DeclaredCapability promise) {
-            return counts.computeIfAbsent(promise, p -> new Count());
-        }
-    }
+    /** The same of run times, which vary by what is asked. */
+    private static final double WRONG_WORK_TIME_RATIO = 3;
 
-    private final Made made;
-    private final Warn warn;
-    private final Map<String, Standing> invokers = new HashMap<>();
-    private double meanInHand;
+    /** Idle for longer than the keep-alive time over this, a loaded instance shows it is kept. */
+    private static final int MIN_IDLE_DIVISOR = 2;
 
-    CapabilityVerifier(Made made, Warn warn) {
-        this.made = made;
-        this.warn = warn;
-    }
+    /**
+     * What the settings declare of all invokers.
+     *
+     * @param start that they report whether the instance stood loaded
+     * @param concurrency that they report how many requests of the function were there
+     * @param loadReports that they report their load with each response
+     * @param notLoadedResponses that they respond at once where the function is not loaded
+     * @param keepAliveMicros how long they keep an idle instance
+     */
+    record Declaration(
+            boolean start,
+            boolean concurrency,
+            boolean loadReports,
+            boolean notLoadedResponses,
+            long keepAliveMicros) {}
 
-    void gone(String invoker) {
-        invokers.remove(invoker);
-    }
+    private final Declaration declared;
+    private final CapabilityLedger ledger;
+    private final LoadReportVerifier loadReports;
 
-    Map<DeclaredCapability, Count> of(String invoker) {
-        Standing s = invokers.get(invoker);
-        return s == null ? Map.of() : s.counts;
+    CapabilityVerifier(Declaration declared, CapabilityLedger ledger) {
+        this.declared = declared;
+        this.ledger = ledger;
+        this.loadReports =
+                new LoadReportVerifier(declared.concurrency(), declared.loadReports(), ledger);
     }
 
     /**
-     * An attempt as it stood at its end: when it was sent, own calls then surely there, its level,
-     * and what was told.
+     * Checks what came with a response and returns what of it is to be believed.
+     *
+     * @param function what was known of the function before the response
      */
-    record Seen(
-            String invoker,
-            long sentAt,
-            long took,
-            int surelyThere,
-            long toldLoad,
-            long toldWork) {}
-
-    /** Weighs what came with an answer; f still holds what was known before it. */
-    InvokerLoadReport weigh(
-            FunctionCircuit f, Seen seen, ResponseKind sense, InvokerLoadReport told, long now) {
-        if (sense != ResponseKind.SERVED
-                && sense != ResponseKind.REJECTED
-                && sense != ResponseKind.NOT_LOADED
-                && sense != ResponseKind.FULL
-                && sense != ResponseKind.ERROR) {
+    InvokerLoadReport verify(
+            FunctionRecord function, CompletedAttempt attempt, InvokerLoadReport reported) {
+        if (!attempt.kind().isInvokerResponse()) {
             return InvokerLoadReport.EMPTY;
         }
-        Standing s = invokers.computeIfAbsent(seen.invoker(), i -> new Standing());
-        boolean served = sense == ResponseKind.SERVED;
-        Map<String, Double> report = report(s, f, seen, told.metrics(), served);
-        StartKind start = served ? start(s, f, seen, told.start()) : told.start();
-        int company = served ? company(s, seen, told.concurrentRequests(), report) : -1;
-        if (told.start() != StartKind.LOAD_FAILED) {
-            missAnswers(s, f, seen, sense, start);
-            keepAlive(s, f, seen, sense, start);
+        Map<String, Double> metrics =
+                loadReports.believedMetrics(function, attempt, reported.metrics());
+        StartKind start = reported.start();
+        int concurrency = InvokerLoadReport.CONCURRENCY_NOT_REPORTED;
+        if (attempt.served()) {
+            start = believedStart(function, attempt, reported.start());
+            concurrency =
+                    loadReports.believedConcurrency(
+                            attempt, reported.concurrentRequests(), metrics);
         }
-        if (served && seen.toldWork() > 0 && f.usual.known()) {
-            double ratio = f.usual.run() / seen.toldWork();
-            saw(
-                    s,
-                    seen.invoker(),
-                    DeclaredCapability.WORK_TIME,
-                    ratio < WORK_FAR && ratio > 1 / WORK_FAR);
+        if (reported.start() != StartKind.LOAD_FAILED) {
+            checkNotLoadedResponses(function, attempt, start);
+            checkKeepAlive(function, attempt, start);
         }
-        return new InvokerLoadReport(start, company, report);
+        checkWorkTime(function, attempt);
+        return new InvokerLoadReport(start, concurrency, metrics);
     }
 
-    /** A load order that stands after so long. */
-    void loaded(String invoker, long took, long toldLoad, int copies) {
-        Standing s = invokers.computeIfAbsent(invoker, i -> new Standing());
-        if (copies < 0) {
-            untold(s, invoker, DeclaredCapability.INSTANCES);
+    /**
+     * A preload succeeded.
+     *
+     * @param instances loaded instances that the invoker reports; below 0 if it reports none
+     */
+    void verifyPreload(String invoker, long elapsedMicros, long declaredLoadMicros, int instances) {
+        if (instances < 0) {
+            ledger.addUnreported(invoker, DeclaredCapability.INSTANCES);
         } else {
-            saw(s, invoker, DeclaredCapability.INSTANCES, true);
+            ledger.addChecked(invoker, DeclaredCapability.INSTANCES, true);
         }
-        if (toldLoad > 0) {
-            double ratio = took / (double) toldLoad;
-            saw(s, invoker, DeclaredCapability.LOAD_TIME, ratio < FAR && ratio > 1 / FAR);
+        if (declaredLoadMicros > 0) {
+            double ratio = elapsedMicros / (double) declaredLoadMicros;
+            boolean held = isWithinFactor(ratio, WRONG_LOAD_TIME_RATIO);
+            ledger.addChecked(invoker, DeclaredCapability.LOAD_TIME, held);
         }
     }
 
-    private void untold(Standing s, String invoker, DeclaredCapability promise) {
-        Count c = s.of(promise);
-        if (++c.untold >= WARN_AFTER && c.untold > 9 * (c.kept + c.broken)) {
-            once(c, invoker, promise, true);
-        }
-    }
-
-    private boolean saw(Standing s, String invoker, DeclaredCapability promise, boolean kept) {
-        Count c = s.of(promise);
-        c.saw(kept);
-        if (c.broken >= WARN_AFTER && !c.trusted()) {
-            once(c, invoker, promise, false);
-        }
-        return kept;
+    private static boolean isWithinFactor(double ratio, double factor) {
+        return ratio < factor && ratio > 1 / factor;
     }
 
-    private void once(Count c, String invoker, DeclaredCapability promise, boolean untold) {
-        if (!c.warned) {
-            c.warned = true;
-            warn.warn(invoker, promise, untold);
-        }
-    }
-
-    /**
-     * A load that the answer's time has no room for, or a copy said to stand where the time is a
-     * load's.
-     */
-    private StartKind start(Standing s, FunctionCircuit f, Seen seen, StartKind told) {
-        if (told == StartKind.UNKNOWN) {
-            if (made.start()) {
-                untold(s, seen.invoker(), DeclaredCapability.START);
+    private StartKind believedStart(
+            FunctionRecord function, CompletedAttempt attempt, StartKind reported) {
+        String invoker = attempt.invoker();
+        if (reported == StartKind.UNKNOWN) {
+            if (declared.start()) {
+                ledger.addUnreported(invoker, DeclaredCapability.START);
             }
-            return told;
+            return reported;
         }
-        double load = f.usual.load(seen.toldLoad());
-        if (told != StartKind.LOAD_FAILED && (!f.usual.known() || load <= 0)) {
-            s.of(DeclaredCapability.START).kept++;
-            return told;
+        LatencyBaseline latency = function.latency();
+        boolean checkable =
+                latency.isKnown() && latency.loadMicros(attempt.declaredLoadMicros()) > 0;
+        if (reported != StartKind.LOAD_FAILED && !checkable) {
+            ledger.addUnchecked(invoker, DeclaredCapability.START);
+            return reported;
         }
-        boolean quick =
-                seen.took() < QUICK * f.usual.run()
-                        && seen.took() < f.usual.run() + LOAD_PART * load;
-        boolean slow = seen.took() > QUICK * f.usual.run() + LOAD_PART * load;
-        long served = f.servedAt(seen.invoker());
-        boolean mayStand = served != 0 && seen.sentAt() - served < made.keepAliveMicros();
-        boolean waited = told == StartKind.COLD || told == StartKind.JOINED;
-        boolean refuted =
-                (waited && quick && load > f.usual.run() / 2)
-                        || told == StartKind.LOAD_FAILED
-                        || (told == StartKind.WARM && slow && !mayStand);
-        saw(s, seen.invoker(), DeclaredCapability.START, !refuted);
-        return s.of(DeclaredCapability.START).trusted() && !refuted ? told : StartKind.UNKNOWN;
-    }
-
-    /** Never more than all calls that are there, by a report that is believed itself. */
-    private int company(Standing s, Seen seen, int told, Map<String, Double> report) {
-        if (!made.company()) {
-            return -1;
-        }
-        if (told < 0) {
-            untold(s, seen.invoker(), DeclaredCapability.CONCURRENCY);
-            return -1;
-        }
-        boolean good = told <= report.getOrDefault("inflight", CROWDED * (meanInHand + ROOM)) + 1;
-        saw(s, seen.invoker(), DeclaredCapability.CONCURRENCY, good);
-        return good && s.of(DeclaredCapability.CONCURRENCY).trusted() ? told : -1;
+        boolean held = isPossibleStart(function, attempt, reported);
+        ledger.addChecked(invoker, DeclaredCapability.START, held);
+        boolean believed = held && ledger.isTrusted(invoker, DeclaredCapability.START);
+        return believed ? reported : StartKind.UNKNOWN;
     }
 
     /**
-     * Out of range, fewer in hand than this controller alone has there, or a crowd that slowed
-     * nothing.
+     * Impossible are a load that the latency has no room for, a loaded instance where the latency
+     * is a load's, and a failed load with a served response.
      */
-    private Map<String, Double> report(
-            Standing s, FunctionCircuit f, Seen seen, Map<String, Double> report, boolean served) {
-        if (report.isEmpty()) {
-            if (made.reports()) {
-                untold(s, seen.invoker(), DeclaredCapability.LOAD_REPORTS);
+    private boolean isPossibleStart(
+            FunctionRecord function, CompletedAttempt attempt, StartKind reported) {
+        double runMicros = function.latency().runMicros();
+        double loadMicros = function.latency().loadMicros(attempt.declaredLoadMicros());
+        double undelayedMicros = UNDELAYED_LATENCY_RATIO * runMicros;
+        double waitedMicros = MIN_WAITED_LOAD_SHARE * loadMicros;
+        long latencyMicros = attempt.latencyMicros();
+        boolean mayStandLoaded = mayStandLoaded(function, attempt);
+        return switch (reported) {
+            case COLD, JOINED -> {
+                boolean undelayed =
+                        latencyMicros < undelayedMicros && latencyMicros < runMicros + waitedMicros;
+                yield !undelayed || loadMicros <= MIN_LOAD_TO_RUN_SHARE * runMicros;
             }
-            return report;
-        }
-        boolean good = true;
-        for (String name : USED) {
-            double value = report.getOrDefault(name, 0.0);
-            good &= value >= 0 && value <= MOST;
-        }
-        Double inHand = report.get("inflight");
-        if (good && inHand != null) {
-            boolean few = seen.surelyThere() >= OWN && inHand < seen.surelyThere() / 2.0;
-            boolean crowd =
-                    inHand > CROWDED * (meanInHand + ROOM)
-                            && (!f.usual.known()
-                                    || (served && seen.took() < QUICK * f.usual.run()));
-            good = !few && !crowd && report.getOrDefault("queue", 0.0) <= inHand;
-            if (good) {
-                meanInHand += NEWS * (Math.min(inHand, CROWDED * (meanInHand + ROOM)) - meanInHand);
+            case WARM -> {
+                boolean delayed = latencyMicros > undelayedMicros + waitedMicros;
+                yield !delayed || mayStandLoaded;
             }
-        }
-        saw(s, seen.invoker(), DeclaredCapability.LOAD_REPORTS, good);
-        return good && s.of(DeclaredCapability.LOAD_REPORTS).trusted() ? report : Map.of();
+            case LOAD_FAILED -> false;
+            case UNKNOWN -> true;
+        };
     }
 
-    private void missAnswers(
-            Standing s, FunctionCircuit f, Seen seen, ResponseKind sense, StartKind start) {
-        boolean loadsItself = sense == ResponseKind.SERVED && start == StartKind.COLD;
-        boolean misses = sense == ResponseKind.NOT_LOADED;
-        if (loadsItself || (misses && f.servedAt(seen.invoker()) != 0)) {
-            saw(
-                    s,
-                    seen.invoker(),
+    private boolean mayStandLoaded(FunctionRecord function, CompletedAttempt attempt) {
+        long servedAtMicros = function.history().servedAtMicros(attempt.invoker());
+        long idleMicros = attempt.sentAtMicros() - servedAtMicros;
+        return servedAtMicros != 0 && idleMicros < declared.keepAliveMicros();
+    }
+
+    private void checkNotLoadedResponses(
+            FunctionRecord function, CompletedAttempt attempt, StartKind start) {
+        boolean loadedWhileWaiting = attempt.served() && start == StartKind.COLD;
+        boolean notLoaded = attempt.kind() == ResponseKind.NOT_LOADED;
+        boolean servedBefore = function.history().servedAtMicros(attempt.invoker()) != 0;
+        if (loadedWhileWaiting || (notLoaded && servedBefore)) {
+            ledger.addChecked(
+                    attempt.invoker(),
                     DeclaredCapability.NOT_LOADED_RESPONSES,
-                    made.missAnswers() == misses);
+                    declared.notLoadedResponses() == notLoaded);
         }
     }
 
-    private void keepAlive(
-            Standing s, FunctionCircuit f, Seen seen, ResponseKind sense, StartKind start) {
-        long idle = seen.sentAt() - f.servedAt(seen.invoker());
-        if (f.servedAt(seen.invoker()) == 0 || idle <= 0 || idle > made.keepAliveMicros()) {
+    private void checkKeepAlive(
+            FunctionRecord function, CompletedAttempt attempt, StartKind start) {
+        long servedAtMicros = function.history().servedAtMicros(attempt.invoker());
+        long idleMicros = attempt.sentAtMicros() - servedAtMicros;
+        if (servedAtMicros == 0 || idleMicros <= 0 || idleMicros > declared.keepAliveMicros()) {
             return;
         }
-        if (sense == ResponseKind.NOT_LOADED
-                || (sense == ResponseKind.SERVED && start == StartKind.COLD)) {
-            saw(s, seen.invoker(), DeclaredCapability.KEEP_ALIVE, false);
-        } else if (sense == ResponseKind.SERVED
-                && start == StartKind.WARM
-                && idle > made.keepAliveMicros() / 2) {
-            saw(s, seen.invoker(), DeclaredCapability.KEEP_ALIVE, true);
+        boolean unloaded =
+                attempt.kind() == ResponseKind.NOT_LOADED
+                        || (attempt.served() && start == StartKind.COLD);
+        boolean longIdle = idleMicros > declared.keepAliveMicros() / MIN_IDLE_DIVISOR;
+        boolean stillLoaded = attempt.served() && start == StartKind.WARM && longIdle;
+        if (unloaded || stillLoaded) {
+            ledger.addChecked(attempt.invoker(), DeclaredCapability.KEEP_ALIVE, stillLoaded);
+        }
+    }
+
+    private void checkWorkTime(FunctionRecord function, CompletedAttempt attempt) {
+        if (attempt.served() && attempt.declaredWorkMicros() > 0 && function.latency().isKnown()) {
+            double ratio = function.latency().runMicros() / attempt.declaredWorkMicros();
+            boolean held = isWithinFactor(ratio, WRONG_WORK_TIME_RATIO);
+            ledger.addChecked(attempt.invoker(), DeclaredCapability.WORK_TIME, held);
         }
     }
 }
--- a/src/main/java/waytrestle/responses/ClassifierCommand.java
+++ b/src/main/java/waytrestle/responses/ClassifierCommand.java
@@ -2,30 +2,29 @@
 
 import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
 
-/** What a response classifier tells its controller to do. */
+/** What a response classifier commands its controller to do. */
 public sealed interface ClassifierCommand {
-    /** Takes the actions in order. */
+    /** Receives commands in order. */
     interface Sink {
-        void add(ClassifierCommand action);
+        /** Takes the next command. */
+        void add(ClassifierCommand command);
     }
 
-    /** The call goes before the module, with what is believed of its function. */
+    /** Hand the request to the scheduler, with what is believed of its function. */
     record AdmitRequest(long requestId, int concurrencyPerInstance, long loadMicros)
             implements ClassifierCommand {}
 
-    /**
-     * The call is refused: the function fails everywhere, said so last, and is tried again after a
-     * while.
-     */
+    /** Reject the request: its function fails everywhere, last with this result. */
     record RejectFast(long requestId, ExchangeResult lastResult, long retryAfterMicros)
             implements ClassifierCommand {}
 
+    /** Send the attempt. */
     record ForwardAttempt(long requestId, int attempt) implements ClassifierCommand {}
 
-    /** The attempt must not go out; its end comes as withheld. */
+    /** Do not send the attempt; it ends as withheld. */
     record WithholdAttempt(long requestId, int attempt) implements ClassifierCommand {}
 
-    /** What an attempt's end comes to, and what is worth believing of what came with it. */
+    /** Report the end of an attempt, with what is to be believed of its load report. */
     record CompleteAttempt(
             long requestId,
             int attempt,
@@ -33,20 +32,26 @@
             InvokerLoadReport loadReport)
             implements ClassifierCommand {}
 
-    /** An open call of a function that is known nowhere. */
+    /** End an open request whose function no invoker knows. */
     record FailFunctionNotFound(long requestId) implements ClassifierCommand {}
 
-    /** The list as the module is to see it. */
+    /** Pass on the endpoint list as the scheduler is to see it. */
     record UpdateEndpoints(EndpointsUpdated update) implements ClassifierCommand {}
 
-    /** An invoker that alone errs gets nothing for a while. */
+    /** Report that an outlier is ejected for a while. */
     record ReportEjection(String invoker, long durationMicros) implements ClassifierCommand {}
 
+    /** Report that an ejected invoker is readmitted. */
     record ReportReadmission(String invoker) implements ClassifierCommand {}
 
+    /**
+     * Warn the operator that an invoker lacks a declared capability.
+     *
+     * @param unreported whether it mostly reports nothing; otherwise what it reports is wrong
+     */
     record WarnOfCapability(String invoker, DeclaredCapability capability, boolean unreported)
             implements ClassifierCommand {}
 
-    /** Come back with Due. */
+    /** Send {@link ClassifierEvent.TimerExpired} after a time. */
     record SetTimer(long afterMicros) implements ClassifierCommand {}
 }
--- a/src/main/java/waytrestle/responses/ClassifierEvent.java
+++ b/src/main/java/waytrestle/responses/ClassifierEvent.java
@@ -2,9 +2,9 @@
 
 import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
 
-/** What a response classifier is told. Times are in microseconds. */
+/** What a response classifier is notified of. Times are in microseconds. */
 public sealed interface ClassifierEvent {
-    /** A new call, with what the configuration tells of its function; 0 is untold. */
+    /** A new request, with what the configuration declares of its function; 0 is undeclared. */
     record RequestStarted(
             long requestId,
             String function,
@@ -13,7 +13,7 @@
             long workMicros)
             implements ClassifierEvent {}
 
-    /** The module wants an attempt to go out. */
+    /** The scheduler wants an attempt to be sent. */
     record AttemptRequested(long requestId, int attempt, String invoker)
             implements ClassifierEvent {}
 
@@ -22,10 +22,18 @@
             long requestId, int attempt, ExchangeResult result, InvokerLoadReport loadReport)
             implements ClassifierEvent {}
 
-    /** A call has ended for its clients; served or rejected says that the function had its word. */
+    /**
+     * A request has ended for its clients.
+     *
+     * @param functionResponded whether the function served or rejected it
+     */
     record RequestCompleted(long requestId, boolean functionResponded) implements ClassifierEvent {}
 
-    /** A load order ended; copies below 0 were not told. */
+    /**
+     * A preload request ended.
+     *
+     * @param instances loaded instances that the invoker reports; below 0 if it reports none
+     */
     record PreloadCompleted(
             String invoker,
             String function,
@@ -35,12 +43,12 @@
             long declaredLoadMicros)
             implements ClassifierEvent {}
 
-    /** The roster's list, whole or changes. */
+    /** The endpoint list of service discovery, complete or changes only. */
     record EndpointListReceived(EndpointsUpdated update) implements ClassifierEvent {}
 
-    /** All kept connections to an invoker were closed by it, though used a moment ago. */
+    /** An invoker closed all cached connections, though they were used a moment ago. */
     record ConnectionsLost(String invoker) implements ClassifierEvent {}
 
-    /** The time of an earlier Wake has come. */
+    /** The time of an earlier {@link ClassifierCommand.SetTimer} has come. */
     record TimerExpired() implements ClassifierEvent {}
 }
--- a/src/main/java/waytrestle/responses/ConcurrencyEstimate.java
+++ b/src/main/java/waytrestle/responses/ConcurrencyEstimate.java
@@ -1,67 +1,106 @@
 package waytrestle.responses;
 
 /**
- * How many calls one copy of a function runs at a time, from answers that came too quick or too
- * slow for what was told. A level counts this controller's own calls there: others' make it higher
- * in truth, so that quick answers prove lanes and slow ones prove little; they count only where
- * nobody else was there.
+ * Estimates how many requests one instance of a function runs at a time, from responses that came
+ * too quick or too slow for what was declared.
+ *
+ * <p>A level counts the requests that this controller has in flight there. Those of other
+ * controllers make it higher in truth, so that quick responses prove concurrency and slow ones
+ * prove little; they count only where nobody else had requests there.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 final class ConcurrencyEstimate {
-    // ---- Tuned numbers. ----
-    private static final int MOST =
-            32; // levels told apart; more lanes than this make no queue that matters
-    private static final double QUICK = 1.4; // times alone: no waiting for a lane
-    private static final double SLOW = 1.7; // times alone: some waited a lane's turn
-    private static final int KNOWN = 10; // answers of a level before it speaks
-    private static final double NEWS = 0.1; // weight of an answer: about the last ten count
+    /** Levels told apart; beyond this concurrency no queue forms that matters. */
+    private static final int MAX_LEVEL = 32;
 
-    private final float[] took = new float[MOST + 1];
-    private final short[] seen = new short[MOST + 1];
-    private final float[] sole = new float[MOST + 1];
-    private final short[] soleSeen = new short[MOST + 1];
+    /** Multiple of the latency of a request alone up to which no request was queued. */
+    private static final double UNQUEUED_LATENCY_RATIO = 1.4;
+
+    /** Multiple of the latency of a request alone from which some request was queued. */
+    private static final double QUEUED_LATENCY_RATIO = 1.7;
+
+    /** Responses of a level before its mean is used. */
+    private static final int MIN_RESPONSES = 10;
+
+    private final LatencyByLevel allResponses = new LatencyByLevel();
+    private final LatencyByLevel responsesAlone = new LatencyByLevel();
+
+    /** Mean latency of each concurrency level. */
+    private static final class LatencyByLevel {
+        /** Weight of a response: about the last ten count. */
+        private static final double RESPONSE_EWMA_WEIGHT = 0.1;
+
+        /** Where counting stops; only the first few matter. */
+        private static final int MAX_RESPONSES_COUNTED = 1_000;
+
+        private final float[] meanMicros = new float[MAX_LEVEL + 1];
+        private final short[] responses = new short[MAX_LEVEL + 1];
+
+        void add(int level, long latencyMicros) {
+            double weight = 1;
+            if (responses[level] > 0) {
+                weight = Math.max(RESPONSE_EWMA_WEIGHT, 1.0 / (responses[level] + 1));
+            }
+            double mean = meanMicros[level] + weight * (latencyMicros - meanMicros[level]);
+            meanMicros[level] = (float) mean;
+            responses[level] = (short) Math.min(MAX_RESPONSES_COUNTED, responses[level] + 1);
+        }
+
+        boolean isKnown(int level) {
+            return responses[level] >= MIN_RESPONSES;
+        }
+
+        boolean isUnqueued(int level) {
+            return isKnown(level) && meanMicros[level] <= UNQUEUED_LATENCY_RATIO * meanMicros[1];
+        }
+
+        boolean isQueued(int level) {
+            return isKnown(1)
+                    && isKnown(level)
+                    && meanMicros[level] >= QUEUED_LATENCY_RATIO * meanMicros[1];
+        }
+    }
 
     /**
-     * A warm answer of a call that was the level-th here; alone says that nobody else's calls were
-     * there.
+     * Takes in a response of a loaded instance.
+     *
+     * @param level requests of the function in flight there when this one was sent, itself included
+     * @param alone whether nobody else had requests there
      */
-    void answered(int level, long micros, boolean alone) {
-        if (level < 1 || level > MOST) {
+    void addResponse(int level, long latencyMicros, boolean alone) {
+        if (level < 1 || level > MAX_LEVEL) {
             return;
         }
-        mean(took, seen, level, micros);
+        allResponses.add(level, latencyMicros);
         if (alone) {
-            mean(sole, soleSeen, level, micros);
+            responsesAlone.add(level, latencyMicros);
         }
     }
 
-    private static void mean(float[] mean, short[] n, int level, long micros) {
-        double weight = n[level] == 0 ? 1 : Math.max(NEWS, 1.0 / (n[level] + 1));
-        mean[level] = (float) (mean[level] + weight * (micros - mean[level]));
-        n[level] = (short) Math.min(1_000, n[level] + 1);
-    }
-
-    /** What is believed of a copy; 0 where nothing was told and nothing learned. */
-    int believed(int told) {
-        if (seen[1] < KNOWN) {
-            return told;
+    /** The concurrency per instance to go by; 0 where none was declared and none learned. */
+    int corrected(int declared) {
+        if (!allResponses.isKnown(1)) {
+            return declared;
         }
-        int proved = 0;
-        for (int k = 1; k <= MOST; k++) {
-            if (seen[k] >= KNOWN && took[k] <= QUICK * took[1]) {
-                proved = k;
-            }
+        int proven = highestUnqueuedLevel();
+        if (proven > declared) {
+            return proven;
         }
-        if (proved > told) {
-            return proved;
+        for (int level = Math.max(2, proven + 1); level <= Math.min(declared, MAX_LEVEL); level++) {
+            if (responsesAlone.isQueued(level)) {
+                return Math.max(1, level - 1);
+            }
         }
-        for (int k = Math.max(2, proved + 1); k <= Math.min(told, MOST); k++) {
-            if (soleSeen[1] >= KNOWN
-                    && soleSeen[k] >= KNOWN
-                    && sole[k] >= SLOW * sole[1]
-                    && k > proved) {
-                return Math.max(1, k - 1);
+        return declared;
+    }
+
+    private int highestUnqueuedLevel() {
+        for (int level = MAX_LEVEL; level >= 1; level--) {
+            if (allResponses.isUnqueued(level)) {
+                return level;
             }
         }
-        return told;
+        return 0;
     }
 }
--- a/src/main/java/waytrestle/responses/ExchangeResult.java
+++ b/src/main/java/waytrestle/responses/ExchangeResult.java
@@ -1,32 +1,35 @@
 package waytrestle.responses;
 
 /**
- * What came back of an attempt or an order, in terms of what was on the wire. A status of 0 means
- * that none came.
+ * What came back of an attempt or a preload request, in terms of the protocol.
+ *
+ * @param status the HTTP status; 0 if there was none
  */
 public record ExchangeResult(Kind kind, int status) {
+    private static final int NO_STATUS = 0;
+
     /** How the exchange ended. */
     public enum Kind {
-        /** An infer answer in its form. */
+        /** A well-formed response of the function. */
         RESPONSE("answer"),
-        /** A whole message that says by its status that it is no infer answer. */
+        /** A complete message whose status says that it is no response of the function. */
         STATUS("status"),
         /**
-         * A message of success without the promised form, one for another call, or bytes that are
+         * A message of success that is not well-formed, one for another request, or bytes that are
          * no HTTP.
          */
         MALFORMED("unreadable"),
-        /** No connection, or it broke before the first byte of the request was taken. */
+        /** No connection, or it broke before the first byte of the request was sent. */
         NOT_CONNECTED("unreached"),
-        /** It broke after the first byte. */
+        /** The connection broke after the first byte was sent. */
         CONNECTION_LOST("cut"),
-        /** Nothing within the time given. */
+        /** Nothing came within the time given. */
         TIMEOUT("timeout"),
-        /** Given up by this side. */
+        /** Cancelled by this controller. */
         CANCELLED("cancelled"),
-        /** All connections to the invoker are in use here; nothing was sent. */
+        /** All connections to the invoker are in use; nothing was sent. */
         NO_CAPACITY("no_room"),
-        /** Held back by this side before anything was sent. */
+        /** Withheld by this controller before anything was sent. */
         WITHHELD("withheld");
 
         private final String label;
@@ -36,14 +39,17 @@
         }
     }
 
-    public static ExchangeResult of(Kind how) {
-        return new ExchangeResult(how, 0);
+    /** A result without a status. */
+    public static ExchangeResult of(Kind kind) {
+        return new ExchangeResult(kind, NO_STATUS);
     }
 
-    /** As clients, logs and metrics are told it: a status, or what happened in place of one. */
+    /** As clients, logs and metrics show it: a status, or what happened in place of one. */
     public String text() {
-        return kind == Kind.STATUS
-                ? Integer.toString(status)
-                : kind == Kind.RESPONSE ? "200" : kind.label;
+        return switch (kind) {
+            case STATUS -> Integer.toString(status);
+            case RESPONSE -> "200";
+            default -> kind.label;
+        };
     }
 }
--- a/src/main/java/waytrestle/responses/HealthTrackingClassifier.java
+++ b/src/main/java/waytrestle/responses/HealthTrackingClassifier.java
@@ -2,22 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import waytrestle.responses.ClassifierCommand.AdmitRequest;
 import waytrestle.responses.ClassifierCommand.CompleteAttempt;
 import waytrestle.responses.ClassifierCommand.FailFunctionNotFound;
 import waytrestle.responses.ClassifierCommand.ForwardAttempt;
 import waytrestle.responses.ClassifierCommand.RejectFast;
-import waytrestle.responses.ClassifierCommand.ReportEjection;
-import waytrestle.responses.ClassifierCommand.ReportReadmission;
-import waytrestle.responses.ClassifierCommand.SetTimer;
 import waytrestle.responses.ClassifierCommand.Sink;
-import waytrestle.responses.ClassifierCommand.UpdateEndpoints;
 import waytrestle.responses.ClassifierCommand.WarnOfCapability;
 import waytrestle.responses.ClassifierCommand.WithholdAttempt;
 import waytrestle.responses.ClassifierEvent.AttemptCompleted;
@@ -28,26 +20,33 @@
 import waytrestle.responses.ClassifierEvent.RequestCompleted;
 import waytrestle.responses.ClassifierEvent.RequestStarted;
 import waytrestle.responses.ClassifierEvent.TimerExpired;
-import waytrestle.scheduler.EndpointState;
-import waytrestle.scheduler.InvokerEndpoint;
 import waytrestle.scheduler.LoadReportSource;
 import waytrestle.scheduler.ResponseCode;
-import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
 import waytrestle.scheduler.SchedulerSettings.Preloading;
 import waytrestle.scheduler.StartKind;
 
 /**
- * What each end of an attempt says of the call, of the function and of the invoker, each apart.
- * Where calls run stays the module's: from here it hears codes, what is worth believing of reports,
- * corrected promises, and a list in which an invoker that alone errs drains for a while. Free of
- * I/O, clock and threads.
+ * Classifies how attempts end and keeps, from that, the health of functions and of invokers apart.
  *
- * <p>A call ends with the function's own word: a rejection at once, a failure when two invokers
- * agree, absence when two say so. A function that fails call after call everywhere is answered for
- * here until a probe finds it well.
+ * <p>Where requests run remains the scheduler's decision: from here it receives response codes,
+ * verified load reports, corrected declarations, and an endpoint list in which an outlier drains
+ * for a while. Requests of a function that fails everywhere are rejected here until a probe finds
+ * it well.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 public final class HealthTrackingClassifier implements ResponseClassifier {
-    /** Settings; shares of the fleet, times in micros. */
+    /**
+     * Settings; times are in microseconds.
+     *
+     * @param attemptsPerRequest attempts allowed per request, over all requests
+     * @param failedAttempts failures alike that end a request
+     * @param maxEjectedShare share of the ready invokers that may be ejected at a time
+     * @param breakerFailures failed requests in a row that open a function's circuit
+     * @param breakerPauseMicros first pause until a probe
+     * @param breakerMaxPauseMicros longest pause until a probe
+     * @param maxFunctions functions remembered; the least recently used one is forgotten
+     */
     public record Settings(
             double attemptsPerRequest,
             int failedAttempts,
@@ -57,491 +56,301 @@
             long breakerMaxPauseMicros,
             int maxFunctions) {}
 
-    private static final long SURE =
-            50_000; // micros: an attempt out so long is in the invoker's hands
-    private static final long AT_ONCE =
-            100_000; // micros in which the calls at a process that ends break
-    private static final int AGREE =
-            2; // independent words before a function is held to be known nowhere
-
-    private static final class Case {
-        final RequestStarted from;
-        final List<String> failedAs = new ArrayList<>(2); // what came, of attempts that count
-        int failures; // all of them, suspects' too
-        final Set<String> absent = new HashSet<>(2); // invokers that know nothing of the function
-        boolean counts; // some failure may be held against the function
-        ExchangeResult last;
-
-        Case(RequestStarted from) {
-            this.from = from;
-        }
+    /** Receives what responses have shown of one declared capability of one invoker. */
+    public interface CapabilityCounts {
+        /** Takes the numbers of responses that did not report it, confirmed and refuted it. */
+        void count(
+                String invoker,
+                DeclaredCapability capability,
+                long unreported,
+                long confirmed,
+                long refuted);
     }
 
-    private record Out(String function, String invoker, long sentAt, int level, boolean sole) {}
-
-    private static final class Box {
-        final OutlierDetector health = new OutlierDetector();
-        final Map<String, Integer> out = new HashMap<>(); // own calls out there, by function
-        final Map<Long, Long> sent = new LinkedHashMap<>();
-        InvokerEndpoint entry;
-        int cuts; // calls that broke at once
-        long cutAt;
-    }
+    private static final int INITIAL_FUNCTIONS = 64;
+    private static final int STATUS_BAD_REQUEST = 400;
+    private static final int STATUS_NOT_FOUND = 404;
 
-    private final Settings settings;
-    private final Preloading loading;
     private final int controllers;
-    private final CapabilityVerifier capabilities;
-    private final AttemptBudget budget;
-    private final FunctionCircuit.Breaker breaker;
-    private final LinkedHashMap<String, FunctionCircuit> functions =
-            new LinkedHashMap<>(64, 0.75f, true);
-    private final Map<Long, Case> open = new HashMap<>();
-    private final Map<Long, Out> outs = new HashMap<>();
-    private final Map<String, Box> boxes = new LinkedHashMap<>();
-    private long now;
-    private Sink actions;
-
+    private final AttemptBudget attemptBudget;
+    private final CapabilityLedger capabilityLedger;
+    private final CapabilityVerifier capabilityVerifier;
+    private final LeastRecentlyUsedMap<FunctionRecord> functions;
+    private final InvokerTable invokers = new InvokerTable();
+    private final Map<Long, RequestRecord> openRequests = new HashMap<>();
+    private final Map<AttemptKey, InFlightAttempt> inFlight = new HashMap<>();
+    private final OutlierEjection ejection;
+    private final EndpointListFilter endpointList;
+    private final FailureAttribution attribution;
+    private final RequestClassification requestClassification;
+    private long nowMicros;
+    private Sink commands;
+
+    /** A classifier for one of a number of controllers that share the invokers. */
     public HealthTrackingClassifier(
             Settings settings, Preloading loading, LoadReportSource reports, int controllers) {
-        this.settings = settings;
-        this.loading = loading;
         this.controllers = controllers;
-        this.budget = new AttemptBudget(settings.attemptsPerRequest());
-        this.breaker =
-                new FunctionCircuit.Breaker(
+        this.attemptBudget = new AttemptBudget(settings.attemptsPerRequest());
+        this.capabilityLedger = new CapabilityLedger(this::warnOfCapability);
+        this.capabilityVerifier =
+                new CapabilityVerifier(declaration(loading, reports), capabilityLedger);
+        FunctionCircuit.Rules circuitRules =
+                new FunctionCircuit.Rules(
                         settings.breakerFailures(),
                         settings.breakerPauseMicros(),
                         settings.breakerMaxPauseMicros());
-        this.capabilities =
-                new CapabilityVerifier(
-                        new CapabilityVerifier.Made(
-                                loading.reportsStartKind(),
-                                loading.reportsConcurrency(),
-                                loading.acceptsPreloads(),
-                                reports == LoadReportSource.RESPONSES,
-                                loading.reportsNotLoaded(),
-                                loading.keepAliveMicros()),
-                        (invoker, promise, untold) ->
-                                actions.add(new WarnOfCapability(invoker, promise, untold)));
+        this.functions =
+                new LeastRecentlyUsedMap<>(
+                        INITIAL_FUNCTIONS,
+                        settings.maxFunctions(),
+                        () -> new FunctionRecord(circuitRules));
+        this.ejection = new OutlierEjection(invokers, settings.maxEjectedShare());
+        this.endpointList = new EndpointListFilter(invokers, ejection, capabilityLedger::remove);
+        this.attribution = new FailureAttribution(invokers, ejection, loading.reportsNotLoaded());
+        this.requestClassification =
+                new RequestClassification(invokers, settings.failedAttempts(), loading);
+    }
+
+    private static CapabilityVerifier.Declaration declaration(
+            Preloading loading, LoadReportSource reports) {
+        return new CapabilityVerifier.Declaration(
+                loading.reportsStartKind(),
+                loading.reportsConcurrency(),
+                reports == LoadReportSource.RESPONSES,
+                loading.reportsNotLoaded(),
+                loading.keepAliveMicros());
+    }
+
+    private void warnOfCapability(
+            String invoker, DeclaredCapability capability, boolean unreported) {
+        commands.add(new WarnOfCapability(invoker, capability, unreported));
     }
 
     @Override
-    public void handle(long nowMicros, ClassifierEvent event, Sink out) {
-        now = nowMicros;
-        actions = out;
-        if (event instanceof RequestStarted e) {
-            offered(e);
-        } else if (event instanceof AttemptRequested e) {
-            trying(e);
-        } else if (event instanceof AttemptCompleted e) {
-            ended(e);
-        } else if (event instanceof RequestCompleted e) {
-            over(e);
-        } else if (event instanceof PreloadCompleted e) {
-            orderDone(e);
-        } else if (event instanceof EndpointListReceived e) {
-            listed(e.update());
-        } else if (event instanceof ConnectionsLost e) {
-            lost(e.invoker());
+    public void handle(long eventMicros, ClassifierEvent event, Sink out) {
+        nowMicros = eventMicros;
+        commands = out;
+        if (event instanceof RequestStarted started) {
+            startRequest(started);
+        } else if (event instanceof AttemptRequested requested) {
+            startAttempt(requested);
+        } else if (event instanceof AttemptCompleted completed) {
+            completeAttempt(completed);
+        } else if (event instanceof RequestCompleted completed) {
+            completeRequest(completed);
+        } else if (event instanceof PreloadCompleted completed) {
+            completePreload(completed);
+        } else if (event instanceof EndpointListReceived received) {
+            endpointList.update(received.update(), nowMicros, commands);
+        } else if (event instanceof ConnectionsLost lost) {
+            endpointList.connectionsLost(lost.invoker(), nowMicros, commands);
         } else if (event instanceof TimerExpired) {
-            due();
+            ejection.readmitExpired(nowMicros, commands);
         }
     }
 
-    // ---- For pages and tests. ----
     @Override
     public ResponseCode codeOfPreload(ExchangeResult reply) {
-        ResponseCode code = ResponseKind.of(reply).code;
+        ResponseCode code = ResponseKind.of(reply).code();
         return code == ResponseCode.REJECTED ? ResponseCode.ERROR : code;
     }
 
-    /** Counts of one promise at one invoker: untold, kept, broken. */
-    public interface CapabilityCounts {
-        void count(String invoker, DeclaredCapability promise, long untold, long kept, long broken);
+    @Override
+    public int retainedEntries() {
+        return openRequests.size() + inFlight.size() + invokers.retainedEntries();
     }
 
-    public void capabilities(CapabilityCounts to) {
-        for (String invoker : boxes.keySet()) {
-            capabilities
-                    .of(invoker)
+    /** Reports the evidence on all declared capabilities of all invokers. */
+    public void capabilities(CapabilityCounts counts) {
+        for (String invoker : invokers.ids()) {
+            capabilityLedger
+                    .evidenceOf(invoker)
                     .forEach(
-                            (promise, c) -> to.count(invoker, promise, c.untold, c.kept, c.broken));
+                            (capability, evidence) ->
+                                    counts.count(
+                                            invoker,
+                                            capability,
+                                            evidence.unreported(),
+                                            evidence.confirmed(),
+                                            evidence.refuted()));
         }
     }
 
+    /** Invokers that are ejected at present. */
     public long ejectedInvokers() {
-        return boxes.values().stream().filter(b -> b.health.ejected()).count();
+        return invokers.ejectedCount();
     }
 
-    /** Functions that are answered for here at present. */
+    /** Functions whose circuit is not closed at present. */
     public long openCircuits() {
-        return functions.values().stream()
-                .filter(f -> f.state() != FunctionCircuit.State.CLOSED)
-                .count();
-    }
-
-    @Override
-    public int retainedEntries() {
-        return open.size()
-                + outs.size()
-                + boxes.values().stream().mapToInt(b -> b.out.size() + b.sent.size()).sum();
-    }
-
-    // ---- A call's path. ----
-    private FunctionCircuit function(String name) {
-        FunctionCircuit f = functions.computeIfAbsent(name, n -> new FunctionCircuit(breaker));
-        if (functions.size() > settings.maxFunctions()) {
-            Iterator<String> oldest = functions.keySet().iterator();
-            oldest.next();
-            oldest.remove();
+        long open = 0;
+        for (FunctionRecord function : functions.values()) {
+            if (function.circuit().state() != FunctionCircuit.State.CLOSED) {
+                open++;
+            }
         }
-        return f;
+        return open;
     }
 
-    private void offered(RequestStarted e) {
-        FunctionCircuit f = function(e.function());
-        if (!f.lets(e.requestId(), now)) {
-            actions.add(new RejectFast(e.requestId(), f.said(), f.comeBack(now)));
+    private void startRequest(RequestStarted event) {
+        long requestId = event.requestId();
+        FunctionRecord function = functions.findOrAdd(event.function());
+        FunctionCircuit circuit = function.circuit();
+        if (!circuit.admits(requestId, nowMicros)) {
+            long retryAfterMicros = circuit.retryAfterMicros(nowMicros);
+            commands.add(new RejectFast(requestId, circuit.lastResult(), retryAfterMicros));
             return;
         }
-        budget.paid(now);
-        open.put(e.requestId(), new Case(e));
-        actions.add(
-                new AdmitRequest(
-                        e.requestId(), f.lanes.believed(e.concurrencyPerInstance()), load(f, e)));
-    }
-
-    /** A told load time holds until loads have shown another. */
-    private static long load(FunctionCircuit f, RequestStarted e) {
-        double measured = f.usual.load(e.loadMicros());
-        boolean wrong =
-                e.loadMicros() > 0
-                        && f.usual.loads() >= FunctionCircuit.SEEN
-                        && (measured > 2 * e.loadMicros() || measured < e.loadMicros() / 2.0);
-        return wrong ? (long) measured : e.loadMicros();
+        attemptBudget.addRequest(nowMicros);
+        openRequests.put(requestId, new RequestRecord(event));
+        int concurrency = function.concurrency().corrected(event.concurrencyPerInstance());
+        long loadMicros = function.correctedLoadMicros(event.loadMicros());
+        commands.add(new AdmitRequest(requestId, concurrency, loadMicros));
     }
 
-    private void trying(AttemptRequested e) {
-        Case c = open.get(e.requestId());
-        if (c == null || !budget.take(e.attempt() == 0)) {
-            actions.add(new WithholdAttempt(e.requestId(), e.attempt()));
+    private void startAttempt(AttemptRequested event) {
+        RequestRecord request = openRequests.get(event.requestId());
+        if (request == null || !attemptBudget.tryTake(event.attempt() == 0)) {
+            commands.add(new WithholdAttempt(event.requestId(), event.attempt()));
             return;
         }
-        Box box = box(e.invoker());
-        int level = box.out.merge(c.from.function(), 1, Integer::sum);
-        box.sent.put(key(e.requestId(), e.attempt()), now);
-        outs.put(
-                key(e.requestId(), e.attempt()),
-                new Out(
-                        c.from.function(),
-                        e.invoker(),
-                        now,
-                        level,
-                        controllers == 1 && box.sent.size() == level));
-        actions.add(new ForwardAttempt(e.requestId(), e.attempt()));
+        AttemptKey key = new AttemptKey(event.requestId(), event.attempt());
+        String function = request.request().function();
+        InvokerRecord invoker = invokers.findOrAdd(event.invoker());
+        int level = invoker.addAttempt(key, function, nowMicros);
+        boolean alone = controllers == 1 && invoker.attemptsInFlight() == level;
+        inFlight.put(key, new InFlightAttempt(function, event.invoker(), nowMicros, level, alone));
+        commands.add(new ForwardAttempt(event.requestId(), event.attempt()));
     }
 
-    private static long key(long call, int attempt) {
-        return call << 7
-                | attempt; // at most 100 attempts a call, as limits.max_attempts is checked
-    }
-
-    private Box box(String invoker) {
-        return boxes.computeIfAbsent(invoker, i -> new Box());
-    }
-
-    private void ended(AttemptCompleted e) {
-        Out out = outs.remove(key(e.requestId(), e.attempt()));
-        if (out == null) {
-            actions.add(
-                    new CompleteAttempt(
-                            e.requestId(),
-                            e.attempt(),
-                            new Classification(
-                                    ResponseKind.of(e.result()).code, false, false, false),
-                            InvokerLoadReport.EMPTY));
+    private void completeAttempt(AttemptCompleted event) {
+        AttemptKey key = new AttemptKey(event.requestId(), event.attempt());
+        InFlightAttempt attempt = inFlight.remove(key);
+        ResponseKind kind = ResponseKind.of(event.result());
+        if (attempt == null) {
+            Classification undecided = Classification.undecided(kind.code());
+            addCompletion(event, undecided, InvokerLoadReport.EMPTY);
             return;
         }
-        ResponseKind sense = ResponseKind.of(e.result());
-        boolean loadFailed =
-                e.loadReport().start()
-                        == StartKind.LOAD_FAILED; // the store's trouble: nobody's absence
-        FunctionCircuit f = function(out.function());
-        Box box = box(out.invoker());
-        int there = 0;
-        for (long sentAt : box.sent.values()) {
-            there += sentAt < now - SURE ? 1 : 0;
-        }
-        Case c = open.get(e.requestId());
-        InvokerLoadReport told =
-                capabilities.weigh(
-                        f,
-                        new CapabilityVerifier.Seen(
-                                out.invoker(),
-                                out.sentAt(),
-                                now - out.sentAt(),
-                                there,
-                                c == null ? 0 : c.from.loadMicros(),
-                                c == null ? 0 : c.from.workMicros()),
-                        sense,
-                        e.loadReport(),
-                        now);
-        box.sent.remove(key(e.requestId(), e.attempt()));
-        box.out.computeIfPresent(out.function(), (name, n) -> n > 1 ? n - 1 : null);
-        if (sense == ResponseKind.SERVED) {
-            f.usual.answered(now - out.sentAt());
-            if (told.start() == StartKind.WARM || told.start() == StartKind.UNKNOWN) {
-                f.lanes.answered(out.level(), now - out.sentAt(), out.sole());
-            }
-        }
-        if (sense == ResponseKind.CONNECTION_LOST) {
-            box.cuts = now - box.cutAt < AT_ONCE ? box.cuts + 1 : 1;
-            box.cutAt = now;
-        }
-        boolean suspect = box.health.suspect(now) || box.health.ejected();
-        if (!loadFailed) {
-            evidence(f, out.invoker(), box, sense, suspect);
-        }
-        Classification verdict =
-                c == null || (loadFailed && sense == ResponseKind.NOT_LOADED)
-                        ? new Classification(sense.code, false, false, false)
-                        : judge(c, f, out.invoker(), sense, e.result(), suspect);
-        actions.add(new CompleteAttempt(e.requestId(), e.attempt(), verdict, told));
-        if (!box.health.ejected() && box.health.suspect(now)) {
-            eject(out.invoker(), box);
-        }
+        FunctionRecord function = functions.findOrAdd(attempt.function());
+        InvokerRecord invoker = invokers.findOrAdd(attempt.invoker());
+        RequestRecord request = openRequests.get(event.requestId());
+        CompletedAttempt completed = completedAttempt(attempt, kind, request);
+        InvokerLoadReport believed =
+                capabilityVerifier.verify(function, completed, event.loadReport());
+        invoker.removeAttempt(key, attempt.function());
+        learnFrom(function, attempt, kind, believed.start());
+        if (kind == ResponseKind.CONNECTION_LOST) {
+            invoker.addConnectionLoss(nowMicros);
+        }
+        AttemptOutcome outcome =
+                new AttemptOutcome(
+                        function,
+                        attempt.invoker(),
+                        kind,
+                        event.result(),
+                        invoker.health().isSuspect(nowMicros));
+        addCompletion(event, classify(request, outcome, event.loadReport().start()), believed);
+        ejection.ejectIfOutlier(attempt.invoker(), invoker, nowMicros, commands);
     }
 
-    /** Who is it held against? */
-    private void evidence(
-            FunctionCircuit f, String invoker, Box box, ResponseKind sense, boolean suspect) {
-        boolean lacks =
-                sense == ResponseKind.NOT_LOADED && !loading.reportsNotLoaded() && f.vouched(now);
-        boolean failure = sense.isFailure() || lacks;
-        if (!failure && sense != ResponseKind.SERVED && sense != ResponseKind.REJECTED) {
-            return;
-        }
-        double elsewhere = f.elsewhere(invoker, false, now);
-        if (sense == ResponseKind.REJECTED) {
-            box.health.rejects(f.elsewhere(invoker, true, now), now);
-        }
-        box.health.ended(failure, elsewhere, now);
-        if (!failure) {
-            f.explains(invoker)
-                    .forEach(
-                            (other, failures) -> {
-                                Box theirs = boxes.get(other);
-                                if (theirs != null) {
-                                    theirs.health.unexplained(
-                                            failures, f.elsewhere(other, false, now), now);
-                                    if (!theirs.health.ejected() && theirs.health.suspect(now)) {
-                                        eject(other, theirs);
-                                    }
-                                }
-                            });
-        }
-        f.ended(invoker, sense, now);
-        if (failure && !suspect) {
-            f.agrees(invoker);
-        }
+    private void addCompletion(
+            AttemptCompleted event, Classification classification, InvokerLoadReport believed) {
+        commands.add(
+                new CompleteAttempt(event.requestId(), event.attempt(), classification, believed));
     }
 
-    private Classification judge(
-            Case c,
-            FunctionCircuit f,
-            String invoker,
-            ResponseKind sense,
-            ExchangeResult reply,
-            boolean suspect) {
-        if (sense == ResponseKind.SERVED) {
-            return new Classification(ResponseCode.OK, true, false, false);
-        }
-        c.last = reply;
-        if (sense == ResponseKind.REJECTED && !suspect) {
-            return new Classification(ResponseCode.REJECTED, true, true, false);
-        }
-        if (sense == ResponseKind.NOT_LOADED) {
-            // A miss is no word on the function, unless no load can mend it or a load has stood
-            // there before it.
-            boolean loads = loading.reportsNotLoaded() && loading.acceptsPreloads();
-            if (!loads || f.servedAt(invoker) != 0) {
-                c.absent.add(invoker);
-            }
-            int needed = loading.reportsNotLoaded() && !loads ? ready() : Math.min(AGREE, ready());
-            boolean knownNowhere = !f.vouched(now) && c.absent.size() >= Math.max(1, needed);
-            if (knownNowhere) {
-                f.agrees(invoker);
-                c.counts = true;
-            }
-            return new Classification(ResponseCode.NOT_LOADED, knownNowhere, false, knownNowhere);
-        }
-        boolean own = sense == ResponseKind.ERROR || sense == ResponseKind.REJECTED;
-        if (!own && !sense.isFailure()) {
-            return new Classification(sense.code, false, false, false);
-        }
-        c.failures++;
-        if (!suspect) {
-            c.counts = true;
-            c.failedAs.add(reply.text());
-        }
-        int agree = 0;
-        for (String each : c.failedAs) {
-            agree += each.equals(reply.text()) ? 1 : 0;
-        }
-        boolean ends = agree >= settings.failedAttempts() || c.failures > settings.failedAttempts();
-        return new Classification(
-                sense == ResponseKind.REJECTED ? ResponseCode.ERROR : sense.code, ends, own, false);
+    private CompletedAttempt completedAttempt(
+            InFlightAttempt attempt, ResponseKind kind, RequestRecord request) {
+        return new CompletedAttempt(
+                attempt.invoker(),
+                kind,
+                attempt.sentAtMicros(),
+                nowMicros - attempt.sentAtMicros(),
+                invokers.findOrAdd(attempt.invoker()).attemptsSurelyArrived(nowMicros),
+                request == null ? 0 : request.request().loadMicros(),
+                request == null ? 0 : request.request().workMicros());
     }
 
-    private void over(RequestCompleted e) {
-        Case c = open.remove(e.requestId());
-        if (c == null) {
+    private void learnFrom(
+            FunctionRecord function, InFlightAttempt attempt, ResponseKind kind, StartKind start) {
+        if (kind != ResponseKind.SERVED) {
             return;
         }
-        FunctionCircuit f = function(c.from.function());
-        if (!e.functionResponded() && c.counts) {
-            f.callFailed(e.requestId(), c.last, ready(), now);
+        long latencyMicros = nowMicros - attempt.sentAtMicros();
+        function.latency().addResponse(latencyMicros);
+        if (start == StartKind.WARM || start == StartKind.UNKNOWN) {
+            function.concurrency()
+                    .addResponse(attempt.concurrencyLevel(), latencyMicros, attempt.alone());
         }
-        f.over(e.requestId());
     }
 
-    /** A load refused as unknown is a word on the function, as an absence is. */
-    private void orderDone(PreloadCompleted e) {
-        FunctionCircuit f = function(e.function());
-        ExchangeResult.Kind how = e.result().kind();
-        if (how == ExchangeResult.Kind.RESPONSE && e.instances() != 0) {
-            f.usual.loaded(e.elapsedMicros());
-            f.stands(e.invoker(), now);
-            capabilities.loaded(
-                    e.invoker(), e.elapsedMicros(), e.declaredLoadMicros(), e.instances());
-        }
-        boolean unknown =
-                how == ExchangeResult.Kind.STATUS
-                        && (e.result().status() == 404 || e.result().status() == 400);
-        if (!unknown || f.vouched(now)) {
-            return;
+    /** A failed load is a fault of the model store: it is held against nobody. */
+    private Classification classify(
+            RequestRecord request, AttemptOutcome outcome, StartKind reportedStart) {
+        boolean loadFailed = reportedStart == StartKind.LOAD_FAILED;
+        if (!loadFailed) {
+            attribution.addOutcome(outcome, nowMicros, commands);
         }
-        f.agrees(e.invoker());
-        List<Long> absent = new ArrayList<>();
-        open.forEach(
-                (id, c) -> {
-                    if (c.from.function().equals(e.function())
-                            && c.last != null
-                            && ResponseKind.of(c.last) == ResponseKind.NOT_LOADED) {
-                        c.counts = true;
-                        absent.add(id);
-                    }
-                });
-        absent.forEach(id -> actions.add(new FailFunctionNotFound(id)));
-    }
-
-    // ---- The list. ----
-    private int ready() {
-        int ready = 0;
-        for (Box box : boxes.values()) {
-            ready += box.entry != null && box.entry.state() == EndpointState.READY ? 1 : 0;
+        boolean notLoadedAfterFailedLoad = loadFailed && outcome.kind() == ResponseKind.NOT_LOADED;
+        if (request == null || notLoadedAfterFailedLoad) {
+            return Classification.undecided(outcome.kind().code());
         }
-        return ready;
+        return requestClassification.classify(request, outcome, nowMicros);
     }
 
-    private void listed(EndpointsUpdated list) {
-        if (list.snapshot()) {
-            boxes.values().forEach(b -> b.entry = null);
+    private void completeRequest(RequestCompleted event) {
+        RequestRecord request = openRequests.remove(event.requestId());
+        if (request == null) {
+            return;
         }
-        List<InvokerEndpoint> shown = new ArrayList<>(list.entries().size());
-        for (InvokerEndpoint entry : list.entries()) {
-            Box box = box(entry.id());
-            boolean fresh =
-                    box.entry != null && entry.startedAtMicros() > box.entry.startedAtMicros();
-            if (fresh && box.health.ejected()) { // another process: it has done nothing wrong yet
-                box.health.readmit(now);
-                actions.add(new ReportReadmission(entry.id()));
-            }
-            box.entry = entry.state() == EndpointState.GONE ? null : entry;
-            shown.add(shown(box, entry));
+        FunctionCircuit circuit = functions.findOrAdd(request.request().function()).circuit();
+        if (!event.functionResponded() && request.countsAgainstFunction()) {
+            int readyInvokers = invokers.readyCount();
+            circuit.requestFailed(
+                    event.requestId(), request.lastResult(), readyInvokers, nowMicros);
         }
-        boxes.entrySet()
-                .removeIf(
-                        b -> {
-                            boolean gone =
-                                    b.getValue().entry == null && b.getValue().sent.isEmpty();
-                            if (gone) {
-                                capabilities.gone(b.getKey());
-                            }
-                            return gone;
-                        });
-        actions.add(
-                new UpdateEndpoints(new EndpointsUpdated(list.snapshot(), list.cached(), shown)));
-    }
-
-    private static InvokerEndpoint shown(Box box, InvokerEndpoint e) {
-        return !box.health.ejected() || e.state() != EndpointState.READY
-                ? e
-                : new InvokerEndpoint(
-                        e.id(),
-                        e.zone(),
-                        e.cell(),
-                        e.kind(),
-                        EndpointState.DRAINING,
-                        e.weight(),
-                        e.startedAtMicros());
+        circuit.requestCompleted(event.requestId());
     }
 
-    /**
-     * Guards a process that was started again before the roster said so: its connections told of
-     * the end of the one before, and from now on it counts as fresh. It can hurt where a server
-     * closes connections that are in use.
-     */
-    private void lost(String invoker) {
-        Box box = boxes.get(invoker);
-        if (box == null || box.entry == null || box.entry.state() != EndpointState.READY) {
-            return;
-        }
-        int cuts = now - box.cutAt < AT_ONCE ? box.cuts : 0;
-        if (box.sent.size() + cuts >= 2) {
-            return; // the module hears of two broken calls: it pauses the invoker and spares it
-            // after that
+    private void completePreload(PreloadCompleted event) {
+        FunctionRecord function = functions.findOrAdd(event.function());
+        if (event.result().kind() == ExchangeResult.Kind.RESPONSE && event.instances() != 0) {
+            function.latency().addLoad(event.elapsedMicros());
+            function.history().setLoaded(event.invoker(), nowMicros);
+            capabilityVerifier.verifyPreload(
+                    event.invoker(),
+                    event.elapsedMicros(),
+                    event.declaredLoadMicros(),
+                    event.instances());
+        }
+        boolean existenceProven = function.history().servedLately(nowMicros);
+        if (refusesAsUnknown(event.result()) && !existenceProven) {
+            function.circuit().addFailingInvoker(event.invoker());
+            failRequestsWithoutInstance(event.function());
         }
-        InvokerEndpoint e = box.entry;
-        box.entry =
-                new InvokerEndpoint(
-                        e.id(), e.zone(), e.cell(), e.kind(), e.state(), e.weight(), now);
-        actions.add(
-                new UpdateEndpoints(
-                        new EndpointsUpdated(false, false, List.of(shown(box, box.entry)))));
     }
 
-    /** A bounded share of the fleet, and never the last one. */
-    private void eject(String invoker, Box box) {
-        int ready = ready();
-        long away = ejectedInvokers();
-        boolean may =
-                away < Math.max(1, (int) (settings.maxEjectedShare() * ready)) && ready - away >= 2;
-        if (!may || box.entry == null || box.entry.state() != EndpointState.READY) {
-            return;
-        }
-        long span = box.health.eject(now);
-        actions.add(new ReportEjection(invoker, span));
-        actions.add(
-                new UpdateEndpoints(
-                        new EndpointsUpdated(false, false, List.of(shown(box, box.entry)))));
-        actions.add(new SetTimer(span));
+    private static boolean refusesAsUnknown(ExchangeResult result) {
+        return result.kind() == ExchangeResult.Kind.STATUS
+                && (result.status() == STATUS_NOT_FOUND || result.status() == STATUS_BAD_REQUEST);
     }
 
-    private void due() {
-        boxes.forEach(
-                (id, box) -> {
-                    if (box.health.ejected() && now >= box.health.until()) {
-                        box.health.readmit(now);
-                        actions.add(new ReportReadmission(id));
-                        if (box.entry != null) {
-                            actions.add(
-                                    new UpdateEndpoints(
-                                            new EndpointsUpdated(
-                                                    false, false, List.of(box.entry))));
-                        }
+    /** A preload refused as unknown ends the requests that found no instance, as absence does. */
+    private void failRequestsWithoutInstance(String function) {
+        List<Long> failed = new ArrayList<>();
+        openRequests.forEach(
+                (requestId, request) -> {
+                    if (request.request().function().equals(function) && foundNoInstance(request)) {
+                        request.countAgainstFunction();
+                        failed.add(requestId);
                     }
                 });
+        failed.forEach(requestId -> commands.add(new FailFunctionNotFound(requestId)));
+    }
+
+    private static boolean foundNoInstance(RequestRecord request) {
+        ExchangeResult last = request.lastResult();
+        return last != null && ResponseKind.of(last) == ResponseKind.NOT_LOADED;
     }
 }
--- a/src/main/java/waytrestle/responses/InvokerLoadReport.java
+++ b/src/main/java/waytrestle/responses/InvokerLoadReport.java
@@ -4,11 +4,18 @@
 import waytrestle.scheduler.StartKind;
 
 /**
- * What an invoker says of itself beside an answer. A company below 0 and an UNKNOWN start mean
- * untold.
+ * What an invoker reports of itself with a response.
+ *
+ * @param start what it reports of the instance; UNKNOWN if nothing
+ * @param concurrentRequests requests of the function there; below 0 if not reported
+ * @param metrics its load by metric name; empty if not reported
  */
 public record InvokerLoadReport(
         StartKind start, int concurrentRequests, Map<String, Double> metrics) {
+    /** Stands for concurrent requests that were not reported. */
+    public static final int CONCURRENCY_NOT_REPORTED = -1;
+
+    /** A report of nothing. */
     public static final InvokerLoadReport EMPTY =
-            new InvokerLoadReport(StartKind.UNKNOWN, -1, Map.of());
+            new InvokerLoadReport(StartKind.UNKNOWN, CONCURRENCY_NOT_REPORTED, Map.of());
 }
--- a/src/main/java/waytrestle/responses/LatencyBaseline.java
+++ b/src/main/java/waytrestle/responses/LatencyBaseline.java
@@ -1,49 +1,76 @@
 package waytrestle.responses;
 
 /**
- * The usual time of a function's quicker answers and of its loads. A quantile and not a mean, since
- * answers that waited for a load or a lane must not pass for runs, whatever an invoker says of
- * them.
+ * The usual latency of a function's quicker responses, and its usual load time. A quantile and not
+ * a mean, since responses that waited for a load or in a queue must not pass for mere runs,
+ * whatever an invoker reports of them.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 final class LatencyBaseline {
-    // ---- Tuned numbers. ----
-    private static final double QUICK = 0.3; // quantile taken for a run without waiting
-    private static final double STEP =
-            0.08; // of the value, by which an answer moves it: tens of answers settle it
-    private static final double NEWS = 0.2; // weight of a load: few are seen
-    private static final int KNOWN = 8; // answers before it is used
-
-    private double run, load;
-    private int runs, loads;
-
-    void answered(long took) {
-        if (runs++ == 0) {
-            run = Math.max(1, took);
+    /** Quantile of the latencies taken for a run without waiting. */
+    private static final double RUN_QUANTILE = 0.3;
+
+    /** Share of the value by which a response moves it: tens of responses settle it. */
+    private static final double STEP_SHARE = 0.08;
+
+    /** Responses in which the step falls to its final size. */
+    private static final double SETTLING_RESPONSES = 10.0;
+
+    /** Weight of a load time: few loads are measured. */
+    private static final double LOAD_EWMA_WEIGHT = 0.2;
+
+    /** Responses before the run time is used. */
+    private static final int MIN_RESPONSES = 8;
+
+    private double runMicros;
+    private double loadMicros;
+    private int responses;
+    private int loads;
+
+    /** Takes in the latency of a served response. */
+    void addResponse(long latencyMicros) {
+        responses++;
+        if (responses == 1) {
+            runMicros = Math.max(1, latencyMicros);
+            return;
+        }
+        double step = STEP_SHARE * Math.max(1, SETTLING_RESPONSES / responses);
+        if (latencyMicros < runMicros) {
+            runMicros *= 1 - step * (1 - RUN_QUANTILE);
         } else {
-            double step = STEP * Math.max(1, 10.0 / runs);
-            run *= took < run ? 1 - step * (1 - QUICK) : 1 + step * QUICK;
-            run = Math.max(1, run);
+            runMicros *= 1 + step * RUN_QUANTILE;
         }
+        runMicros = Math.max(1, runMicros);
     }
 
-    void loaded(long took) {
-        load = loads++ == 0 ? took : load + NEWS * (took - load);
+    /** Takes in a measured load time. */
+    void addLoad(long elapsedMicros) {
+        if (loads == 0) {
+            loadMicros = elapsedMicros;
+        } else {
+            loadMicros += LOAD_EWMA_WEIGHT * (elapsedMicros - loadMicros);
+        }
+        loads++;
     }
 
-    boolean known() {
-        return runs >= KNOWN;
+    /** Whether there were responses enough to go by the run time. */
+    boolean isKnown() {
+        return responses >= MIN_RESPONSES;
     }
 
-    double run() {
-        return run;
+    /** Usual time of a run without waiting. */
+    double runMicros() {
+        return runMicros;
     }
 
+    /** Loads measured so far. */
     int loads() {
         return loads;
     }
 
-    /** Measured load time, or what was told of it while there is none. */
-    double load(long told) {
-        return loads > 0 ? load : told;
+    /** Measured load time, or the declared one while none was measured. */
+    double loadMicros(long declaredMicros) {
+        return loads > 0 ? loadMicros : declaredMicros;
     }
 }
--- a/src/main/java/waytrestle/responses/OutlierDetector.java
+++ b/src/main/java/waytrestle/responses/OutlierDetector.java
@@ -3,96 +3,139 @@
 import waytrestle.stats.DecayingSum;
 
 /**
- * What one invoker does wrong beyond what its functions do wrong elsewhere. Outlier detection as
- * Envoy has it (ejection for a doubling time, of a bounded share of the fleet), but by comparison:
- * failures count only where the same function does better at other invokers, so that a broken
- * function never costs its invokers their place.
+ * Detects whether one invoker fails beyond what its functions do elsewhere. Outlier detection as
+ * Envoy has it (ejection for a time that doubles, of a bounded share of the fleet), but by
+ * comparison: failures count only where the same function does better at other invokers, so that a
+ * broken function never gets its invokers ejected.
  *
- * <p>Guards against an invoker that errs, above all one that errs quickly: its short queue would
- * draw ever more calls. It can hurt where one tenant's bad input meets only one invoker: the
- * ejection is short, and its share bounded.
+ * <p>Guards against an invoker that fails, above all one that fails quickly: its short queue would
+ * draw ever more requests. It can hurt where one tenant's bad input meets only one invoker: the
+ * ejection is short, and the ejected share bounded.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 final class OutlierDetector {
-    // ---- Tuned numbers; times are microseconds. ----
-    private static final double SPAN = 10_000_000; // over which ends fade
-    private static final double EXCESS =
-            3; // unexplained failures that make a suspect: chance rarely does
-    private static final double SHARE =
-            0.5; // of its ends that must have failed: a lossy one still serves
-    private static final double REJECTIONS =
-            10; // rejections that others do not share: input varies more than failures
-    private static final double LIKE_OTHERS =
-            0.05; // share of rejections elsewhere from which they are the input's
-    private static final long EJECTED =
-            3_000_000; // first ejection: a restart's length; doubles in a row
-    private static final long EJECTED_MOST = 60_000_000;
-    private static final double BACK =
-            0.9; // failures short of a suspect on return: one more soon sends it off again
-
-    private final DecayingSum all = new DecayingSum(SPAN),
-            failed = new DecayingSum(SPAN),
-            excess = new DecayingSum(SPAN),
-            rejections = new DecayingSum(SPAN);
-    private int times;
-    private long until;
+    /** Time over which evidence fades: some seconds of it outlive a burst. */
+    private static final double DECAY_MICROS = 10_000_000;
+
+    /** Failures of its own that make an invoker an outlier: chance rarely does. */
+    private static final double OUTLIER_FAILURES = 3;
+
+    /** Evidence of failures kept at most, as a multiple of what makes an outlier. */
+    private static final double MAX_FAILURES = 2 * OUTLIER_FAILURES;
+
+    /** Share of the responses that must have failed: a lossy invoker still serves. */
+    private static final double OUTLIER_FAILED_SHARE = 0.5;
+
+    /** Rejections that others do not share: input varies more than failures do. */
+    private static final double OUTLIER_REJECTIONS = 10;
+
+    /** Share of rejections elsewhere from which the input is their cause. */
+    private static final double COMMON_REJECTION_SHARE = 0.05;
+
+    /** First ejection, about as long as a restart; it doubles with each further one. */
+    private static final long FIRST_EJECTION_MICROS = 3_000_000;
+
+    private static final long MAX_EJECTION_MICROS = 60_000_000;
+
+    /** Doublings until the longest ejection is reached for sure. */
+    private static final int MAX_DOUBLINGS = 6;
+
+    /** Failures by which a readmitted invoker is short of an outlier: one more ejects it again. */
+    private static final double READMISSION_MARGIN_FAILURES = 0.9;
+
+    /** Failures below which a response ends the row of ejections. */
+    private static final double RECOVERED_FAILURES = 0.9;
+
+    private final DecayingSum responses = new DecayingSum(DECAY_MICROS);
+    private final DecayingSum failures = new DecayingSum(DECAY_MICROS);
+    private final DecayingSum ownFailures = new DecayingSum(DECAY_MICROS);
+    private final DecayingSum ownRejections = new DecayingSum(DECAY_MICROS);
+    private int ejectionsInRow;
+    private long ejectedUntilMicros;
 
     /**
-     * An end; elsewhere is the usual share of failures of the same function at others, below 0
-     * while unknown.
+     * Takes in a response.
+     *
+     * @param failureShareElsewhere usual share of failures of the same function at other invokers,
+     *     below 0 while unknown
      */
-    void ended(boolean failure, double elsewhere, long now) {
-        all.add(1, now);
-        failed.add(failure ? 1 : 0, now);
-        if (!failure) {
-            more(-Math.max(0, elsewhere), now);
-            times = excess.value(now) < BACK ? 0 : times;
+    void addResponse(boolean failure, double failureShareElsewhere, long nowMicros) {
+        responses.add(1, nowMicros);
+        failures.add(failure ? 1 : 0, nowMicros);
+        if (failure) {
+            return;
+        }
+        addOwnFailures(-Math.max(0, failureShareElsewhere), nowMicros);
+        if (ownFailures.value(nowMicros) < RECOVERED_FAILURES) {
+            ejectionsInRow = 0;
         }
     }
 
-    /** Failures that an answer elsewhere has shown to be this invoker's. */
-    void unexplained(int failures, double elsewhere, long now) {
-        more(failures * (1 - Math.max(0, elsewhere)), now);
+    /** Takes in failures that a response elsewhere has shown to be this invoker's. */
+    void addAttributedFailures(int count, double failureShareElsewhere, long nowMicros) {
+        addOwnFailures(count * (1 - Math.max(0, failureShareElsewhere)), nowMicros);
     }
 
-    /** Rejections of what others take. Where others begin to reject too, it was the input. */
-    void rejects(double elsewhere, long now) {
-        if (elsewhere > LIKE_OTHERS) {
-            rejections.set(0, now);
-        } else if (elsewhere >= 0) {
-            rejections.add(1, now);
+    /**
+     * Takes in a rejection. Where other invokers reject too, the input is the cause.
+     *
+     * @param rejectionShareElsewhere usual share of rejections of the same function at other
+     *     invokers, below 0 while unknown
+     */
+    void addRejection(double rejectionShareElsewhere, long nowMicros) {
+        if (rejectionShareElsewhere > COMMON_REJECTION_SHARE) {
+            ownRejections.set(0, nowMicros);
+        } else if (rejectionShareElsewhere >= 0) {
+            ownRejections.add(1, nowMicros);
         }
     }
 
-    private void more(double by, long now) {
-        excess.set(Math.max(0, Math.min(2 * EXCESS, excess.value(now) + by)), now);
+    private void addOwnFailures(double change, long nowMicros) {
+        double sum = ownFailures.value(nowMicros) + change;
+        ownFailures.set(Math.max(0, Math.min(MAX_FAILURES, sum)), nowMicros);
+    }
+
+    /** Whether the invoker is an outlier by present evidence. */
+    boolean isOutlier(long nowMicros) {
+        double significantShare = OUTLIER_FAILED_SHARE * responses.value(nowMicros);
+        boolean failsAlone =
+                ownFailures.value(nowMicros) >= OUTLIER_FAILURES
+                        && failures.value(nowMicros) >= significantShare;
+        double rejections = ownRejections.value(nowMicros);
+        boolean rejectsAlone = rejections >= OUTLIER_REJECTIONS && rejections >= significantShare;
+        return failsAlone || rejectsAlone;
     }
 
-    boolean suspect(long now) {
-        double wrong = rejections.value(now);
-        return (excess.value(now) >= EXCESS && failed.value(now) >= SHARE * all.value(now))
-                || (wrong >= REJECTIONS && wrong >= SHARE * all.value(now));
+    /** Whether what comes from the invoker is no evidence against functions. */
+    boolean isSuspect(long nowMicros) {
+        return isOutlier(nowMicros) || isEjected();
     }
 
-    boolean ejected() {
-        return until != 0;
+    boolean isEjected() {
+        return ejectedUntilMicros != 0;
     }
 
-    long until() {
-        return until;
+    /** When the ejection ends; 0 while the invoker is not ejected. */
+    long ejectedUntilMicros() {
+        return ejectedUntilMicros;
     }
 
-    /** Sends it off; the micros until it comes back. */
-    long eject(long now) {
-        long span = Math.min(EJECTED_MOST, EJECTED << Math.min(6, times++));
-        until = now + span;
-        return span;
+    /** Ejects the invoker and returns for how long. */
+    long eject(long nowMicros) {
+        long doubled = FIRST_EJECTION_MICROS << Math.min(MAX_DOUBLINGS, ejectionsInRow);
+        long durationMicros = Math.min(MAX_EJECTION_MICROS, doubled);
+        ejectionsInRow++;
+        ejectedUntilMicros = nowMicros + durationMicros;
+        return durationMicros;
     }
 
-    void readmit(long now) {
-        until = 0;
-        rejections.set(0, now);
-        excess.set(EXCESS - BACK, now);
-        failed.set(1, now);
-        all.set(1, now);
+    /** Ends the ejection; what is known against the invoker falls to just short of another. */
+    void readmit(long nowMicros) {
+        ejectedUntilMicros = 0;
+        ownRejections.set(0, nowMicros);
+        ownFailures.set(OUTLIER_FAILURES - READMISSION_MARGIN_FAILURES, nowMicros);
+        failures.set(1, nowMicros);
+        responses.set(1, nowMicros);
     }
 }
--- a/src/main/java/waytrestle/responses/ResponseClassifier.java
+++ b/src/main/java/waytrestle/responses/ResponseClassifier.java
@@ -3,15 +3,18 @@
 import waytrestle.scheduler.ResponseCode;
 
 /**
- * Says what the ends of attempts come to, and lets calls, attempts and the list of invokers pass on
- * their way.
+ * Stands between a controller and its scheduler: classifies how attempts end, and admits requests,
+ * attempts and endpoint lists on their way.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 public interface ResponseClassifier {
+    /** Handles an event and adds the commands that follow from it, in order. */
     void handle(long nowMicros, ClassifierEvent event, ClassifierCommand.Sink out);
 
-    /** The module's code of an order's or a probe's reply, which no function answers. */
+    /** The code of the response to a preload request or a health check. */
     ResponseCode codeOfPreload(ExchangeResult reply);
 
-    /** Everything held for open calls; nothing when none is open. */
+    /** Number of entries held for open requests; 0 when none is open. */
     int retainedEntries();
 }
