--- a/src/main/java/waytrestle/config/GatewayConfig.java
+++ b/src/main/java/waytrestle/config/GatewayConfig.java
@@ -1,9 +1,7 @@
 package waytrestle.config;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,6 +11,7 @@
 import java.util.Set;
 import waytrestle.access.FileAccessLog;
 import waytrestle.http.HttpLimits;
+import waytrestle.net.SocketAddresses;
 import waytrestle.overload.OverloadControl;
 import waytrestle.overload.TenantQuotas;
 import waytrestle.requests.IdempotencyStore;
@@ -587,27 +586,11 @@
 
     /** Reads address:port in figures, without any look-up; null where it is not one. */
     public static InetSocketAddress parse(String text) {
-        int colon = text.lastIndexOf(':');
-        if (colon <= 0 || !text.substring(colon + 1).matches("\\d{1,5}")) {
-            return null;
-        }
-        int port = Integer.parseInt(text.substring(colon + 1));
-        String host = text.substring(0, colon);
-        boolean six =
-                host.startsWith("[") && host.endsWith("]") && host.matches("\\[[0-9a-fA-F:.]+]");
-        if (port > 65_535 || !(six || host.matches("(\\d{1,3}\\.){3}\\d{1,3}"))) {
-            return null;
-        }
-        try {
-            return new InetSocketAddress(InetAddress.getByName(host), port);
-        } catch (UnknownHostException e) {
-            return null;
-        }
+        return SocketAddresses.parse(text).orElse(null);
     }
 
     /** The id of an invoker: its address and port. */
     public static String id(InetSocketAddress at) {
-        String host = at.getAddress().getHostAddress();
-        return (host.indexOf(':') >= 0 ? "[" + host + "]" : host) + ":" + at.getPort();
+        return SocketAddresses.format(at);
     }
 }
--- a/src/main/java/waytrestle/discovery/ConsulPoller.java
+++ b/src/main/java/waytrestle/discovery/ConsulPoller.java
@@ -1,235 +1,204 @@
 package waytrestle.discovery;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import waytrestle.config.GatewayConfig;
+import java.util.regex.Pattern;
+import waytrestle.discovery.EndpointDirectory.Command;
+import waytrestle.discovery.EndpointDirectory.Event;
+import waytrestle.discovery.EndpointDirectory.Poll;
+import waytrestle.discovery.EndpointDirectory.PollFailed;
+import waytrestle.discovery.EndpointDirectory.SnapshotReceived;
 import waytrestle.http.HttpClient;
 import waytrestle.http.HttpLimits;
 import waytrestle.http.HttpMessage;
 import waytrestle.http.HttpWriter;
 import waytrestle.invoker.InferProtocol;
 import waytrestle.net.Loop;
+import waytrestle.net.SocketAddresses;
 import waytrestle.net.TimerHeap;
-import waytrestle.scheduler.EndpointState;
-import waytrestle.scheduler.InvokerEndpoint;
 
 /**
- * Follows a Consul-compatible health API: {@code GET /v1/health/service/NAME} as a blocking query
- * while subscribed, plainly when asked once. An instance's zone, cell and kind stand in its
- * service's Meta, its weight in Weights, its start in Meta {@code started_ms} (Unix time). An
- * instance in maintenance or with a critical check drains.
+ * Polls a Consul-compatible health API for an {@link EndpointDirectory}: with blocking queries one
+ * after the other while subscribed, and with a single plain query on {@link #fetch}.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 public final class ConsulPoller {
-    private static final ObjectMapper JSON = new ObjectMapper();
-    private static final long SLACK =
-            2_000_000; // micros beyond the agreed wait: the API may add a sixteenth of it
-    private static final int MOST = 16 << 20; // bytes of a list: some 20,000 instances
+    /**
+     * Beyond the agreed wait, to which the health API may add a sixteenth. Without it, a blocking
+     * query that returns late would count as failed.
+     */
+    private static final long RESPONSE_SLACK_MICROS = 2_000_000;
+
+    /** Some 20,000 endpoints; a longer response counts as failed and cannot exhaust the memory. */
+    private static final int MAX_RESPONSE_BYTES = 16 << 20;
+
+    /** A blocking query and some fetches beside it. */
+    private static final int MAX_CONNECTIONS = 4;
+
+    private static final long MICROS_PER_MILLI = 1_000;
+    private static final int STATUS_OK = 200;
+    private static final long NO_INDEX = 0;
+    private static final String INDEX_HEADER = "x-consul-index";
+
+    /** At most 18 digits always fit a long. */
+    private static final Pattern INDEX = Pattern.compile("\\d{1,18}");
+
+    /**
+     * Where and how to poll.
+     *
+     * @param address of the health API
+     * @param service the name under which invokers are registered
+     * @param waitMicros how long the health API may hold back the response to a blocking query
+     * @param controllerIndex sent along, so that the health API can tell controllers apart
+     * @param zones the configured zones, by index
+     * @param kinds the configured kinds of invoker, by index
+     */
+    public record Settings(
+            InetSocketAddress address,
+            String service,
+            long waitMicros,
+            long connectTimeoutMicros,
+            int controllerIndex,
+            List<String> zones,
+            List<String> kinds) {}
 
     private final Loop loop;
-    private final GatewayConfig.Roster config;
-    private final List<String> zones, kinds;
-    private final int controller;
+    private final Settings settings;
+    private final EndpointDirectory directory;
+    private final Consumer<Command> publisher;
+    private final ConsulHealthReader reader;
     private final HttpClient client;
-    private final EndpointDirectory book;
-    private final EndpointDirectory.CommandSink told;
-    private final LongSupplier wallMillis;
     private boolean subscribed;
-    private TimerHeap.Timer next;
+    private TimerHeap.Timer nextPoll;
 
-    /** Told hears Tell and TellFailed; asking is seen to here. */
+    /**
+     * Does not poll yet.
+     *
+     * @param publisher receives the directory's commands other than {@link Poll}, which are carried
+     *     out here
+     * @param unixMillis the wall clock, to translate reported start times
+     */
     public ConsulPoller(
             Loop loop,
-            GatewayConfig config,
-            EndpointDirectory book,
-            EndpointDirectory.CommandSink told,
-            LongSupplier wallMillis) {
+            Settings settings,
+            EndpointDirectory directory,
+            Consumer<Command> publisher,
+            LongSupplier unixMillis) {
         this.loop = loop;
-        this.config = config.roster();
-        this.zones = config.zones();
-        this.kinds = config.kinds();
-        this.controller = config.module().controllerIndex();
-        this.book = book;
-        this.told = told;
-        this.wallMillis = wallMillis;
-        HttpLimits d = HttpLimits.DEFAULT;
+        this.settings = settings;
+        this.directory = directory;
+        this.publisher = publisher;
+        StartTimes startTimes = new StartTimes(Loop::now, unixMillis);
+        this.reader = new ConsulHealthReader(settings.zones(), settings.kinds(), startTimes);
         this.client =
                 new HttpClient(
                         loop,
-                        this.config.at(),
-                        new HttpLimits(
-                                d.startLineBytes(),
-                                d.headerCount(),
-                                d.headerBytes(),
-                                MOST,
-                                0,
-                                0,
-                                0,
-                                0),
-                        4,
-                        config.module().limits().connectTimeoutMicros(),
-                        this.config.waitMicros());
+                        settings.address(),
+                        responseLimits(),
+                        MAX_CONNECTIONS,
+                        settings.connectTimeoutMicros(),
+                        settings.waitMicros());
     }
 
-    public void subscribe(boolean on) {
-        if (on == subscribed) {
+    /** The time limits are those of a server; a client has one for the whole exchange. */
+    private static HttpLimits responseLimits() {
+        HttpLimits defaults = HttpLimits.DEFAULT;
+        return new HttpLimits(
+                defaults.startLineBytes(),
+                defaults.headerCount(),
+                defaults.headerBytes(),
+                MAX_RESPONSE_BYTES,
+                0,
+                0,
+                0,
+                0);
+    }
+
+    /** Starts or stops the blocking queries. */
+    public void subscribe(boolean enabled) {
+        if (enabled == subscribed) {
             return;
         }
-        subscribed = on;
-        if (on) {
-            ask(0, true);
-        } else if (next != null) {
-            next.cancel();
+        subscribed = enabled;
+        if (enabled) {
+            pollWhileSubscribed(NO_INDEX);
+        } else if (nextPoll != null) {
+            nextPoll.cancel();
         }
     }
 
-    /** One plain answer, whether or not there is a subscription. */
+    /** Polls once without blocking, whether or not there is a subscription. */
     public void fetch() {
-        ask(0, false);
+        send(NO_INDEX, event -> directory.handle(Loop.now(), event, this::publishUnlessPoll));
     }
 
-    private void ask(long index, boolean repeated) {
-        if (repeated && !subscribed) {
+    private void pollWhileSubscribed(long index) {
+        if (!subscribed) {
             return;
         }
-        String target =
-                "/v1/health/service/"
-                        + config.service()
-                        + (index > 0
-                                ? "?index=" + index + "&wait=" + config.waitMicros() / 1_000 + "ms"
-                                : "");
+        send(index, event -> directory.handle(Loop.now(), event, this::publishOrSchedule));
+    }
+
+    private void publishOrSchedule(Command command) {
+        if (command instanceof Poll poll) {
+            nextPoll = loop.after(poll.afterMicros(), () -> pollWhileSubscribed(poll.index()));
+        } else {
+            publisher.accept(command);
+        }
+    }
+
+    private void publishUnlessPoll(Command command) {
+        if (!(command instanceof Poll)) {
+            publisher.accept(command);
+        }
+    }
+
+    private void send(long index, Consumer<Event> onResult) {
         ByteBuffer head =
-                HttpWriter.request("GET", target, GatewayConfig.id(config.at()))
-                        .header(InferProtocol.CONTROLLER, controller)
+                HttpWriter.request("GET", target(index), SocketAddresses.format(settings.address()))
+                        .header(InferProtocol.CONTROLLER, settings.controllerIndex())
                         .head(0);
-        client.call(
-                config.waitMicros() + SLACK,
+        HttpClient.Handler handler =
                 new HttpClient.Handler() {
                     @Override
-                    public void answered(HttpMessage m) {
-                        String at = m.header("x-consul-index");
-                        List<EndpointDirectory.RegisteredEndpoint> entries =
-                                m.status() == 200 && at != null && at.matches("\\d{1,18}")
-                                        ? read(m.body())
-                                        : null;
-                        on(
-                                entries == null
-                                        ? new EndpointDirectory.PollFailed()
-                                        : new EndpointDirectory.SnapshotReceived(
-                                                Long.parseLong(at), entries),
-                                repeated);
+                    public void answered(HttpMessage response) {
+                        onResult.accept(readResponse(response));
                     }
 
                     @Override
                     public void broken(HttpClient.Break how, String why) {
-                        on(new EndpointDirectory.PollFailed(), repeated);
+                        onResult.accept(new PollFailed());
                     }
-                },
-                head);
-    }
-
-    private void on(EndpointDirectory.Event event, boolean repeated) {
-        book.handle(
-                Loop.now(),
-                event,
-                action -> {
-                    if (action instanceof EndpointDirectory.Poll ask) {
-                        if (repeated) {
-                            next = loop.after(ask.afterMicros(), () -> ask(ask.index(), true));
-                        }
-                    } else {
-                        told.add(action);
-                    }
-                });
-    }
-
-    /** The instances listed, null where the answer is no such list. */
-    private List<EndpointDirectory.RegisteredEndpoint> read(byte[] body) {
-        try {
-            JsonNode root = JSON.readTree(body);
-            if (!root.isArray()) {
-                return null;
-            }
-            List<EndpointDirectory.RegisteredEndpoint> all = new ArrayList<>();
-            for (JsonNode each : root) {
-                EndpointDirectory.RegisteredEndpoint listed = instance(each);
-                if (listed != null) {
-                    all.add(listed);
-                }
-            }
-            return all;
-        } catch (IOException e) {
-            return null;
-        }
+                };
+        client.call(settings.waitMicros() + RESPONSE_SLACK_MICROS, handler, head);
     }
 
-    /**
-     * An instance without an address in figures cannot be reached without a look-up and is left
-     * out.
-     */
-    private EndpointDirectory.RegisteredEndpoint instance(JsonNode each) {
-        JsonNode service = each.path("Service");
-        JsonNode meta = service.path("Meta");
-        String host = service.path("Address").asText("");
-        host = host.isEmpty() ? each.path("Node").path("Address").asText("") : host;
-        InetSocketAddress at =
-                GatewayConfig.parse(
-                        (host.indexOf(':') >= 0 ? "[" + host + "]" : host)
-                                + ":"
-                                + service.path("Port").asInt(0));
-        if (at == null) {
-            return null;
-        }
-        EndpointState state = EndpointState.READY;
-        for (JsonNode check : each.path("Checks")) {
-            if (check.path("Status").asText().equals("critical")) {
-                state = EndpointState.DRAINING;
-            }
+    private String target(long index) {
+        String plain = "/v1/health/service/" + settings.service();
+        if (index == NO_INDEX) {
+            return plain;
         }
-        long started = meta.path("started_ms").asLong(0);
-        long up =
-                started == 0
-                        ? 0
-                        : Math.max(1, Loop.now() - (wallMillis.getAsLong() - started) * 1_000);
-        InvokerEndpoint entry =
-                new InvokerEndpoint(
-                        GatewayConfig.id(at),
-                        Math.max(0, zones.indexOf(meta.path("zone").asText())),
-                        meta.path("cell").asInt(0),
-                        Math.max(0, kinds.indexOf(meta.path("kind").asText())),
-                        state,
-                        service.path("Weights").path("Passing").asDouble(1),
-                        steady(GatewayConfig.id(at), started, up));
-        return new EndpointDirectory.RegisteredEndpoint(
-                entry, service.path("CreateIndex").asLong(each.path("CreateIndex").asLong(0)));
+        return plain
+                + "?index="
+                + index
+                + "&wait="
+                + settings.waitMicros() / MICROS_PER_MILLI
+                + "ms";
     }
 
-    private record Start(long told, long micros) {}
-
-    private final HashMap<String, Start> starts = new HashMap<>();
-
-    /**
-     * The same told start stays the same moment here, however the two clocks drift between answers.
-     */
-    private long steady(String id, long told, long micros) {
-        if (told == 0) {
-            starts.remove(id);
-            return 0;
-        }
-        Start before = starts.get(id);
-        if (before != null && before.told() == told) {
-            return before.micros();
-        }
-        if (starts.size() > 100_000) {
-            starts.clear();
+    private Event readResponse(HttpMessage response) {
+        String index = response.header(INDEX_HEADER);
+        if (response.status() != STATUS_OK || index == null || !INDEX.matcher(index).matches()) {
+            return new PollFailed();
         }
-        starts.put(id, new Start(told, micros));
-        return micros;
+        Optional<Event> snapshot =
+                reader.read(response.body())
+                        .map(entries -> new SnapshotReceived(Long.parseLong(index), entries));
+        return snapshot.orElseGet(PollFailed::new);
     }
 }
--- a/src/main/java/waytrestle/discovery/EndpointDirectory.java
+++ b/src/main/java/waytrestle/discovery/EndpointDirectory.java
@@ -5,140 +5,205 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import waytrestle.scheduler.EndpointState;
 import waytrestle.scheduler.InvokerEndpoint;
 import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
 
 /**
- * What a roster's answers come to. Free of I/O, clock and threads.
+ * The invokers that service discovery lists, kept up to date from the results of polls: a result
+ * comes in as an {@link Event}, what to do about it goes out as {@link Command}s. Free of I/O,
+ * clocks and threads. Not thread-safe: used by the controller's event loop.
  *
- * <p>A lagging roster's last word stands. One that errs leaves the list as it is; it is asked again
- * after a pause that doubles, drawn at random so that controllers do not return together. One that
- * shrinks, even to nothing, is obeyed at once: what it calls gone must get nothing new, and a call
- * without invokers is refused, which harms nobody. One that restarts, its index going back, is read
- * from the start again.
+ * <p>Faults of the health API are met as follows:
+ *
+ * <ul>
+ *   <li>While it lags, the last snapshot stays in force.
+ *   <li>When a poll fails, the last snapshot stays in force too, and the next poll comes after an
+ *       exponential backoff with jitter, so that controllers do not return all together.
+ *   <li>A snapshot that shrinks, even to nothing, takes effect at once: an endpoint that is gone
+ *       must receive nothing new, and a request without invokers is rejected, which harms nobody.
+ *   <li>When it restarts, so that its index goes back, it is polled from index 0 again.
+ * </ul>
  */
 public final class EndpointDirectory {
-    // ---- Tuned numbers. ----
-    private static final double LEAST_SHARE = 0.5; // of a pause: the random part is the other half
+    /**
+     * Half of a backoff is random: enough to spread the polls of controllers that failed at once.
+     */
+    private static final double BACKOFF_FIXED_SHARE = 0.5;
+
+    /** More could overflow; these reach the longest backoff of any usual setting. */
+    private static final int MAX_BACKOFF_DOUBLINGS = 16;
+
+    private static final long NEVER = 0;
+    private static final long AGE_BEFORE_FIRST_SNAPSHOT = -1;
 
     /**
-     * One invoker as listed; created changes when it was registered anew, startedAt 0 means untold.
+     * An endpoint as the health API lists it.
+     *
+     * @param createIndex changes when the endpoint is registered anew
      */
     public record RegisteredEndpoint(InvokerEndpoint endpoint, long createIndex) {}
 
+    /** The result of a poll. */
     public sealed interface Event {}
 
-    /** A whole list under the roster's index. */
+    /** A poll returned the complete list of endpoints, as of the health API's index. */
     public record SnapshotReceived(long index, List<RegisteredEndpoint> entries) implements Event {}
 
+    /** A poll returned no list of endpoints. */
     public record PollFailed() implements Event {}
 
+    /** What is to be done after an event. */
     public sealed interface Command {}
 
-    /** News for the module. */
+    /** Hand the update to the scheduler. */
     public record PublishUpdate(EndpointsUpdated update) implements Command {}
 
+    /** Tell the scheduler that the poll it asked for failed. */
     public record PublishFailure() implements Command {}
 
-    /** Ask next, blocking until the index changes; index 0 answers at once. */
+    /** Poll after the delay, blocking until the index changes; index 0 is answered at once. */
     public record Poll(long index, long afterMicros) implements Command {}
 
-    /** Takes the actions in order. */
-    public interface CommandSink {
-        void add(Command action);
-    }
-
-    private final long retry, retryMost;
-    private final boolean asked;
+    private final long minBackoffMicros;
+    private final long maxBackoffMicros;
+    private final boolean publishesFailures;
     private final SplittableRandom random;
-    private Map<String, RegisteredEndpoint> known = new LinkedHashMap<>();
-    private boolean first = true;
-    private long index, answeredAt;
-    private int failures;
-
-    /** With asked, failures are told to the module, which asks again itself. */
-    public EndpointDirectory(long retryMicros, long retryMostMicros, boolean asked, long seed) {
-        this.retry = retryMicros;
-        this.retryMost = retryMostMicros;
-        this.asked = asked;
+    private Map<String, RegisteredEndpoint> endpoints = new LinkedHashMap<>();
+    private boolean awaitingFirstSnapshot = true;
+    private long index;
+    private long lastSnapshotAtMicros = NEVER;
+    private int consecutiveFailures;
+
+    /**
+     * Starts with no endpoints.
+     *
+     * @param publishesFailures whether the scheduler polls by itself and so has to know of failures
+     * @param seed of the backoff's jitter
+     */
+    public EndpointDirectory(
+            long minBackoffMicros, long maxBackoffMicros, boolean publishesFailures, long seed) {
+        this.minBackoffMicros = minBackoffMicros;
+        this.maxBackoffMicros = maxBackoffMicros;
+        this.publishesFailures = publishesFailures;
         this.random = new SplittableRandom(seed);
     }
 
+    /** The number of endpoints in the last snapshot. */
     public int size() {
-        return known.size();
+        return endpoints.size();
     }
 
-    /** Micros since the roster last answered; -1 if it never has. */
-    public long age(long now) {
-        return answeredAt == 0 ? -1 : now - answeredAt;
+    /** Microseconds since the last snapshot; -1 before the first. */
+    public long age(long nowMicros) {
+        if (lastSnapshotAtMicros == NEVER) {
+            return AGE_BEFORE_FIRST_SNAPSHOT;
+        }
+        return nowMicros - lastSnapshotAtMicros;
     }
 
-    public void handle(long now, Event event, CommandSink actions) {
-        if (event instanceof SnapshotReceived e) {
-            answered(now, e, actions);
-            return;
+    /** Takes in the result of a poll and passes on what to do about it, in order. */
+    public void handle(long nowMicros, Event event, Consumer<Command> commands) {
+        if (event instanceof SnapshotReceived snapshot) {
+            snapshotReceived(nowMicros, snapshot, commands);
+        } else {
+            pollFailed(commands);
         }
-        long pause = Math.min(retryMost, retry << Math.min(16, failures++));
-        pause = (long) (pause * (LEAST_SHARE + (1 - LEAST_SHARE) * random.nextDouble()));
-        if (asked) {
-            actions.add(new PublishFailure());
+    }
+
+    private void pollFailed(Consumer<Command> commands) {
+        long delayMicros = nextBackoffMicros();
+        if (publishesFailures) {
+            commands.accept(new PublishFailure());
         }
-        actions.add(new Poll(index, pause));
+        commands.accept(new Poll(index, delayMicros));
     }
 
-    private void answered(long now, SnapshotReceived e, CommandSink actions) {
-        answeredAt = now;
-        failures = 0;
-        Map<String, RegisteredEndpoint> next = new LinkedHashMap<>();
-        for (RegisteredEndpoint each : e.entries()) {
-            next.put(each.endpoint().id(), started(now, each));
+    private long nextBackoffMicros() {
+        int doublings = Math.min(MAX_BACKOFF_DOUBLINGS, consecutiveFailures);
+        consecutiveFailures++;
+        long longest = Math.min(maxBackoffMicros, minBackoffMicros << doublings);
+        double randomShare = (1 - BACKOFF_FIXED_SHARE) * random.nextDouble();
+        return (long) (longest * (BACKOFF_FIXED_SHARE + randomShare));
+    }
+
+    private void snapshotReceived(
+            long nowMicros, SnapshotReceived snapshot, Consumer<Command> commands) {
+        lastSnapshotAtMicros = nowMicros;
+        consecutiveFailures = 0;
+        Map<String, RegisteredEndpoint> received = new LinkedHashMap<>();
+        for (RegisteredEndpoint each : snapshot.entries()) {
+            received.put(each.endpoint().id(), withKnownStart(nowMicros, each));
         }
-        List<InvokerEndpoint> changed = new ArrayList<>();
-        for (RegisteredEndpoint each : next.values()) {
-            RegisteredEndpoint before = known.get(each.endpoint().id());
-            if (before == null || !before.endpoint().equals(each.endpoint())) {
-                changed.add(each.endpoint());
-            }
+        List<InvokerEndpoint> changes = changes(received);
+        endpoints = received;
+        if (awaitingFirstSnapshot || !changes.isEmpty()) {
+            EndpointsUpdated update = new EndpointsUpdated(awaitingFirstSnapshot, false, changes);
+            commands.accept(new PublishUpdate(update));
         }
-        for (RegisteredEndpoint each : known.values()) {
-            if (!next.containsKey(each.endpoint().id())) {
-                InvokerEndpoint i = each.endpoint();
-                changed.add(
-                        new InvokerEndpoint(
-                                i.id(),
-                                i.zone(),
-                                i.cell(),
-                                i.kind(),
-                                EndpointState.GONE,
-                                i.weight(),
-                                i.startedAtMicros()));
+        awaitingFirstSnapshot = false;
+        pollAfter(snapshot, commands);
+    }
+
+    private void pollAfter(SnapshotReceived snapshot, Consumer<Command> commands) {
+        boolean restarted = snapshot.index() < index;
+        index = restarted ? 0 : snapshot.index();
+        // Without an index to wait for, the health API answers at once: polling must not spin.
+        boolean answersAtOnce = restarted || snapshot.index() <= 0;
+        commands.accept(new Poll(index, answersAtOnce ? minBackoffMicros : 0));
+    }
+
+    /**
+     * The endpoints that are new or different in the received snapshot, then those gone from it.
+     */
+    private List<InvokerEndpoint> changes(Map<String, RegisteredEndpoint> received) {
+        List<InvokerEndpoint> changes = new ArrayList<>();
+        for (RegisteredEndpoint each : received.values()) {
+            RegisteredEndpoint previous = endpoints.get(each.endpoint().id());
+            if (previous == null || !previous.endpoint().equals(each.endpoint())) {
+                changes.add(each.endpoint());
             }
         }
-        known = next;
-        if (first || !changed.isEmpty()) {
-            actions.add(new PublishUpdate(new EndpointsUpdated(first, false, changed)));
+        for (RegisteredEndpoint each : endpoints.values()) {
+            if (!received.containsKey(each.endpoint().id())) {
+                changes.add(gone(each.endpoint()));
+            }
         }
-        first = false;
-        boolean restarted = e.index() < index;
-        index = restarted ? 0 : e.index();
-        actions.add(new Poll(index, restarted || e.index() <= 0 ? retry : 0));
+        return changes;
+    }
+
+    private static InvokerEndpoint gone(InvokerEndpoint endpoint) {
+        return new InvokerEndpoint(
+                endpoint.id(),
+                endpoint.zone(),
+                endpoint.cell(),
+                endpoint.kind(),
+                EndpointState.GONE,
+                endpoint.weight(),
+                endpoint.startedAtMicros());
     }
 
-    /** Where no start is told, an entry registered anew is taken to have started just now. */
-    private RegisteredEndpoint started(long now, RegisteredEndpoint each) {
-        RegisteredEndpoint before = known.get(each.endpoint().id());
-        InvokerEndpoint i = each.endpoint();
-        if (before == null || i.startedAtMicros() > 0) {
-            return each;
+    /**
+     * Where no start is reported, an endpoint registered anew is taken to have started just now.
+     */
+    private RegisteredEndpoint withKnownStart(long nowMicros, RegisteredEndpoint received) {
+        InvokerEndpoint endpoint = received.endpoint();
+        RegisteredEndpoint previous = endpoints.get(endpoint.id());
+        if (previous == null || endpoint.startedAtMicros() > 0) {
+            return received;
         }
-        long since =
-                before.createIndex() != each.createIndex()
-                        ? now
-                        : before.endpoint().startedAtMicros();
-        return new RegisteredEndpoint(
+        boolean registeredAnew = previous.createIndex() != received.createIndex();
+        long startedAtMicros = registeredAnew ? nowMicros : previous.endpoint().startedAtMicros();
+        InvokerEndpoint started =
                 new InvokerEndpoint(
-                        i.id(), i.zone(), i.cell(), i.kind(), i.state(), i.weight(), since),
-                each.createIndex());
+                        endpoint.id(),
+                        endpoint.zone(),
+                        endpoint.cell(),
+                        endpoint.kind(),
+                        endpoint.state(),
+                        endpoint.weight(),
+                        startedAtMicros);
+        return new RegisteredEndpoint(started, received.createIndex());
     }
 }
--- a/src/main/java/waytrestle/discovery/watch/WatchClient.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchClient.java
@@ -9,139 +9,181 @@
 import waytrestle.json.JsonObjectReader.Malformed;
 import waytrestle.net.Connection;
 import waytrestle.net.Loop;
+import waytrestle.net.SocketAddresses;
 import waytrestle.net.TimerHeap;
 
-/** Follows a notice board over TCP; what its lines come to is the book's. */
+/**
+ * Follows a watch server over TCP: holds the connection and carries out what {@link WatchState}
+ * decides.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
+ */
 public final class WatchClient {
-    private static final long LOOK =
-            200_000; // micros between looks at its silence: a fraction of that
-    private static final int LINE = 4 << 20; // bytes of one event: some 20,000 invokers
-    private static final int READ = 64 * 1024; // bytes kept unread
+    /** A fraction of the heartbeat time-out, so that a silent server is found soon after it. */
+    private static final long HEARTBEAT_CHECK_INTERVAL_MICROS = 200_000;
+
+    /** One event with some 20,000 endpoints; a longer line cannot exhaust the memory. */
+    private static final int MAX_LINE_BYTES = 4 << 20;
+
+    private static final int MAX_UNREAD_BYTES = 64 * 1024;
+    private static final int INITIAL_LINE_BYTES = 1_024;
 
     private final Loop loop;
     private final WatchEventReader reader;
-    private final WatchState book;
-    private final Consumer<WatchEvent> told;
-    private final Runnable isCurrent;
-    private final Consumer<String> said;
-    private InetSocketAddress at;
-    private Reader current;
-    private TimerHeap.Timer next;
+    private final WatchState state;
+    private final Consumer<WatchEvent> eventListener;
+    private final Runnable synchronizedListener;
+    private final Consumer<String> log;
+    private InetSocketAddress address;
+    private WatchConnection connection;
+    private TimerHeap.Timer nextConnect;
 
+    /**
+     * Does not connect yet.
+     *
+     * @param eventListener receives each event once, in the order of revisions
+     * @param synchronizedListener runs when the server has answered for the first time
+     * @param log receives a line for each connection dropped because of what it carried
+     */
     public WatchClient(
             Loop loop,
-            InetSocketAddress at,
+            InetSocketAddress address,
             WatchEventReader reader,
-            WatchState book,
-            Consumer<WatchEvent> told,
-            Runnable isCurrent,
-            Consumer<String> said) {
+            WatchState state,
+            Consumer<WatchEvent> eventListener,
+            Runnable synchronizedListener,
+            Consumer<String> log) {
         this.loop = loop;
-        this.at = at;
+        this.address = address;
         this.reader = reader;
-        this.book = book;
-        this.told = told;
-        this.isCurrent = isCurrent;
-        this.said = said;
+        this.state = state;
+        this.eventListener = eventListener;
+        this.synchronizedListener = synchronizedListener;
+        this.log = log;
     }
 
-    /** Begins to follow, on the loop. */
+    /** Starts to follow the server; to be called on the loop. */
     public void start() {
-        on(new WatchState.AddressChanged());
-        look();
+        handle(new WatchState.AddressChanged());
+        checkHeartbeat();
     }
 
-    /** Follows the board at another address from now on; the same one is asked again. */
-    public void addressChanged(InetSocketAddress to) {
-        at = to;
-        on(new WatchState.AddressChanged());
+    /** Follows the server at this address from now on; reconnects even where it is the same. */
+    public void addressChanged(InetSocketAddress newAddress) {
+        address = newAddress;
+        handle(new WatchState.AddressChanged());
     }
 
-    private void look() {
-        on(new WatchState.SilenceCheckDue());
-        loop.after(LOOK, this::look);
+    private void checkHeartbeat() {
+        handle(new WatchState.HeartbeatCheckDue());
+        loop.after(HEARTBEAT_CHECK_INTERVAL_MICROS, this::checkHeartbeat);
     }
 
-    private void on(WatchState.Event event) {
-        book.handle(
-                Loop.now(),
-                event,
-                action -> {
-                    if (action instanceof WatchState.PublishEvent tell) {
-                        told.accept(tell.event());
-                    } else if (action instanceof WatchState.Current) {
-                        isCurrent.run();
-                    } else if (action instanceof WatchState.Reconnect ask) {
-                        if (current != null) {
-                            current.drop();
-                        }
-                        if (next != null) {
-                            next.cancel();
-                        }
-                        next =
-                                loop.after(
-                                        ask.delayMicros(),
-                                        () -> current = new Reader(ask.afterRevision()));
-                    }
-                });
+    private void handle(WatchState.Event event) {
+        state.handle(Loop.now(), event, this::execute);
+    }
+
+    private void execute(WatchState.Command command) {
+        if (command instanceof WatchState.PublishEvent publish) {
+            eventListener.accept(publish.event());
+        } else if (command instanceof WatchState.PublishSynchronized) {
+            synchronizedListener.run();
+        } else if (command instanceof WatchState.Reconnect reconnect) {
+            reconnect(reconnect);
+        }
+    }
+
+    private void reconnect(WatchState.Reconnect reconnect) {
+        if (connection != null) {
+            connection.drop();
+        }
+        if (nextConnect != null) {
+            nextConnect.cancel();
+        }
+        nextConnect =
+                loop.after(
+                        reconnect.delayMicros(),
+                        () -> connection = new WatchConnection(reconnect.afterRevision()));
     }
 
-    private final class Reader implements Connection.Handler {
-        private final Connection connection;
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream(1_024);
-        private final long after;
+    /** One connection: requests the events after a revision and splits what arrives into lines. */
+    private final class WatchConnection implements Connection.Handler {
+        private final Connection transport;
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream(INITIAL_LINE_BYTES);
+        private final long afterRevision;
         private boolean dropped;
 
-        private Reader(long after) {
-            this.after = after;
-            this.connection = Connection.open(loop, at, READ, book.connectMicros(), this);
+        private WatchConnection(long afterRevision) {
+            this.afterRevision = afterRevision;
+            this.transport =
+                    Connection.open(
+                            loop, address, MAX_UNREAD_BYTES, state.connectTimeoutMicros(), this);
         }
 
         private void drop() {
             dropped = true;
-            connection.close();
+            transport.close();
         }
 
         @Override
         public void connected() {
-            connection.send(
-                    ByteBuffer.wrap(("watch " + after + "\n").getBytes(StandardCharsets.US_ASCII)));
+            String request = "watch " + afterRevision + "\n";
+            transport.send(ByteBuffer.wrap(request.getBytes(StandardCharsets.US_ASCII)));
         }
 
         @Override
         public void received(ByteBuffer in) {
             while (in.hasRemaining() && !dropped) {
-                byte b = in.get();
-                if (b != '\n') {
-                    line.write(b);
-                    if (line.size() > LINE) {
-                        broke("a line of the notice board is over " + LINE + " bytes");
-                    }
-                    continue;
-                }
-                String text = line.toString(StandardCharsets.UTF_8);
-                line.reset();
-                if (!text.isBlank()) {
-                    try {
-                        on(new WatchState.LineReceived(reader.readLine(text)));
-                    } catch (Malformed e) {
-                        broke(e.getMessage());
-                    }
+                byte next = in.get();
+                if (next == '\n') {
+                    lineEnded();
+                } else {
+                    append(next);
                 }
             }
             in.position(in.limit());
         }
 
-        private void broke(String why) {
-            said.accept("notice board: " + why);
-            on(new WatchState.ConnectionBroke());
+        private void append(byte next) {
+            line.write(next);
+            if (line.size() > MAX_LINE_BYTES) {
+                fail("a line is over " + MAX_LINE_BYTES + " bytes");
+            }
+        }
+
+        private void lineEnded() {
+            String text = line.toString(StandardCharsets.UTF_8);
+            line.reset();
+            if (text.isBlank()) {
+                return;
+            }
+            WatchEvent event;
+            try {
+                event = reader.readLine(text);
+            } catch (Malformed e) {
+                fail(e.getMessage());
+                return;
+            }
+            handle(new WatchState.LineReceived(event));
+        }
+
+        private void fail(String reason) {
+            log.accept(
+                    "watch_connection_dropped address="
+                            + SocketAddresses.format(address)
+                            + " after_revision="
+                            + state.lastRevision()
+                            + " reason=\""
+                            + reason
+                            + "\"");
+            handle(new WatchState.ConnectionFailed());
         }
 
         @Override
-        public void closed(IOException why) {
+        public void closed(IOException cause) {
             if (!dropped) {
                 dropped = true;
-                on(new WatchState.ConnectionBroke());
+                handle(new WatchState.ConnectionFailed());
             }
         }
     }
--- a/src/main/java/waytrestle/discovery/watch/WatchState.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchState.java
@@ -1,123 +1,146 @@
 package waytrestle.discovery.watch;
 
+import java.util.function.Consumer;
+
 /**
- * What comes of a notice board's lines: numbers, order and gaps. Free of I/O, clock and threads.
+ * Decides what the lines of a watch server mean: which events to publish and when to reconnect.
+ * Free of I/O, clocks and threads. Not thread-safe: used by the controller's event loop.
  *
- * <p>Each event is told once, in order; one that comes twice is dropped, and after a gap the board
- * is asked again from the last one told. A board that ends its connection is asked again at once;
- * one that stays open and says nothing is taken to have stopped, for it says its last number each
- * second.
+ * <p>Each event is published once and in the order of revisions. One that arrives twice is dropped;
+ * after a gap the client reconnects from the last revision published. When the server ends the
+ * connection, the client reconnects at once, and with backoff while that fails. A server whose
+ * connection stays open without a line is taken for dead, since it sends a heartbeat each second.
  */
 public final class WatchState {
-    // ---- Tuned numbers, micros. ----
-    private static final long SILENCE = 1_700_000; // between lines: one number may be late, not two
-    private static final long RETRY = 20_000; // first pause after a failure, doubling ...
-    private static final int GRACE_PARTS =
-            4; // connecting, and the longest pause, may take one part each of the time
+    /** Between lines: one heartbeat may be late, but two may not be missing. */
+    private static final long HEARTBEAT_TIMEOUT_MICROS = 1_700_000;
+
+    /** Doubles with each failure; the first reconnect comes without any backoff. */
+    private static final long RECONNECT_BACKOFF_MICROS = 20_000;
 
-    // in which an event must be obeyed: half is left to read and obey it
+    /** Ten are past the longest backoff of any usual drain grace; more could overflow. */
+    private static final int MAX_BACKOFF_DOUBLINGS = 10;
 
-    /** What happens. */
+    /**
+     * The connect time-out and the longest backoff may each take one part of the time in which an
+     * event must take effect: half of it is left to read and apply the event.
+     */
+    private static final int DRAIN_GRACE_PARTS = 4;
+
+    /** Where the settings give no drain grace: the usual one. */
+    private static final long DEFAULT_DRAIN_GRACE_MICROS = 1_000_000;
+
+    /** Something that happened. */
     public sealed interface Event {}
 
-    /** A line came; hosts are null in one that holds a number alone. */
+    /** A line arrived: an event or a heartbeat. */
     public record LineReceived(WatchEvent event) implements Event {}
 
-    /** The connection ended, was not made, or a line could not be read. */
-    public record ConnectionBroke() implements Event {}
+    /** The connection ended, could not be made, or carried a line that cannot be read. */
+    public record ConnectionFailed() implements Event {}
 
-    /** The board is at another address now. */
+    /** The watch server is at another address now, or is to be followed for the first time. */
     public record AddressChanged() implements Event {}
 
-    /** Time has passed. */
-    public record SilenceCheckDue() implements Event {}
+    /** It is time to check whether the server still sends heartbeats. */
+    public record HeartbeatCheckDue() implements Event {}
 
-    /** What is to be done. */
+    /** What is to be done after an event. */
     public sealed interface Command {}
 
+    /** Hand the event to the listener. */
     public record PublishEvent(WatchEvent event) implements Command {}
 
     /**
-     * The board has answered for the first time: what was known at the start is complete, but for
-     * what is told next.
+     * Tell the listener that the server has answered for the first time: what was known at the
+     * start is complete, but for the events published from now on.
      */
-    public record Current() implements Command {}
+    public record PublishSynchronized() implements Command {}
 
     /**
-     * Drop the connection, if there is one, and after a while ask on a new one for all after this
-     * event.
+     * Drop the connection, if there is one, and after the delay request all events after the
+     * revision on a new one.
      */
     public record Reconnect(long afterRevision, long delayMicros) implements Command {}
 
-    /** Takes the actions in order. */
-    public interface CommandSink {
-        void add(Command action);
-    }
-
-    private static final long UNTOLD_GRACE =
-            1_000_000; // where the settings tell none: the usual one
-
-    private final long longestStep;
-    private long lastRevision, heardAt;
-    private int failures;
-    private boolean current;
+    private final long longestStepMicros;
+    private long lastRevision;
+    private long silentSinceMicros;
+    private int consecutiveFailures;
+    private boolean synchronizedOnce;
 
     /**
-     * Last is the number of the last event that is known already; grace is the time in which an
-     * event must be obeyed.
+     * Starts before the first connection.
+     *
+     * @param lastRevision of the last event that is known already
+     * @param drainGraceMicros the time in which an event must take effect; 0 for the usual one
      */
-    public WatchState(long last, long graceMicros) {
-        this.lastRevision = last;
-        this.longestStep = (graceMicros > 0 ? graceMicros : UNTOLD_GRACE) / GRACE_PARTS;
+    public WatchState(long lastRevision, long drainGraceMicros) {
+        this.lastRevision = lastRevision;
+        long graceMicros = drainGraceMicros > 0 ? drainGraceMicros : DEFAULT_DRAIN_GRACE_MICROS;
+        this.longestStepMicros = graceMicros / DRAIN_GRACE_PARTS;
     }
 
-    /** Micros after which a connection that has not come up is given up. */
-    public long connectMicros() {
-        return longestStep;
+    /** Microseconds after which a connection attempt is given up. */
+    public long connectTimeoutMicros() {
+        return longestStepMicros;
     }
 
+    /** The revision of the last event published, or known from the start. */
     public long lastRevision() {
         return lastRevision;
     }
 
-    public void handle(long now, Event event, CommandSink actions) {
+    /** Takes in what happened and passes on what to do about it, in order. */
+    public void handle(long nowMicros, Event event, Consumer<Command> commands) {
         if (event instanceof LineReceived line) {
-            line(now, line.event(), actions);
-        } else if (event instanceof ConnectionBroke) {
-            again(now, actions);
+            lineReceived(nowMicros, line.event(), commands);
+        } else if (event instanceof ConnectionFailed) {
+            reconnect(nowMicros, commands);
         } else if (event instanceof AddressChanged) {
-            failures = 0;
-            again(now, actions);
-        } else if (now - heardAt > SILENCE) {
-            again(now, actions);
+            consecutiveFailures = 0;
+            reconnect(nowMicros, commands);
+        } else if (nowMicros - silentSinceMicros > HEARTBEAT_TIMEOUT_MICROS) {
+            reconnect(nowMicros, commands);
         }
     }
 
-    private void line(long now, WatchEvent notice, CommandSink actions) {
-        boolean told = notice.endpoints() != null;
-        if (!told && notice.revision() < lastRevision) {
-            return; // a board that is behind what was told here tells nothing: as good as silent
+    private void lineReceived(long nowMicros, WatchEvent event, Consumer<Command> commands) {
+        if (event.isHeartbeat() && event.revision() < lastRevision) {
+            // A server that is behind what was published here has nothing new to send: it counts
+            // as silent, so that the client reconnects once the heartbeat time-out is over.
+            return;
         }
-        heardAt = now;
-        if (notice.revision() > lastRevision + (told ? 1 : 0)) {
-            again(now, actions);
+        silentSinceMicros = nowMicros;
+        if (event.revision() > highestExpectedRevision(event)) {
+            reconnect(nowMicros, commands);
             return;
         }
-        failures = 0;
-        if (!current && notice.revision() >= lastRevision) {
-            current = true;
-            actions.add(new Current());
+        consecutiveFailures = 0;
+        if (!synchronizedOnce && event.revision() >= lastRevision) {
+            synchronizedOnce = true;
+            commands.accept(new PublishSynchronized());
         }
-        if (told && notice.revision() == lastRevision + 1) {
-            lastRevision = notice.revision();
-            actions.add(new PublishEvent(notice));
+        if (!event.isHeartbeat() && event.revision() == lastRevision + 1) {
+            lastRevision = event.revision();
+            commands.accept(new PublishEvent(event));
         }
     }
 
-    private void again(long now, CommandSink actions) {
-        long pause = failures == 0 ? 0 : Math.min(longestStep, RETRY << Math.min(10, failures));
-        failures++;
-        heardAt = now + pause;
-        actions.add(new Reconnect(lastRevision, pause));
+    /** A higher revision shows that events were missed. */
+    private long highestExpectedRevision(WatchEvent event) {
+        return event.isHeartbeat() ? lastRevision : lastRevision + 1;
+    }
+
+    private void reconnect(long nowMicros, Consumer<Command> commands) {
+        long delayMicros = consecutiveFailures == 0 ? 0 : backoffMicros();
+        consecutiveFailures++;
+        silentSinceMicros = nowMicros + delayMicros;
+        commands.accept(new Reconnect(lastRevision, delayMicros));
+    }
+
+    private long backoffMicros() {
+        int doublings = Math.min(MAX_BACKOFF_DOUBLINGS, consecutiveFailures);
+        return Math.min(longestStepMicros, RECONNECT_BACKOFF_MICROS << doublings);
     }
 }
--- a/src/main/java/waytrestle/gateway/Gateway.java
+++ b/src/main/java/waytrestle/gateway/Gateway.java
@@ -269,7 +269,7 @@
         roster =
                 new ConsulPoller(
                         loop,
-                        config,
+                        pollerSettings(),
                         book,
                         action -> {
                             if (action instanceof EndpointDirectory.PublishUpdate tell) {
@@ -286,6 +286,17 @@
         }
     }
 
+    private ConsulPoller.Settings pollerSettings() {
+        return new ConsulPoller.Settings(
+                config.roster().at(),
+                config.roster().service(),
+                config.roster().waitMicros(),
+                config.module().limits().connectTimeoutMicros(),
+                config.module().controllerIndex(),
+                config.zones(),
+                config.kinds());
+    }
+
     private void page(HttpServer.Exchange e) {
         String path = e.message().path();
         boolean get = e.message().method().equals("GET") || e.message().method().equals("HEAD");
--- /dev/null
+++ b/src/main/java/waytrestle/net/SocketAddresses.java
@@ -0,0 +1,51 @@
+package waytrestle.net;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/** Reads and writes socket addresses as text: {@code 127.0.0.1:8080} or {@code [::1]:8080}. */
+public final class SocketAddresses {
+    private static final Pattern PORT = Pattern.compile("\\d{1,5}");
+    private static final Pattern IPV4_HOST = Pattern.compile("(\\d{1,3}\\.){3}\\d{1,3}");
+    private static final Pattern BRACKETED_IPV6_HOST = Pattern.compile("\\[[0-9a-fA-F:.]+]");
+    private static final int MAX_PORT = 65_535;
+
+    private SocketAddresses() {}
+
+    /** Reads an IP address with a port. Empty where the text is none; host names are not taken. */
+    public static Optional<InetSocketAddress> parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0 || !PORT.matcher(text.substring(colon + 1)).matches()) {
+            return Optional.empty();
+        }
+        int port = Integer.parseInt(text.substring(colon + 1));
+        String host = text.substring(0, colon);
+        if (port > MAX_PORT || !isIpAddress(host)) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new InetSocketAddress(InetAddress.getByName(host), port));
+        } catch (UnknownHostException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Writes an address so that {@link #parse} reads it; also the id of the invoker there. */
+    public static String format(InetSocketAddress address) {
+        return format(address.getAddress().getHostAddress(), address.getPort());
+    }
+
+    /** Joins an IP address and a port; an IPv6 address is put in brackets. */
+    public static String format(String ipAddress, int port) {
+        boolean ipv6 = ipAddress.indexOf(':') >= 0;
+        String host = ipv6 ? "[" + ipAddress + "]" : ipAddress;
+        return host + ":" + port;
+    }
+
+    private static boolean isIpAddress(String host) {
+        return IPV4_HOST.matcher(host).matches() || BRACKETED_IPV6_HOST.matcher(host).matches();
+    }
+}
--- a/src/test/java/waytrestle/ArchitectureTest.java
+++ b/src/test/java/waytrestle/ArchitectureTest.java
@@ -184,4 +184,15 @@
                         "waytrestle.config..")
                 .check(ALL);
     }
+
+    @Test
+    void discoveryDoesNotDependOnTheConfiguration() {
+        noClasses()
+                .that()
+                .resideInAPackage("..discovery..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("..config..")
+                .check(ALL);
+    }
 }
--- a/src/test/java/waytrestle/discovery/EndpointDirectoryTest.java
+++ b/src/test/java/waytrestle/discovery/EndpointDirectoryTest.java
@@ -1,110 +1,153 @@
 package waytrestle.discovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import waytrestle.discovery.EndpointDirectory.Command;
+import waytrestle.discovery.EndpointDirectory.Poll;
+import waytrestle.discovery.EndpointDirectory.PollFailed;
+import waytrestle.discovery.EndpointDirectory.PublishFailure;
+import waytrestle.discovery.EndpointDirectory.PublishUpdate;
+import waytrestle.discovery.EndpointDirectory.RegisteredEndpoint;
+import waytrestle.discovery.EndpointDirectory.SnapshotReceived;
 import waytrestle.scheduler.EndpointState;
 import waytrestle.scheduler.InvokerEndpoint;
 import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
 
-/** What the roster's answers and failures come to. */
+/** What the endpoint directory publishes, and when it polls next. */
 class EndpointDirectoryTest {
-    private final List<EndpointDirectory.Command> last = new ArrayList<>();
-    private EndpointDirectory book = new EndpointDirectory(200_000, 5_000_000, false, 1);
-    private long now = 1_000_000;
-
-    private static EndpointDirectory.RegisteredEndpoint listed(
-            String id, EndpointState state, long up, long created) {
-        return new EndpointDirectory.RegisteredEndpoint(
-                new InvokerEndpoint(id, 0, 0, 0, state, 1, up), created);
+    private static final long MIN_BACKOFF_MICROS = 200_000;
+    private static final long MAX_BACKOFF_MICROS = 5_000_000;
+    private static final long SEED = 1;
+
+    private final List<Command> commands = new ArrayList<>();
+    private EndpointDirectory directory = directory(false);
+    private long nowMicros = 1_000_000;
+
+    private static EndpointDirectory directory(boolean publishesFailures) {
+        return new EndpointDirectory(
+                MIN_BACKOFF_MICROS, MAX_BACKOFF_MICROS, publishesFailures, SEED);
     }
 
-    private void answered(long index, EndpointDirectory.RegisteredEndpoint... entries) {
-        last.clear();
-        book.handle(
-                now,
-                new EndpointDirectory.SnapshotReceived(index, Arrays.asList(entries)),
-                last::add);
+    private static RegisteredEndpoint ready(String id, long createIndex) {
+        return registered(id, EndpointState.READY, 0, createIndex);
     }
 
-    private EndpointsUpdated told() {
-        return last.stream()
-                .filter(a -> a instanceof EndpointDirectory.PublishUpdate)
-                .map(a -> ((EndpointDirectory.PublishUpdate) a).update())
-                .findFirst()
-                .orElse(null);
+    private static RegisteredEndpoint registered(
+            String id, EndpointState state, long startedAtMicros, long createIndex) {
+        return new RegisteredEndpoint(
+                new InvokerEndpoint(id, 0, 0, 0, state, 1, startedAtMicros), createIndex);
+    }
+
+    private void receiveSnapshot(long index, RegisteredEndpoint... entries) {
+        commands.clear();
+        SnapshotReceived snapshot = new SnapshotReceived(index, Arrays.asList(entries));
+        directory.handle(nowMicros, snapshot, commands::add);
+    }
+
+    private void failPoll() {
+        commands.clear();
+        directory.handle(nowMicros, new PollFailed(), commands::add);
+    }
+
+    /** The update published by the last event, null where there was none. */
+    private EndpointsUpdated update() {
+        for (Command command : commands) {
+            if (command instanceof PublishUpdate publish) {
+                return publish.update();
+            }
+        }
+        return null;
     }
 
-    private EndpointDirectory.Poll ask() {
-        return (EndpointDirectory.Poll) last.get(last.size() - 1);
+    private Poll nextPoll() {
+        return (Poll) commands.get(commands.size() - 1);
     }
 
     @Test
-    void theFirstListIsWholeAndLaterOnlyChangesAreTold() {
-        answered(5, listed("a", EndpointState.READY, 0, 1), listed("b", EndpointState.READY, 0, 1));
-        assertTrue(told().snapshot());
-        assertEquals(new EndpointDirectory.Poll(5, 0), ask());
-        answered(6, listed("a", EndpointState.READY, 0, 1), listed("b", EndpointState.READY, 0, 1));
-        assertEquals(null, told());
-        answered(7, listed("a", EndpointState.DRAINING, 0, 1));
-        assertEquals(false, told().snapshot());
+    void theFirstSnapshotIsPublishedWholeAndLaterOnesOnlyAsChanges() {
+        receiveSnapshot(5, ready("a", 1), ready("b", 1));
+        assertTrue(update().snapshot());
+        assertEquals(new Poll(5, 0), nextPoll());
+        receiveSnapshot(6, ready("a", 1), ready("b", 1));
+        assertNull(update());
+        receiveSnapshot(7, registered("a", EndpointState.DRAINING, 0, 1));
+        assertFalse(update().snapshot());
         assertEquals(
                 List.of(EndpointState.DRAINING, EndpointState.GONE),
-                told().entries().stream().map(InvokerEndpoint::state).toList());
+                update().entries().stream().map(InvokerEndpoint::state).toList());
     }
 
     @Test
-    void aListThatShrinksToNothingIsObeyedAtOnce() {
-        answered(5, listed("a", EndpointState.READY, 0, 1));
-        answered(6);
-        assertEquals(EndpointState.GONE, told().entries().get(0).state());
-        assertEquals(0, book.size());
+    void aSnapshotThatShrinksToNothingTakesEffectAtOnce() {
+        receiveSnapshot(5, ready("a", 1));
+        receiveSnapshot(6);
+        assertEquals(EndpointState.GONE, update().entries().get(0).state());
+        assertEquals(0, directory.size());
     }
 
     @Test
-    void errorsLeaveTheListAndPausesGrowToTheirBound() {
-        answered(5, listed("a", EndpointState.READY, 0, 1));
-        long before = 0;
+    void failedPollsKeepTheSnapshotAndBackOffUpToTheMaximum() {
+        receiveSnapshot(5, ready("a", 1));
+        long longestMicros = 0;
         for (int i = 0; i < 40; i++) {
-            last.clear();
-            book.handle(now, new EndpointDirectory.PollFailed(), last::add);
-            assertEquals(1, last.size(), "nothing is told but when to ask");
-            assertEquals(5, ask().index());
-            assertTrue(ask().afterMicros() <= 5_000_000 && ask().afterMicros() >= 100_000);
-            before = Math.max(before, ask().afterMicros());
+            failPoll();
+            assertEquals(1, commands.size(), "nothing is published, only the next poll is set");
+            assertEquals(5, nextPoll().index());
+            assertTrue(nextPoll().afterMicros() <= MAX_BACKOFF_MICROS);
+            assertTrue(nextPoll().afterMicros() >= MIN_BACKOFF_MICROS / 2);
+            longestMicros = Math.max(longestMicros, nextPoll().afterMicros());
         }
-        assertTrue(before > 2_500_000);
-        assertEquals(1, book.size());
-        now += 700;
-        assertEquals(700, book.age(now));
+        assertTrue(longestMicros > MAX_BACKOFF_MICROS / 2);
+        assertEquals(1, directory.size());
+        nowMicros += 700;
+        assertEquals(700, directory.age(nowMicros));
+    }
+
+    @Test
+    void theBackoffStartsAnewAfterASnapshot() {
+        for (int i = 0; i < 40; i++) {
+            failPoll();
+        }
+        receiveSnapshot(5, ready("a", 1));
+        failPoll();
+        assertTrue(nextPoll().afterMicros() <= MIN_BACKOFF_MICROS);
+    }
+
+    @Test
+    void thereIsNoAgeBeforeTheFirstSnapshot() {
+        failPoll();
+        assertEquals(-1, directory.age(nowMicros));
     }
 
     @Test
-    void whereTheModuleAsksItIsToldOfFailures() {
-        book = new EndpointDirectory(200_000, 5_000_000, true, 1);
-        book.handle(now, new EndpointDirectory.PollFailed(), last::add);
-        assertEquals(new EndpointDirectory.PublishFailure(), last.get(0));
+    void failuresArePublishedWhereTheSchedulerPolls() {
+        directory = directory(true);
+        failPoll();
+        assertEquals(new PublishFailure(), commands.get(0));
     }
 
     @Test
-    void anIndexThatGoesBackIsReadFromTheStart() {
-        answered(500, listed("a", EndpointState.READY, 0, 1));
-        answered(3, listed("a", EndpointState.READY, 0, 1));
-        assertEquals(0, ask().index());
-        assertTrue(ask().afterMicros() > 0, "not at once, for it has just started");
+    void anIndexThatGoesBackIsPolledFromTheStart() {
+        receiveSnapshot(500, ready("a", 1));
+        receiveSnapshot(3, ready("a", 1));
+        assertEquals(0, nextPoll().index());
+        assertTrue(nextPoll().afterMicros() > 0, "not at once: the health API has just restarted");
     }
 
     @Test
-    void anEntryRegisteredAnewHasStartedAnew() {
-        answered(1, listed("a", EndpointState.READY, 0, 10));
-        now += 9_000;
-        answered(2, listed("a", EndpointState.READY, 0, 11));
-        assertEquals(now, told().entries().get(0).startedAtMicros());
-        answered(3, listed("a", EndpointState.READY, 0, 11));
-        assertEquals(null, told(), "the same start stays the same moment");
+    void anEndpointRegisteredAnewHasStartedAnew() {
+        receiveSnapshot(1, ready("a", 10));
+        nowMicros += 9_000;
+        receiveSnapshot(2, ready("a", 11));
+        assertEquals(nowMicros, update().entries().get(0).startedAtMicros());
+        receiveSnapshot(3, ready("a", 11));
+        assertNull(update(), "the same start keeps its time");
     }
 }
--- /dev/null
+++ b/src/test/java/waytrestle/discovery/StartTimesTest.java
@@ -0,0 +1,43 @@
+package waytrestle.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+/** The translation of reported start times to the scheduler's clock. */
+class StartTimesTest {
+    private long nowMicros = 10_000_000;
+    private long nowUnixMillis = 1_700_000_000_000L;
+    private final StartTimes startTimes = new StartTimes(() -> nowMicros, () -> nowUnixMillis);
+
+    @Test
+    void aStartLiesAsFarBackOnTheMonotonicClockAsOnTheWallClock() {
+        assertEquals(7_000_000, startTimes.toMonotonicMicros("a", nowUnixMillis - 3_000));
+    }
+
+    @Test
+    void aStartReportedAgainKeepsItsTimeWhenTheClocksDrift() {
+        long startedAtUnixMillis = nowUnixMillis - 3_000;
+        startTimes.toMonotonicMicros("a", startedAtUnixMillis);
+        nowMicros += 1_000_000;
+        nowUnixMillis += 1_500;
+        assertEquals(7_000_000, startTimes.toMonotonicMicros("a", startedAtUnixMillis));
+    }
+
+    @Test
+    void aLaterStartOfTheSameEndpointIsTranslatedAnew() {
+        startTimes.toMonotonicMicros("a", nowUnixMillis - 3_000);
+        assertEquals(9_000_000, startTimes.toMonotonicMicros("a", nowUnixMillis - 1_000));
+    }
+
+    @Test
+    void aStartBeforeTheMonotonicClockBeganIsNotTakenForUnreported() {
+        assertEquals(1, startTimes.toMonotonicMicros("a", nowUnixMillis - 60_000));
+    }
+
+    @Test
+    void anUnreportedStartStaysUnreported() {
+        startTimes.toMonotonicMicros("a", nowUnixMillis - 3_000);
+        assertEquals(StartTimes.NOT_REPORTED, startTimes.toMonotonicMicros("a", 0));
+    }
+}
--- a/src/test/java/waytrestle/discovery/watch/WatchEventFuzzTest.java
+++ b/src/test/java/waytrestle/discovery/watch/WatchEventFuzzTest.java
@@ -6,8 +6,8 @@
 import waytrestle.json.JsonObjectReader.Malformed;
 
 /**
- * Coverage-guided fuzzing of a notice board's lines: each is an event, a number or malformed, and
- * never anything else.
+ * Coverage-guided fuzzing of the watch server's lines: each is an event, a heartbeat or malformed,
+ * and never anything else.
  */
 class WatchEventFuzzTest {
     private final WatchEventReader reader =
@@ -16,22 +16,24 @@
     @FuzzTest(maxDuration = "60s")
     void aLineIsReadOrMalformed(byte[] data) {
         try {
-            WatchEvent notice = reader.readLine(new String(data, StandardCharsets.UTF_8));
-            if (notice.endpoints() != null) {
-                notice.endpoints()
-                        .forEach(
-                                h -> {
-                                    if (h.id() == null
-                                            || h.address() == null
-                                            || h.state() == null
-                                            || h.zone() < 0
-                                            || h.kind() < 0) {
-                                        throw new AssertionError("half an invoker: " + h);
-                                    }
-                                });
+            WatchEvent event = reader.readLine(new String(data, StandardCharsets.UTF_8));
+            if (!event.isHeartbeat()) {
+                event.endpoints().forEach(WatchEventFuzzTest::requireComplete);
             }
         } catch (Malformed expected) {
-            // told as such, and asked for again
+            // Most inputs are malformed: the client drops the connection and reconnects.
+        }
+    }
+
+    private static void requireComplete(WatchEvent.Endpoint endpoint) {
+        boolean complete =
+                endpoint.id() != null
+                        && endpoint.address() != null
+                        && endpoint.state() != null
+                        && endpoint.zone() >= 0
+                        && endpoint.kind() >= 0;
+        if (!complete) {
+            throw new AssertionError("incomplete endpoint: " + endpoint);
         }
     }
 }
--- a/src/test/java/waytrestle/discovery/watch/WatchStateTest.java
+++ b/src/test/java/waytrestle/discovery/watch/WatchStateTest.java
@@ -6,119 +6,128 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** Numbers, order and gaps of the notice board. */
+/** What the watch state publishes, and when it reconnects. */
 class WatchStateTest {
-    private final WatchState book = new WatchState(3, 2_000_000);
-    private final List<String> came = new ArrayList<>();
-    private long now = 1_000_000;
-
-    private List<String> feed(WatchState.Event event) {
-        came.clear();
-        book.handle(
-                now,
-                event,
-                a ->
-                        came.add(
-                                a instanceof WatchState.PublishEvent t
-                                        ? "tell " + t.event().revision()
-                                        : a instanceof WatchState.Current
-                                                ? "current"
-                                                : "ask "
-                                                        + ((WatchState.Reconnect) a)
-                                                                .afterRevision()));
-        return List.copyOf(came);
+    private static final long KNOWN_REVISION = 3;
+    private static final long DRAIN_GRACE_MICROS = 2_000_000;
+
+    private final WatchState state = new WatchState(KNOWN_REVISION, DRAIN_GRACE_MICROS);
+    private long nowMicros = 1_000_000;
+
+    private List<String> handle(WatchState.Event event) {
+        List<String> commands = new ArrayList<>();
+        state.handle(nowMicros, event, command -> commands.add(describe(command)));
+        return commands;
+    }
+
+    private static String describe(WatchState.Command command) {
+        if (command instanceof WatchState.PublishEvent publish) {
+            return "publish " + publish.event().revision();
+        }
+        if (command instanceof WatchState.Reconnect reconnect) {
+            return "reconnect after " + reconnect.afterRevision();
+        }
+        return "synchronized";
+    }
+
+    private List<String> receiveEvent(long revision) {
+        return handle(new WatchState.LineReceived(new WatchEvent(revision, false, List.of())));
+    }
+
+    private List<String> receiveHeartbeat(long revision) {
+        return handle(new WatchState.LineReceived(new WatchEvent(revision, false, null)));
     }
 
-    private List<String> event(long number) {
-        return feed(new WatchState.LineReceived(new WatchEvent(number, false, List.of())));
+    private List<String> checkHeartbeat() {
+        return handle(new WatchState.HeartbeatCheckDue());
     }
 
-    private List<String> number(long number) {
-        return feed(new WatchState.LineReceived(new WatchEvent(number, false, null)));
+    private static long backoffMicrosAfterFailure(WatchState state, long nowMicros) {
+        List<WatchState.Command> commands = new ArrayList<>();
+        state.handle(nowMicros, new WatchState.ConnectionFailed(), commands::add);
+        assertEquals(1, commands.size());
+        return ((WatchState.Reconnect) commands.get(0)).delayMicros();
     }
 
     @Test
-    void aBoardThatOnlyRepeatsAnOldNumberIsTakenForSilentAndAskedAgain() {
-        number(3);
-        List<String> asked = new ArrayList<>();
+    void aServerThatOnlyRepeatsAnOldRevisionCountsAsSilent() {
+        receiveHeartbeat(3);
+        List<String> commands = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
-            now += 200_000;
-            asked.addAll(number(2));
-            asked.addAll(feed(new WatchState.SilenceCheckDue()));
+            nowMicros += 200_000;
+            commands.addAll(receiveHeartbeat(2));
+            commands.addAll(checkHeartbeat());
         }
         assertEquals(
-                List.of("ask 3", "ask 3"), asked, "once each time that it was silent for so long");
-        number(3);
-        now += 200_000;
-        assertEquals(
-                List.of(),
-                feed(new WatchState.SilenceCheckDue()),
-                "it has come up with what was told");
+                List.of("reconnect after 3", "reconnect after 3"),
+                commands,
+                "once each time that it was silent for so long");
+        receiveHeartbeat(3);
+        nowMicros += 200_000;
+        assertEquals(List.of(), checkHeartbeat(), "it has caught up with what was published");
     }
 
     @Test
-    void eachEventIsToldOnceAndInOrder() {
-        assertEquals(List.of("current", "tell 4"), event(4));
-        assertEquals(List.of(), event(4), "twice");
-        assertEquals(List.of(), event(2), "old");
-        assertEquals(List.of("ask 4"), event(6), "a gap is asked for, not jumped");
-        assertEquals(List.of("tell 5"), event(5));
-        assertEquals(List.of("tell 6"), event(6));
-        assertEquals(List.of(), number(6));
-        assertEquals(List.of("ask 6"), number(7), "the board knows more than it told");
+    void eachEventIsPublishedOnceAndInOrder() {
+        assertEquals(List.of("synchronized", "publish 4"), receiveEvent(4));
+        assertEquals(List.of(), receiveEvent(4), "a duplicate");
+        assertEquals(List.of(), receiveEvent(2), "an old event");
+        assertEquals(List.of("reconnect after 4"), receiveEvent(6), "a gap is not skipped");
+        assertEquals(List.of("publish 5"), receiveEvent(5));
+        assertEquals(List.of("publish 6"), receiveEvent(6));
+        assertEquals(List.of(), receiveHeartbeat(6));
+        assertEquals(
+                List.of("reconnect after 6"),
+                receiveHeartbeat(7),
+                "the server has an event that it did not send");
     }
 
     @Test
-    void aSilentBoardIsAskedAgainWellBeforeItsWordCounts() {
-        assertEquals(List.of("ask 3"), feed(new WatchState.AddressChanged()));
-        number(3);
-        now += 1_500_000;
-        assertEquals(List.of(), feed(new WatchState.SilenceCheckDue()), "one number may be late");
-        now += 500_000;
-        assertEquals(List.of("ask 3"), feed(new WatchState.SilenceCheckDue()));
-        assertEquals(
-                List.of(), feed(new WatchState.SilenceCheckDue()), "asked once, then waited for");
-        now += 2_000_000;
-        assertEquals(List.of("ask 3"), feed(new WatchState.SilenceCheckDue()));
+    void aSilentServerIsReconnectedToSoonAfterTwoMissingHeartbeats() {
+        assertEquals(List.of("reconnect after 3"), handle(new WatchState.AddressChanged()));
+        receiveHeartbeat(3);
+        nowMicros += 1_500_000;
+        assertEquals(List.of(), checkHeartbeat(), "one heartbeat may be late");
+        nowMicros += 500_000;
+        assertEquals(List.of("reconnect after 3"), checkHeartbeat());
+        assertEquals(List.of(), checkHeartbeat(), "the new connection has time to be heard");
+        nowMicros += 2_000_000;
+        assertEquals(List.of("reconnect after 3"), checkHeartbeat());
     }
 
     @Test
-    void whatWasKnownIsCurrentOnceTheBoardHasAnsweredAndNotBefore() {
-        assertEquals(List.of("ask 3"), feed(new WatchState.AddressChanged()));
-        assertEquals(List.of(), number(2), "it is behind what is known");
-        assertEquals(List.of("ask 3"), number(4), "it knows more than it told");
-        assertEquals(List.of("current"), number(3));
-        assertEquals(List.of(), number(3), "said once");
-        assertEquals(List.of("tell 4"), event(4));
+    void whatWasKnownAtTheStartIsSynchronizedOnceTheServerConfirmsIt() {
+        assertEquals(List.of("reconnect after 3"), handle(new WatchState.AddressChanged()));
+        assertEquals(List.of(), receiveHeartbeat(2), "the server is behind what is known");
+        assertEquals(
+                List.of("reconnect after 3"),
+                receiveHeartbeat(4),
+                "the server has an event that it did not send");
+        assertEquals(List.of("synchronized"), receiveHeartbeat(3));
+        assertEquals(List.of(), receiveHeartbeat(3), "published once");
+        assertEquals(List.of("publish 4"), receiveEvent(4));
     }
 
     @Test
-    void aConnectionThatHangsAndThePauseAfterItLeaveHalfOfTheGrace() {
-        for (long grace : new long[] {400_000, 1_000_000, 8_000_000}) {
-            WatchState each = new WatchState(3, grace);
-            long[] pause = {0};
+    void aConnectThatTimesOutAndTheBackoffAfterItLeaveHalfOfTheDrainGrace() {
+        for (long graceMicros : new long[] {400_000, 1_000_000, 8_000_000}) {
+            WatchState each = new WatchState(KNOWN_REVISION, graceMicros);
+            long backoffMicros = 0;
             for (int i = 0; i < 20; i++) {
-                each.handle(
-                        now,
-                        new WatchState.ConnectionBroke(),
-                        a -> pause[0] = ((WatchState.Reconnect) a).delayMicros());
+                backoffMicros = backoffMicrosAfterFailure(each, nowMicros);
             }
-            assertEquals(grace / 2, pause[0] + each.connectMicros());
+            assertEquals(graceMicros / 2, backoffMicros + each.connectTimeoutMicros());
         }
     }
 
     @Test
-    void aBrokenBoardIsAskedAtOnceAndThenWithPauses() {
-        long total = 0;
+    void aFailedConnectionIsReplacedAtOnceAndThenWithBackoff() {
+        long longestMicros = 0;
         for (int i = 0; i < 20; i++) {
-            List<Long> pauses = new ArrayList<>();
-            book.handle(
-                    now,
-                    new WatchState.ConnectionBroke(),
-                    a -> pauses.add(((WatchState.Reconnect) a).delayMicros()));
-            assertEquals(i == 0, pauses.get(0) == 0);
-            total = Math.max(total, pauses.get(0));
+            long backoffMicros = backoffMicrosAfterFailure(state, nowMicros);
+            assertEquals(i == 0, backoffMicros == 0);
+            longestMicros = Math.max(longestMicros, backoffMicros);
         }
-        assertEquals(500_000, total, "the longest pause");
+        assertEquals(500_000, longestMicros, "the longest backoff");
     }
 }
--- /dev/null
+++ b/src/test/java/waytrestle/net/SocketAddressesTest.java
@@ -0,0 +1,33 @@
+package waytrestle.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Socket addresses as text. */
+class SocketAddressesTest {
+    @Test
+    void anAddressIsWrittenSoThatItReadsBack() {
+        for (String text : List.of("127.0.0.1:80", "[0:0:0:0:0:0:0:1]:443")) {
+            assertEquals(
+                    text, SocketAddresses.format(SocketAddresses.parse(text).orElseThrow()), text);
+        }
+    }
+
+    @Test
+    void namesAndIncompleteAddressesAreRejected() {
+        for (String text : List.of("", "80", ":80", "host:80", "127.0.0.1:", "127.0.0.1:99999")) {
+            assertTrue(SocketAddresses.parse(text).isEmpty(), text);
+        }
+    }
+
+    @Test
+    void anIpv6AddressNeedsBrackets() {
+        for (String text : List.of("::1:80", "[::1:80", "::1]:80")) {
+            assertTrue(SocketAddresses.parse(text).isEmpty(), text);
+        }
+        assertEquals("[::1]:80", SocketAddresses.format("::1", 80));
+    }
+}
