--- a/src/test/java/waytrestle/ArchitectureTest.java
+++ b/src/test/java/waytrestle/ArchitectureTest.java
@@ -191,4 +191,15 @@
                         "waytrestle.config..")
                 .check(ALL);
     }
+
+    @Test
+    void discoveryDoesNotDependOnTheConfiguration() {
+        noClasses()
+                .that()
+                .resideInAPackage("..discovery..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("..config..")
+                .check(ALL);
+    }
 }
