MalformedJsonException in a file of its own, still thrown as its nested subtype

The error of the JSON reader is caught in other packages and was nested in the class that is about to go. It gets a public type of its own; the nested class extends it until its last user has moved. No message changes.

--- a/src/main/java/waytrestle/json/JsonObjectReader.java
+++ b/src/main/java/waytrestle/json/JsonObjectReader.java
@@ -27,7 +27,7 @@
     private JsonObjectReader() {}
 
     /** Says in one line what was wrong with the input. */
-    public static final class Malformed extends RuntimeException {
+    public static final class Malformed extends MalformedJsonException {
         private static final long serialVersionUID = 1L;
 
         public Malformed(String message) {
