--- a/src/main/java/waytrestle/discovery/watch/WatchClient.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchClient.java
@@ -6,7 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
-import waytrestle.json.JsonObjectReader.Malformed;
+import waytrestle.json.MalformedJsonException;
 import waytrestle.net.Connection;
 import waytrestle.net.Loop;
 import waytrestle.net.TimerHeap;
@@ -124,7 +124,7 @@
                 if (!text.isBlank()) {
                     try {
                         on(new WatchState.LineReceived(reader.readLine(text)));
-                    } catch (Malformed e) {
+                    } catch (MalformedJsonException e) {
                         broke(e.getMessage());
                     }
                 }
--- a/src/test/java/waytrestle/discovery/watch/WatchEventFuzzTest.java
+++ b/src/test/java/waytrestle/discovery/watch/WatchEventFuzzTest.java
@@ -3,7 +3,7 @@
 import com.code_intelligence.jazzer.junit.FuzzTest;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import waytrestle.json.JsonObjectReader.Malformed;
+import waytrestle.json.MalformedJsonException;
 
 /**
  * Coverage-guided fuzzing of a notice board's lines: each is an event, a number or malformed, and
@@ -30,7 +30,7 @@
                                     }
                                 });
             }
-        } catch (Malformed expected) {
+        } catch (MalformedJsonException expected) {
             // told as such, and asked for again
         }
     }
