Typed JSON objects and readers in the bench adapter and the platform's configuration

JsonObjectReader handed out nested maps and lists that each caller looked up and cast, BenchCodec held the settings, the events and the commands at once, and the platform's configuration read its settings through the bench adapter. JsonObject now wraps the parsed members with typed look-ups, the settings have a reader of their own in waytrestle.settings, below both users, and the adapter is split into event reader, command writer, endpoint lists and timer tags, with its replies a record. Error texts and wire format are unchanged.

--- a/src/main/java/waytrestle/bench/BenchAdapter.java
+++ b/src/main/java/waytrestle/bench/BenchAdapter.java
@@ -12,133 +12,145 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import waytrestle.json.JsonObjectReader;
-import waytrestle.json.JsonObjectReader.Malformed;
+import waytrestle.json.JsonObject;
+import waytrestle.json.JsonStreams;
+import waytrestle.json.MalformedJsonException;
 import waytrestle.scheduler.FinishTimeScheduler;
-import waytrestle.scheduler.InvokerEndpoint;
-import waytrestle.scheduler.RequestScheduler;
 import waytrestle.scheduler.SchedulerCommand;
 import waytrestle.scheduler.SchedulerEvent;
 import waytrestle.scheduler.SchedulerSettings;
+import waytrestle.settings.SchedulerSettingsReader;
 
-/** Hosts many isolated controllers on the wire: a batch a line in, a reply a line out. */
+/**
+ * Hosts many isolated controllers for the bench: each line in is a batch of events with one time,
+ * each line out the commands of the controllers that gave any.
+ *
+ * <p>Not thread-safe: used by the thread that runs it.
+ */
 public final class BenchAdapter {
-    private record Instance(SchedulerSettings settings, RequestScheduler control) {}
+    /** Characters of the input read at a time; most batches fit into one read. */
+    private static final int READ_BUFFER_CHARS = 1 << 16;
 
-    private final Map<Long, Instance> instances = new HashMap<>();
-    private final Map<Integer, List<InvokerEndpoint>> lists = new HashMap<>();
+    private static final int EXIT_OK = 0;
+    private static final int EXIT_FAILURE = 1;
+    private static final int EXIT_USAGE = 2;
 
+    private final Map<Long, HostedController> controllers = new HashMap<>();
+    private final EndpointLists endpointLists = new EndpointLists();
+
+    /** Runs the adapter on the standard streams until the input ends, then exits the process. */
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("wirehost")) {
             System.err.println("usage: java -jar waytrestle.jar wirehost");
-            System.exit(2);
+            System.exit(EXIT_USAGE);
         }
         System.exit(new BenchAdapter().run(System.in, System.out, System.err));
     }
 
+    /** Replies to each batch until the input ends or is malformed; returns the exit status. */
     int run(InputStream in, OutputStream out, PrintStream err) {
-        try (BufferedReader lines =
-                        new BufferedReader(
-                                new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
-                JsonGenerator json = JsonObjectReader.FACTORY.createGenerator(out)) {
-            json.setRootValueSeparator(null);
+        try (BufferedReader lines = bufferedReader(in);
+                JsonGenerator json = JsonStreams.generator(out)) {
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
                 if (!line.isBlank()) {
-                    batch(JsonObjectReader.line(line), json);
-                    json.writeRaw('\n');
-                    json.flush();
+                    processBatch(JsonObject.parse(line, "a batch"), json);
                 }
             }
-            return 0;
-        } catch (Malformed e) {
+            return EXIT_OK;
+        } catch (MalformedJsonException e) {
             err.println("waytrestle: " + e.getMessage());
-            return 1;
+            return EXIT_FAILURE;
         } catch (IOException e) {
             err.println("waytrestle: cannot read or write: " + e.getMessage());
-            return 1;
+            return EXIT_FAILURE;
         }
     }
 
-    private void batch(Map<String, Object> batch, JsonGenerator json) throws IOException {
-        long now = JsonObjectReader.required(batch, "now_us");
-        if (!batch.containsKey("controllers")) {
-            throw new Malformed("controllers is missing");
+    private static BufferedReader bufferedReader(InputStream in) {
+        return new BufferedReader(
+                new InputStreamReader(in, StandardCharsets.UTF_8), READ_BUFFER_CHARS);
+    }
+
+    private void processBatch(JsonObject batch, JsonGenerator json) throws IOException {
+        long nowMicros = batch.requiredWholeNumber("now_us");
+        if (!batch.has("controllers")) {
+            throw new MalformedJsonException("controllers is missing");
         }
-        List<Object> controllers = JsonObjectReader.list(batch, "controllers");
-        List<Object[]> replies = new ArrayList<>();
-        for (Object each : controllers) {
-            Map<String, Object> entry = JsonObjectReader.map(each, "controllers");
-            long number = JsonObjectReader.required(entry, "i");
-            List<SchedulerCommand> actions = new ArrayList<>();
-            Throwable crash = inbox(now, number, JsonObjectReader.list(entry, "inbox"), actions);
-            replies.add(new Object[] {number, actions, crash});
+        // The whole batch is processed before any of its reply is written: a malformed batch
+        // leaves no half of a reply in the output.
+        List<ControllerReply> replies = new ArrayList<>();
+        for (JsonObject entry : batch.objects("controllers")) {
+            replies.add(processEntry(nowMicros, entry));
         }
-        json.writeStartObject();
-        json.writeArrayFieldStart("controllers");
-        for (Object[] reply : replies) {
-            @SuppressWarnings("unchecked")
-            List<SchedulerCommand> actions = (List<SchedulerCommand>) reply[1];
-            if (actions.isEmpty() && reply[2] == null) {
-                continue;
-            }
-            json.writeStartObject();
-            json.writeNumberField("i", (Long) reply[0]);
-            json.writeArrayFieldStart("orders");
-            for (SchedulerCommand action : actions) {
-                BenchCodec.write(json, action);
-            }
-            if (reply[2] != null) {
-                BenchCodec.writeCrash(json, (Throwable) reply[2]);
+        CommandWriter.writeReplies(json, replies);
+        json.writeRaw('\n');
+        json.flush();
+    }
+
+    /** Gives one controller its events, up to the first that its scheduler fails on. */
+    private ControllerReply processEntry(long nowMicros, JsonObject entry) {
+        long controllerId = entry.requiredWholeNumber("i");
+        List<SchedulerCommand> commands = new ArrayList<>();
+        for (JsonObject message : entry.objects("inbox")) {
+            RuntimeException failure = process(nowMicros, controllerId, message, commands);
+            if (failure != null) {
+                return new ControllerReply(controllerId, commands, failure);
             }
-            json.writeEndArray();
-            json.writeEndObject();
         }
-        json.writeEndArray();
-        json.writeEndObject();
+        return new ControllerReply(controllerId, commands, null);
     }
 
-    /** Feeds one controller its events; returns what a decision threw, to be reported. */
-    private Throwable inbox(
-            long now, long number, List<Object> inbox, List<SchedulerCommand> actions) {
-        for (Object each : inbox) {
-            Map<String, Object> e = JsonObjectReader.map(each, "inbox");
-            String what = JsonObjectReader.requiredText(e, "what");
-            switch (what) {
-                case "UP" -> {
-                    SchedulerSettings settings =
-                            BenchCodec.settings(JsonObjectReader.mapOrEmpty(e, "params"));
-                    instances.put(
-                            number,
-                            new Instance(
-                                    settings,
-                                    new FinishTimeScheduler(
-                                            settings, JsonObjectReader.whole(e, "seed"))));
-                }
-                case "DOWN" -> {
-                    instances.remove(number);
-                    actions.clear();
-                }
-                case "LEDGER" ->
-                        lists.put(
-                                (int) JsonObjectReader.required(e, "roster_id"),
-                                BenchCodec.invokers(JsonObjectReader.list(e, "entries")));
-                default -> {
-                    Instance instance = instances.get(number);
-                    if (instance == null) {
-                        throw new Malformed(
-                                what + " came for controller " + number + ", which is not up");
-                    }
-                    SchedulerEvent event = BenchCodec.event(what, e, lists, instance.settings());
-                    if (event != null) {
-                        try {
-                            instance.control().handle(now, event, actions::add);
-                        } catch (RuntimeException broken) {
-                            return broken;
-                        }
-                    }
+    /** Processes one message; returns what the scheduler threw, or null. */
+    private RuntimeException process(
+            long nowMicros,
+            long controllerId,
+            JsonObject message,
+            List<SchedulerCommand> commands) {
+        String type = message.requiredText("what");
+        switch (type) {
+            case "UP" -> controllers.put(controllerId, startController(message));
+            case "DOWN" -> {
+                controllers.remove(controllerId);
+                commands.clear();
+            }
+            case "LEDGER" -> endpointLists.store(message);
+            default -> {
+                HostedController controller = runningController(controllerId, type);
+                SchedulerEvent event =
+                        EventReader.read(type, message, endpointLists, controller.settings());
+                if (event != null) {
+                    return handle(controller, nowMicros, event, commands);
                 }
             }
         }
         return null;
     }
+
+    private static HostedController startController(JsonObject message) {
+        SchedulerSettings settings = SchedulerSettingsReader.read(message.object("params"));
+        long seed = message.wholeNumber("seed");
+        return new HostedController(settings, new FinishTimeScheduler(settings, seed));
+    }
+
+    private HostedController runningController(long controllerId, String type) {
+        HostedController controller = controllers.get(controllerId);
+        if (controller == null) {
+            throw new MalformedJsonException(
+                    type + " came for controller " + controllerId + ", which is not up");
+        }
+        return controller;
+    }
+
+    private static RuntimeException handle(
+            HostedController controller,
+            long nowMicros,
+            SchedulerEvent event,
+            List<SchedulerCommand> commands) {
+        try {
+            controller.scheduler().handle(nowMicros, event, commands::add);
+            return null;
+        } catch (RuntimeException failure) {
+            return failure;
+        }
+    }
 }
--- a/src/main/java/waytrestle/config/platform/PlatformConfig.java
+++ b/src/main/java/waytrestle/config/platform/PlatformConfig.java
@@ -8,17 +8,27 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import waytrestle.bench.BenchCodec;
 import waytrestle.discovery.watch.WatchEvent;
 import waytrestle.discovery.watch.WatchEventReader;
-import waytrestle.json.JsonObjectReader;
-import waytrestle.json.JsonObjectReader.Malformed;
+import waytrestle.json.JsonObject;
+import waytrestle.json.MalformedJsonException;
 import waytrestle.scheduler.SchedulerSettings;
+import waytrestle.settings.SchedulerSettingsReader;
 
 /**
- * What the platform tells a controller, the JSON file that {@code BALANCER_CONFIG} names. The
- * settings are read by the reader of the simulator's wire. Idle is how long invokers keep an idle
- * connection, 0 untold.
+ * The configuration of one controller: the JSON file that {@code BALANCER_CONFIG} names.
+ *
+ * @param listen where requests are accepted
+ * @param seed the seed of the scheduler's random choices, all 64 bits of it
+ * @param sockets how many sockets the controller may hold open
+ * @param peerListen where gossip is received, or null
+ * @param peers the addresses of the other controllers by their index
+ * @param peersAll an address that reaches all other controllers, or null
+ * @param board the address of the watch stream of service discovery
+ * @param lastNotice the revision of the last watch event that the file knows of
+ * @param known the watch events that the file already holds
+ * @param notices the reader for later watch events, with the same zones and kinds
+ * @param idleMicros how long invokers keep an idle connection, in microseconds; 0 if not declared
  */
 public record PlatformConfig(
         String name,
@@ -35,86 +45,97 @@
         SchedulerSettings settings,
         long idleMicros) {
 
-    /** A wrong file: its name, the field and what is wrong. */
+    private static final int SEED_RADIX = 16;
+
+    /** The file cannot be read or is malformed: names the file, the field and the fault. */
     public static final class Wrong extends Exception {
         private static final long serialVersionUID = 1L;
 
-        Wrong(Path file, String what) {
-            super(file + ": " + what);
+        Wrong(Path file, String fault) {
+            super(file + ": " + fault);
         }
     }
 
+    /**
+     * Reads a configuration file.
+     *
+     * @throws Wrong if the file cannot be read or is malformed
+     */
     public static PlatformConfig read(Path file) throws Wrong {
         try {
-            return from(JsonObjectReader.object(Files.readString(file), "the configuration"));
+            return from(JsonObject.parse(Files.readString(file), "the configuration"));
         } catch (IOException e) {
             throw new Wrong(file, "cannot be read: " + e.getMessage());
-        } catch (Malformed e) {
+        } catch (MalformedJsonException e) {
             throw new Wrong(file, e.getMessage());
         }
     }
 
-    private static PlatformConfig from(Map<String, Object> root) {
-        Map<String, Object> raw = JsonObjectReader.mapOrEmpty(root, "settings");
-        WatchEventReader reader = new WatchEventReader(texts(raw, "azs"), texts(raw, "shapes"));
-        SchedulerSettings settings = BenchCodec.settings(raw);
-        if (settings.classes().isEmpty()) {
-            throw new Malformed("settings.lanes is missing or empty");
-        }
-        Map<String, Object> known = JsonObjectReader.mapOrEmpty(root, "known");
-        List<WatchEvent> notices = new ArrayList<>();
-        for (Object each : JsonObjectReader.list(known, "notices")) {
-            notices.add(reader.readEvent(JsonObjectReader.map(each, "known.notices")));
-        }
-        Map<Integer, InetSocketAddress> peers = new LinkedHashMap<>();
-        for (String each : texts(root, "peers")) {
-            peers.put(peers.size(), WatchEventReader.address(each, "peers"));
-        }
-        peers.remove(settings.controllerIndex());
+    private static PlatformConfig from(JsonObject root) {
+        JsonObject rawSettings = root.object("settings");
+        WatchEventReader reader =
+                new WatchEventReader(rawSettings.texts("azs"), rawSettings.texts("shapes"));
+        SchedulerSettings settings = settings(rawSettings);
+        JsonObject known = root.object("known");
+        List<WatchEvent> knownEvents = knownEvents(known, reader);
+        Map<Integer, InetSocketAddress> peers = peers(root, settings.controllerIndex());
         return new PlatformConfig(
-                JsonObjectReader.text(root, "name"),
-                address(root, "listen", true),
+                root.text("name"),
+                address(root.requiredText("listen"), "listen"),
                 seed(root),
-                (int)
-                        JsonObjectReader.required(
-                                JsonObjectReader.mapOrEmpty(root, "limits"), "sockets"),
-                address(root, "peer_listen", false),
+                root.object("limits").requiredWholeInt("sockets"),
+                optionalAddress(root, "peer_listen"),
                 peers,
-                address(root, "peers_all", false),
-                address(root, "board", true),
-                JsonObjectReader.whole(known, "rev"),
-                notices,
+                optionalAddress(root, "peers_all"),
+                address(root.requiredText("board"), "board"),
+                known.wholeNumber("rev"),
+                knownEvents,
                 reader,
                 settings,
-                JsonObjectReader.whole(
-                        JsonObjectReader.mapOrEmpty(raw, "limits"), "idle_close_us"));
+                rawSettings.object("limits").wholeNumber("idle_close_us"));
+    }
+
+    private static SchedulerSettings settings(JsonObject rawSettings) {
+        SchedulerSettings settings = SchedulerSettingsReader.read(rawSettings);
+        if (settings.classes().isEmpty()) {
+            throw new MalformedJsonException("settings.lanes is missing or empty");
+        }
+        return settings;
     }
 
-    private static long seed(Map<String, Object> root) {
+    private static List<WatchEvent> knownEvents(JsonObject known, WatchEventReader reader) {
+        List<WatchEvent> events = new ArrayList<>();
+        for (JsonObject event : known.objects("notices", "known.notices")) {
+            events.add(reader.readEvent(event));
+        }
+        return events;
+    }
+
+    /** The addresses of all controllers by their index, but for the controller's own. */
+    private static Map<Integer, InetSocketAddress> peers(JsonObject root, int ownIndex) {
+        Map<Integer, InetSocketAddress> peers = new LinkedHashMap<>();
+        for (String address : root.texts("peers")) {
+            peers.put(peers.size(), address(address, "peers"));
+        }
+        peers.remove(ownIndex);
+        return peers;
+    }
+
+    private static long seed(JsonObject root) {
         try {
-            return Long.parseUnsignedLong(JsonObjectReader.requiredText(root, "seed"), 16);
+            return Long.parseUnsignedLong(root.requiredText("seed"), SEED_RADIX);
         } catch (NumberFormatException e) {
-            throw new Malformed("seed is not a number of up to 16 hex digits");
+            throw new MalformedJsonException("seed is not a number of up to 16 hex digits");
         }
     }
 
-    private static InetSocketAddress address(
-            Map<String, Object> root, String field, boolean needed) {
-        String text =
-                needed
-                        ? JsonObjectReader.requiredText(root, field)
-                        : JsonObjectReader.text(root, field);
-        return text.isEmpty() ? null : WatchEventReader.address(text, field);
+    private static InetSocketAddress address(String text, String field) {
+        return WatchEventReader.address(text, field);
     }
 
-    private static List<String> texts(Map<String, Object> in, String field) {
-        List<String> all = new ArrayList<>();
-        for (Object each : JsonObjectReader.list(in, field)) {
-            if (!(each instanceof String text)) {
-                throw new Malformed(field + " must hold texts");
-            }
-            all.add(text);
-        }
-        return all;
+    /** An address, or null if the field is absent or empty. */
+    private static InetSocketAddress optionalAddress(JsonObject root, String field) {
+        String text = root.text(field);
+        return text.isEmpty() ? null : address(text, field);
     }
 }
--- a/src/test/java/waytrestle/bench/BenchAdapterTest.java
+++ b/src/test/java/waytrestle/bench/BenchAdapterTest.java
@@ -9,16 +9,17 @@
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
 
+/** The adapter as the bench sees it: lines of batches in, lines of replies out. */
 class BenchAdapterTest {
-    private static final String UP =
+    private static final String START =
             "{\"what\":\"UP\",\"seed\":3,\"params\":{\"balancers\":1,\"me\":0,\"tick_us\":4000,"
                 + "\"strange\":[1,{\"x\":null}],\"lanes\":[{\"name\":\"c\",\"idempotency\":\"read_like\",\"aim_us\":800000,"
                 + "\"deadline_us\":5000000,\"value\":1}],\"domain\":{\"keep_alive_us\":9000000,\"not_loaded\":\"load\"},"
                 + "\"limits\":{\"max_attempts\":3}}}";
-    private static final String LIST =
+    private static final String ENDPOINT_LIST =
             "{\"what\":\"LEDGER\",\"roster_id\":0,\"entries\":[{\"invoker\":\"h:1\","
                 + "\"status\":1,\"share\":1}]},{\"what\":\"ENDPOINTS\",\"mode\":1,\"index\":1,\"roster_id\":0}";
-    private static final String CALL =
+    private static final String REQUEST =
             "{\"what\":\"INBOUND\",\"txn\":4000000000,\"service\":0,\"fn\":\"00000000000000aa\","
                     + "\"remaining_us\":3000000,\"lanes\":2}";
 
@@ -28,26 +29,26 @@
         return "{\"now_us\":1000000,\"controllers\":[{\"i\":0,\"inbox\":[" + inbox + "]}]}\n";
     }
 
-    private String run(String in, int exit) {
+    private String run(String input, int exitStatus) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        int code =
+        int status =
                 new BenchAdapter()
                         .run(
-                                new ByteArrayInputStream(in.getBytes(StandardCharsets.UTF_8)),
+                                new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)),
                                 out,
                                 new PrintStream(err, true));
-        assertEquals(exit, code);
+        assertEquals(exitStatus, status);
         return out.toString(StandardCharsets.UTF_8);
     }
 
     @Test
-    void emptyBatchGetsAnEmptyReply() {
+    void anEmptyBatchGetsAnEmptyReply() {
         assertEquals("{\"controllers\":[]}\n", run("{\"now_us\":1,\"controllers\":[]}\n", 0));
     }
 
     @Test
-    void aRequestIsSentToTheListedInvoker() {
-        String out = run(batch(UP + "," + LIST + "," + CALL), 0);
+    void aRequestIsForwardedToTheListedInvoker() {
+        String out = run(batch(START + "," + ENDPOINT_LIST + "," + REQUEST), 0);
         assertTrue(
                 out.contains(
                         "{\"what\":\"DISPATCH\",\"txn\":4000000000,\"invoker\":\"h:1\",\"abandon_at_us\":0}"),
@@ -55,38 +56,38 @@
     }
 
     @Test
-    void listNumbersAreResolvedInEventOrder() {
-        String again = LIST.replace("h:1", "h:2").replace("\"mode\":1", "\"mode\":0");
-        String out = run(batch(UP + "," + LIST + "," + again + "," + CALL), 0);
+    void endpointListsAreResolvedInTheOrderOfEvents() {
+        String secondList = ENDPOINT_LIST.replace("h:1", "h:2").replace("\"mode\":1", "\"mode\":0");
+        String out = run(batch(START + "," + ENDPOINT_LIST + "," + secondList + "," + REQUEST), 0);
         assertTrue(out.contains("\"invoker\":\"h:2\""), out);
     }
 
     @Test
-    void aRestartInOneBatchForgetsEverything() {
+    void aRestartWithinABatchDropsAllState() {
         String out =
                 run(
                         batch(
-                                UP
+                                START
                                         + ","
-                                        + LIST
+                                        + ENDPOINT_LIST
                                         + ","
-                                        + CALL
+                                        + REQUEST
                                         + ",{\"what\":\"DOWN\"},"
-                                        + UP
+                                        + START
                                         + ","
-                                        + LIST),
+                                        + ENDPOINT_LIST),
                         0);
         assertTrue(!out.contains("DISPATCH") && out.contains("SLEEP"), out);
     }
 
     @Test
-    void unknownEventsAndIdsAreIgnored() {
+    void unknownEventsAndRequestsAreIgnored() {
         String out =
                 run(
                         batch(
-                                UP
+                                START
                                         + ","
-                                        + LIST
+                                        + ENDPOINT_LIST
                                         + ",{\"what\":\"NOVELTY\"},{\"what\":\"CANCELLED_BY_CLIENT\",\"txn\":9},"
                                         + "{\"what\":\"REPORT_BACK\",\"txn\":9,\"try\":0,\"code\":1,\"invoker\":\"h:9\",\"settled\":true}"),
                         0);
@@ -94,22 +95,24 @@
     }
 
     @Test
-    void malformedInputGetsOnePlainLine() {
-        for (String bad :
+    void malformedInputIsReportedInOneLine() {
+        for (String malformed :
                 new String[] {
                     "nonsense\n",
                     "[]\n",
                     "{\"now_us\":1}\n",
                     "{\"controllers\":[]}\n",
                     batch("{\"what\":\"INBOUND\"}"),
-                    batch(UP + "," + CALL.replace("\"service\":0", "\"service\":7")),
-                    batch(UP + ",{\"what\":\"ENDPOINTS\",\"mode\":0,\"roster_id\":5}"),
+                    batch(START + "," + REQUEST.replace("\"service\":0", "\"service\":7")),
+                    batch(START + ",{\"what\":\"ENDPOINTS\",\"mode\":0,\"roster_id\":5}"),
                     batch("7")
                 }) {
             err.reset();
-            assertEquals("", run(bad, 1).replace("\n", ""), bad);
-            String said = err.toString(StandardCharsets.UTF_8);
-            assertTrue(said.startsWith("waytrestle: ") && said.trim().lines().count() == 1, said);
+            assertEquals("", run(malformed, 1).replace("\n", ""), malformed);
+            String message = err.toString(StandardCharsets.UTF_8);
+            assertTrue(
+                    message.startsWith("waytrestle: ") && message.trim().lines().count() == 1,
+                    message);
         }
     }
 }
