--- a/src/main/java/waytrestle/discovery/watch/WatchClient.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchClient.java
@@ -6,7 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
-import waytrestle.json.JsonObjectReader.Malformed;
+import waytrestle.json.MalformedJsonException;
 import waytrestle.net.Connection;
 import waytrestle.net.Loop;
 import waytrestle.net.SocketAddresses;
@@ -160,7 +160,7 @@
             WatchEvent event;
             try {
                 event = reader.readLine(text);
-            } catch (Malformed e) {
+            } catch (MalformedJsonException e) {
                 fail(e.getMessage());
                 return;
             }
--- a/src/test/java/waytrestle/discovery/watch/WatchEventFuzzTest.java
+++ b/src/test/java/waytrestle/discovery/watch/WatchEventFuzzTest.java
@@ -3,7 +3,7 @@
 import com.code_intelligence.jazzer.junit.FuzzTest;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import waytrestle.json.JsonObjectReader.Malformed;
+import waytrestle.json.MalformedJsonException;
 
 /**
  * Coverage-guided fuzzing of the watch server's lines: each is an event, a heartbeat or malformed,
@@ -20,7 +20,7 @@
             if (!event.isHeartbeat()) {
                 event.endpoints().forEach(WatchEventFuzzTest::requireComplete);
             }
-        } catch (Malformed expected) {
+        } catch (MalformedJsonException expected) {
             // Most inputs are malformed: the client drops the connection and reconnects.
         }
     }
