--- /dev/null
+++ b/src/main/java/waytrestle/front/platform/Readiness.java
@@ -0,0 +1,24 @@
+package waytrestle.front.platform;
+
+/** What the readiness check says, with its wording on the wire. */
+enum Readiness {
+    STARTING("starting", 503),
+    READY("ready", 200),
+    SHUTTING_DOWN("stopping", 503);
+
+    private final String wireText;
+    private final int status;
+
+    Readiness(String wireText, int status) {
+        this.wireText = wireText;
+        this.status = status;
+    }
+
+    String wireText() {
+        return wireText;
+    }
+
+    int status() {
+        return status;
+    }
+}
--- a/src/main/java/waytrestle/invoker/platform/PlatformResponseClassifier.java
+++ b/src/main/java/waytrestle/invoker/platform/PlatformResponseClassifier.java
@@ -8,43 +8,54 @@
 import waytrestle.scheduler.ResponseCode;
 
 /**
- * What each end proves by the platform's protocol, and nothing more: the module hears every end,
- * report and list as it came, just as on the simulator's wire, and decides alone.
+ * Classifies each result by what the platform's protocol proves, and nothing more: the scheduler
+ * gets every result, load report and endpoint list as it came, just as in the bench, and decides
+ * alone.
+ *
+ * <p>Stateless.
  */
 public final class PlatformResponseClassifier implements ResponseClassifier {
+    private static final int NOT_FOUND = 404;
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+
     @Override
-    public void handle(long nowMicros, ClassifierEvent event, ClassifierCommand.Sink out) {
-        if (event instanceof ClassifierEvent.RequestStarted e) {
-            out.add(
+    public void handle(long nowMicros, ClassifierEvent event, ClassifierCommand.Sink commands) {
+        if (event instanceof ClassifierEvent.RequestStarted started) {
+            commands.add(
                     new ClassifierCommand.AdmitRequest(
-                            e.requestId(), e.concurrencyPerInstance(), e.loadMicros()));
-        } else if (event instanceof ClassifierEvent.AttemptRequested e) {
-            out.add(new ClassifierCommand.ForwardAttempt(e.requestId(), e.attempt()));
-        } else if (event instanceof ClassifierEvent.AttemptCompleted e) {
-            ResponseCode code = codeOfPreload(e.result());
-            out.add(
+                            started.requestId(),
+                            started.concurrencyPerInstance(),
+                            started.loadMicros()));
+        } else if (event instanceof ClassifierEvent.AttemptRequested requested) {
+            commands.add(
+                    new ClassifierCommand.ForwardAttempt(
+                            requested.requestId(), requested.attempt()));
+        } else if (event instanceof ClassifierEvent.AttemptCompleted completed) {
+            commands.add(
                     new ClassifierCommand.CompleteAttempt(
-                            e.requestId(),
-                            e.attempt(),
-                            new Classification(code, code == ResponseCode.OK, false, false),
-                            e.loadReport()));
-        } else if (event instanceof ClassifierEvent.EndpointListReceived e) {
-            out.add(new ClassifierCommand.UpdateEndpoints(e.update()));
+                            completed.requestId(),
+                            completed.attempt(),
+                            classify(completed.result()),
+                            completed.loadReport()));
+        } else if (event instanceof ClassifierEvent.EndpointListReceived received) {
+            commands.add(new ClassifierCommand.UpdateEndpoints(received.update()));
         }
     }
 
+    private Classification classify(ExchangeResult result) {
+        ResponseCode code = codeOfPreload(result);
+        boolean endsRequest = code == ResponseCode.OK;
+        return new Classification(code, endsRequest, false, false);
+    }
+
+    /** The code of any result: attempts, preloads and health checks prove the same by it. */
     @Override
-    public ResponseCode codeOfPreload(ExchangeResult reply) {
-        return switch (reply.kind()) {
+    public ResponseCode codeOfPreload(ExchangeResult result) {
+        return switch (result.kind()) {
             case RESPONSE -> ResponseCode.OK;
-            case STATUS ->
-                    switch (reply.status()) {
-                        case 404 -> ResponseCode.NOT_LOADED;
-                        case 503 -> ResponseCode.FULL; // marked as not run
-                        case 504 -> ResponseCode.NOT_SENT; // marked as not run
-                        default -> ResponseCode.ERROR;
-                    };
-            case MALFORMED -> ResponseCode.ERROR; // something answered; it may have run
+            case STATUS -> codeOfStatus(result.status());
+            case MALFORMED -> ResponseCode.ERROR; // something was sent back: it may have run
             case NOT_CONNECTED -> ResponseCode.CONNECT_FAILED;
             case CONNECTION_LOST -> ResponseCode.RESET;
             case TIMEOUT -> ResponseCode.TIMEOUT;
@@ -54,6 +65,16 @@
         };
     }
 
+    /** Only rejections that are marked as not run come here with their status. */
+    private static ResponseCode codeOfStatus(int status) {
+        return switch (status) {
+            case NOT_FOUND -> ResponseCode.NOT_LOADED;
+            case SERVICE_UNAVAILABLE -> ResponseCode.FULL;
+            case GATEWAY_TIMEOUT -> ResponseCode.NOT_SENT;
+            default -> ResponseCode.ERROR;
+        };
+    }
+
     @Override
     public int retainedEntries() {
         return 0;
--- /dev/null
+++ b/src/main/java/waytrestle/platform/ControllerBootstrap.java
@@ -0,0 +1,181 @@
+package waytrestle.platform;
+
+import java.io.IOException;
+import java.util.function.LongSupplier;
+import waytrestle.access.AccessLog;
+import waytrestle.config.platform.PlatformConfig;
+import waytrestle.controller.Controller;
+import waytrestle.controller.ControllerDependencies;
+import waytrestle.controller.FailureThreshold;
+import waytrestle.discovery.watch.WatchClient;
+import waytrestle.discovery.watch.WatchState;
+import waytrestle.front.platform.PlatformFrontEnd;
+import waytrestle.gateway.GossipSocket;
+import waytrestle.http.Doorkeeper;
+import waytrestle.http.HttpLimits;
+import waytrestle.http.HttpServer;
+import waytrestle.invoker.platform.PlatformResponseClassifier;
+import waytrestle.net.Loop;
+import waytrestle.requests.AdmissionControl;
+import waytrestle.requests.IdempotencyStore;
+import waytrestle.requests.PendingRequests;
+import waytrestle.requests.RequestHandler.FunctionHints;
+import waytrestle.scheduler.FinishTimeScheduler;
+import waytrestle.scheduler.SchedulerSettings;
+
+/**
+ * Builds the parts of a controller, connects them and starts its event loop.
+ *
+ * <p>Not thread-safe: used once, by the thread that starts the controller. Everything it builds
+ * belongs to the event loop as soon as that has started.
+ */
+final class ControllerBootstrap {
+    /** Descriptors of the runtime, the listener, the watch connection and gossip. */
+    private static final int RESERVED_DESCRIPTORS = 48;
+
+    /** At least one connection of a client and one to an invoker. */
+    private static final int MIN_CONNECTIONS = 2;
+
+    /**
+     * Share of the other descriptors that client connections may take: the platform's clients hold
+     * a third, and the rest is headroom for their reconnects.
+     */
+    private static final double CLIENT_CONNECTION_SHARE = 0.55;
+
+    /** The platform's bodies have 16 KiB at most, and its clients close after 4 s. */
+    private static final HttpLimits HTTP_LIMITS =
+            new HttpLimits(
+                    1_024, 64, 8 * 1_024, 16 * 1_024, 2_000_000, 2_000_000, 10_000_000, 5_000_000);
+
+    /**
+     * Time from a connection to its first complete request. Guards against clients that hold a
+     * connection by sending a request without end.
+     */
+    private static final long FIRST_REQUEST_MICROS = 2_000_000;
+
+    /** Failed decisions within the window after which the scheduler counts as broken. */
+    private static final int MAX_SCHEDULER_FAILURES = 10;
+
+    private static final long SCHEDULER_FAILURE_WINDOW_MICROS = 1_000_000;
+
+    /**
+     * Part of the drain grace after which requests are served from the configuration's endpoints:
+     * with a watch server that does not answer, half of the grace is left to obey what it says
+     * late.
+     */
+    private static final int UNANSWERED_WATCH_GRACE_DIVISOR = 2;
+
+    /** The platform wants no deduplication beyond the end of a request. */
+    private static final IdempotencyStore.Bounds NO_IDEMPOTENCY =
+            new IdempotencyStore.Bounds(0, 0, 0);
+
+    private final PlatformConfig config;
+    private final SchedulerSettings settings;
+    private final LongSupplier wallMillis;
+    private final PlatformLog log;
+    private final Loop loop;
+    private final int maxClientConnections;
+    private final int maxInvokerConnections;
+
+    ControllerBootstrap(PlatformConfig config, LongSupplier wallMillis, PlatformLog log)
+            throws IOException {
+        this.config = config;
+        this.settings = config.settings();
+        this.wallMillis = wallMillis;
+        this.log = log;
+        this.loop = new Loop("controller-" + settings.controllerIndex(), log::handlerFailed);
+        int connections = Math.max(MIN_CONNECTIONS, config.sockets() - RESERVED_DESCRIPTORS);
+        this.maxClientConnections = (int) Math.max(1, CLIENT_CONNECTION_SHARE * connections);
+        this.maxInvokerConnections = connections - maxClientConnections;
+    }
+
+    /** Builds the controller and starts its event loop. */
+    PlatformController start() throws IOException {
+        InvokerAddresses addresses = new InvokerAddresses();
+        PlatformEnvironment environment = new PlatformEnvironment(log);
+        Controller controller = createController(addresses, environment);
+        PlatformFrontEnd frontEnd =
+                new PlatformFrontEnd(settings.classes(), settings.preloading(), controller);
+        ProcessStartTimes startTimes = new ProcessStartTimes(wallMillis);
+        EndpointUpdater endpoints = new EndpointUpdater(controller, addresses, startTimes);
+        StartupGate startup = new StartupGate(config.known(), endpoints, frontEnd);
+        WatchClient watchClient = createWatchClient(endpoints, startup);
+        GossipSocket gossip = openGossip(controller);
+        environment.attachGossip(gossip);
+        HttpServer server = openServer(frontEnd);
+        loop.execute(() -> startWatching(watchClient, startup));
+        PlatformComponents components =
+                new PlatformComponents(
+                        controller, frontEnd, server, watchClient, gossip, addresses, startTimes);
+        PlatformController started = new PlatformController(loop, components, log);
+        loop.start();
+        return started;
+    }
+
+    private Controller createController(
+            InvokerAddresses addresses, PlatformEnvironment environment) {
+        PlatformTransport transport =
+                new PlatformTransport(
+                        loop, settings, addresses, config.idleMicros(), maxInvokerConnections);
+        ControllerDependencies dependencies =
+                new ControllerDependencies(
+                        settings,
+                        new FinishTimeScheduler(settings, config.seed()),
+                        createPendingRequests(),
+                        new PlatformResponseClassifier(),
+                        AdmissionControl.ADMIT_ALL,
+                        function -> FunctionHints.NONE,
+                        new FailureThreshold(
+                                MAX_SCHEDULER_FAILURES, SCHEDULER_FAILURE_WINDOW_MICROS));
+        return new Controller(transport, dependencies, wallMillis, log, AccessLog.OFF, environment);
+    }
+
+    private PendingRequests createPendingRequests() {
+        return new PendingRequests(
+                settings.classes(),
+                settings.limits().maxInFlight(),
+                settings.tickMicros(),
+                new IdempotencyStore(NO_IDEMPOTENCY, 0),
+                AdmissionControl.ADMIT_ALL,
+                settings.limits().mayCancel());
+    }
+
+    private WatchClient createWatchClient(EndpointUpdater endpoints, StartupGate startup) {
+        WatchState state = new WatchState(config.lastNotice(), settings.rules().drainGraceMicros());
+        return new WatchClient(
+                loop,
+                config.board(),
+                config.notices(),
+                state,
+                endpoints::apply,
+                startup::open,
+                log::message);
+    }
+
+    private GossipSocket openGossip(Controller controller) throws IOException {
+        if (!settings.limits().mayGossip() || config.peerListen() == null) {
+            return null;
+        }
+        return GossipSocket.plain(
+                loop,
+                settings.controllerIndex(),
+                config.peerListen(),
+                config.peers(),
+                config.peersAll(),
+                controller::gossipReceived);
+    }
+
+    private HttpServer openServer(PlatformFrontEnd frontEnd) throws IOException {
+        Doorkeeper connectionLimit = Doorkeeper.upTo(maxClientConnections);
+        return new HttpServer(loop, config.listen(), HTTP_LIMITS, connectionLimit, frontEnd)
+                .freshWithin(FIRST_REQUEST_MICROS)
+                .yielding()
+                .oneAtATime();
+    }
+
+    private void startWatching(WatchClient watchClient, StartupGate startup) {
+        watchClient.start();
+        long maxWaitMicros = settings.rules().drainGraceMicros() / UNANSWERED_WATCH_GRACE_DIVISOR;
+        loop.after(maxWaitMicros, startup::open);
+    }
+}
--- a/src/main/java/waytrestle/platform/PlatformLog.java
+++ b/src/main/java/waytrestle/platform/PlatformLog.java
@@ -6,14 +6,23 @@
 import waytrestle.net.Loop;
 import waytrestle.scheduler.SchedulerEvent;
 
-/** Lines for the platform's log, so many a second at most: its disk is the controller's memory. */
+/**
+ * Writes the controller's log lines, at most so many a second.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
+ */
 final class PlatformLog implements ControllerListener {
-    private static final int A_SECOND =
-            20; // lines: enough for any one event, few enough for any flood
+    /**
+     * Enough for any one event, few enough for any flood. Guards against a flood of lines on a disk
+     * that is the controller's memory.
+     */
+    private static final int MAX_LINES_PER_SECOND = 20;
+
+    private static final long MICROS_PER_SECOND = 1_000_000;
 
     private final PrintStream out;
-    private long second;
-    private int lines;
+    private long currentSecond;
+    private int linesInSecond;
 
     PlatformLog(PrintStream out) {
         this.out = out;
@@ -21,24 +30,34 @@
 
     @Override
     public void decisionFailed(
-            SchedulerEvent event, Collection<SchedulerEvent> before, Throwable why) {
-        message("a decision failed at " + event + ": " + why);
-        trace(why);
+            SchedulerEvent event, Collection<SchedulerEvent> before, Throwable cause) {
+        message(
+                new LogLine("scheduler.decision_failed")
+                        .with("event", event)
+                        .with("error", cause)
+                        .toString());
+        stackTrace(cause);
+    }
+
+    /** Logs what a handler of the event loop has thrown. */
+    void handlerFailed(Throwable cause) {
+        message(new LogLine("handler.failed").with("error", cause).toString());
+        stackTrace(cause);
     }
 
-    void trace(Throwable why) {
-        for (StackTraceElement each : why.getStackTrace()) {
-            message("  at " + each);
+    private void stackTrace(Throwable cause) {
+        for (StackTraceElement frame : cause.getStackTrace()) {
+            message(new LogLine("stack.frame").with("at", frame).toString());
         }
     }
 
     @Override
-    public void message(String text) {
-        long now = Loop.now() / 1_000_000;
-        lines = now == second ? lines + 1 : 1;
-        second = now;
-        if (lines <= A_SECOND) {
-            out.println(text);
+    public void message(String line) {
+        long second = Loop.now() / MICROS_PER_SECOND;
+        linesInSecond = second == currentSecond ? linesInSecond + 1 : 1;
+        currentSecond = second;
+        if (linesInSecond <= MAX_LINES_PER_SECOND) {
+            out.println(line);
         }
     }
 }
--- a/src/main/java/waytrestle/platform/PlatformTransport.java
+++ b/src/main/java/waytrestle/platform/PlatformTransport.java
@@ -1,181 +1,102 @@
 package waytrestle.platform;
 
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import waytrestle.controller.AttemptResult;
 import waytrestle.controller.InvokerClient;
-import waytrestle.controller.InvokerClient.AttemptListener;
-import waytrestle.controller.InvokerClient.OperationListener;
 import waytrestle.gateway.EventLoopTransport;
-import waytrestle.gateway.HttpInvokerClient;
 import waytrestle.http.Held;
 import waytrestle.http.HttpClient;
 import waytrestle.http.HttpLimits;
 import waytrestle.http.Slots;
-import waytrestle.invoker.LoadMetrics;
 import waytrestle.invoker.platform.PlatformInvokerProtocol;
 import waytrestle.net.Loop;
-import waytrestle.requests.RequestHandler.IncomingRequest;
-import waytrestle.responses.ExchangeResult;
-import waytrestle.responses.ExchangeResult.Kind;
-import waytrestle.scheduler.LoadReportSource;
 import waytrestle.scheduler.SchedulerSettings;
-import waytrestle.scheduler.SchedulerSettings.RequestClass;
 
 /**
- * The platform's invokers over sockets, on the controller's loop; all connections to them share one
- * bound.
+ * Connects to the platform's invokers over sockets; all connections share one limit.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 final class PlatformTransport extends EventLoopTransport {
-    private static final int ANSWER =
-            1 << 20; // bytes of one answer: far over what a call may bring
-    private static final HttpLimits LIMITS =
+    /** One response: far more than the platform's requests are answered with. */
+    private static final int MAX_RESPONSE_BYTES = 1 << 20;
+
+    private static final HttpLimits RESPONSE_LIMITS =
             new HttpLimits(
                     HttpLimits.DEFAULT.startLineBytes(),
                     HttpLimits.DEFAULT.headerCount(),
                     HttpLimits.DEFAULT.headerBytes(),
-                    ANSWER,
+                    MAX_RESPONSE_BYTES,
                     0,
                     0,
                     0,
                     0);
-    private static final long ANSWERS =
-            8 << 20; // bytes of all that are being read: a fraction of the memory
-    private static final long STALL =
-            250_000; // micros without a byte within an answer: these are small, and sent
-    // at once when their call has run
-    private static final long REST =
-            20_000; // micros from an answer to the next request on its connection: a
-    // second answer comes milliseconds late, and no answer names its call
-    private static final double KEEP =
-            0.8; // of the time after which invokers close idle connections
-    private static final long KEEP_UNTOLD =
-            4_000_000; // micros, where that is not told: below the usual five seconds
 
-    private final SchedulerSettings settings;
-    private final Slots slots;
-    private final Held held = new Held(ANSWERS);
-    private final long idleMicros;
-    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+    /** All responses that are being read: a fraction of the memory. */
+    private static final long MAX_BUFFERED_RESPONSE_BYTES = 8 << 20;
 
-    PlatformTransport(Loop loop, SchedulerSettings settings, long idleMicros, int connections) {
-        super(loop);
-        this.settings = settings;
-        this.slots = new Slots(connections);
-        this.idleMicros = idleMicros > 0 ? (long) (KEEP * idleMicros) : KEEP_UNTOLD;
-    }
+    /**
+     * Time without a byte within a response: responses are small and sent at once. Guards against
+     * an invoker that stops within a response and holds its request until the deadline.
+     */
+    private static final long RESPONSE_STALL_MICROS = 250_000;
 
     /**
-     * Where an invoker is, told before the controller hears of it; whether it was elsewhere before.
+     * Time from a response to the next request on its connection. Guards against a duplicate
+     * response, which comes milliseconds late: it names no request and would be taken for the
+     * answer to the next one.
      */
-    boolean at(String invoker, InetSocketAddress address) {
-        InetSocketAddress before = addresses.put(invoker, address);
-        return before != null && !before.equals(address);
-    }
+    private static final long CONNECTION_REST_MICROS = 20_000;
 
-    void gone(String invoker) {
-        addresses.remove(invoker);
-    }
+    /** Part of the time after which invokers close idle connections: they must not close first. */
+    private static final double IDLE_TIMEOUT_SHARE = 0.8;
 
-    int known() {
-        return addresses.size();
-    }
+    /** Idle time where the settings give none: below the usual five seconds of invokers. */
+    private static final long DEFAULT_IDLE_MICROS = 4_000_000;
 
-    /** Forgets where all others are. */
-    void only(Set<String> invokers) {
-        addresses.keySet().retainAll(invokers);
+    private final SchedulerSettings settings;
+    private final InvokerAddresses addresses;
+    private final Slots connectionLimit;
+    private final Held responseBuffer = new Held(MAX_BUFFERED_RESPONSE_BYTES);
+    private final long idleMicros;
+
+    /** Invokers close idle connections after the given time, 0 where that is not reported. */
+    PlatformTransport(
+            Loop loop,
+            SchedulerSettings settings,
+            InvokerAddresses addresses,
+            long invokerIdleMicros,
+            int maxConnections) {
+        super(loop);
+        this.settings = settings;
+        this.addresses = addresses;
+        this.connectionLimit = new Slots(maxConnections);
+        this.idleMicros =
+                invokerIdleMicros > 0
+                        ? (long) (IDLE_TIMEOUT_SHARE * invokerIdleMicros)
+                        : DEFAULT_IDLE_MICROS;
     }
 
     @Override
-    public InvokerClient connect(String invoker, Runnable lost) {
-        return new Link(addresses.get(invoker));
+    public InvokerClient connect(String invoker, Runnable connectionsLost) {
+        InetSocketAddress address = addresses.get(invoker);
+        PlatformInvokerProtocol protocol =
+                new PlatformInvokerProtocol(
+                        address.getAddress().getHostAddress() + ":" + address.getPort(),
+                        settings.preloading().reportsConcurrency());
+        return new PlatformInvokerClient(openHttpClient(address), protocol, settings);
     }
 
-    private final class Link extends HttpInvokerClient {
-        private final PlatformInvokerProtocol protocol;
-
-        private Link(InetSocketAddress at) {
-            super(
-                    new HttpClient(
-                                    loop,
-                                    at,
-                                    LIMITS,
-                                    Integer.MAX_VALUE,
-                                    settings.limits().connectTimeoutMicros(),
-                                    idleMicros,
-                                    held)
-                            .within(slots)
-                            .stalledAfter(STALL)
-                            .restingFor(REST));
-            protocol =
-                    new PlatformInvokerProtocol(
-                            at.getAddress().getHostAddress() + ":" + at.getPort(),
-                            settings.preloading().reportsConcurrency());
-        }
-
-        @Override
-        public Runnable sendAttempt(
-                IncomingRequest in, String id, int attempt, long within, AttemptListener ended) {
-            List<RequestClass> classes = settings.classes();
-            HttpClient.Call exchange =
-                    exchange(
-                            within,
-                            ended::withdrawal,
-                            m -> {
-                                ExchangeResult reply = PlatformInvokerProtocol.reply(m);
-                                ended.completed(
-                                        new AttemptResult(
-                                                reply,
-                                                reply.kind() == Kind.RESPONSE
-                                                        ? PlatformInvokerProtocol.served(m)
-                                                        : null,
-                                                "",
-                                                m.content(),
-                                                protocol.told(m)));
-                            },
-                            how -> ended.completed(AttemptResult.of(how)),
-                            protocol.fetch(
-                                    classes.get(in.requestClass()).name(),
-                                    id,
-                                    in.function(),
-                                    within,
-                                    in.payload()));
-            return exchange::cancel;
-        }
-
-        private void ask(long within, ByteBuffer request, OperationListener told) {
-            exchange(
-                    within,
-                    told::withdrawal,
-                    m ->
-                            told.completed(
-                                    PlatformInvokerProtocol.reply(m),
-                                    PlatformInvokerProtocol.units(m),
-                                    protocol.told(m)),
-                    how -> told.completed(ExchangeResult.of(how), 0, LoadMetrics.NONE),
-                    request);
-        }
-
-        @Override
-        public void preload(String function, int copies, long within, OperationListener told) {
-            ask(within, protocol.hold(function, copies), told);
-        }
-
-        @Override
-        public void unload(String function, long within) {
-            ask(within, protocol.unload(function), (reply, copies, told) -> {});
-        }
-
-        @Override
-        public void checkHealth(long within, OperationListener told) {
-            ask(
-                    within,
-                    protocol.probe(settings.loadReports() == LoadReportSource.HEALTH_CHECKS),
-                    told);
-        }
+    private HttpClient openHttpClient(InetSocketAddress address) {
+        return new HttpClient(
+                        loop,
+                        address,
+                        RESPONSE_LIMITS,
+                        Integer.MAX_VALUE,
+                        settings.limits().connectTimeoutMicros(),
+                        idleMicros,
+                        responseBuffer)
+                .within(connectionLimit)
+                .stalledAfter(RESPONSE_STALL_MICROS)
+                .restingFor(CONNECTION_REST_MICROS);
     }
 }
--- /dev/null
+++ b/src/test/java/waytrestle/invoker/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the protocol of the platform's invokers. */
+package waytrestle.invoker.platform;
--- a/src/test/java/waytrestle/platform/ConcurrentEventsTest.java
+++ b/src/test/java/waytrestle/platform/ConcurrentEventsTest.java
@@ -4,11 +4,18 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static waytrestle.platform.PlatformFixture.awaitCondition;
+import static waytrestle.platform.PlatformFixture.correlationId;
+import static waytrestle.platform.PlatformFixture.endpointJson;
+import static waytrestle.platform.PlatformFixture.readResponse;
+import static waytrestle.platform.PlatformFixture.request;
+import static waytrestle.platform.PlatformFixture.status;
+import static waytrestle.platform.PlatformFixture.unchecked;
+import static waytrestle.platform.PlatformFixture.watchEventJson;
+import static waytrestle.platform.PlatformFixture.write;
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
@@ -16,387 +23,359 @@
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import waytrestle.http.HttpLimits;
 import waytrestle.http.HttpServer;
 
 /**
- * Two events that meet, forced by order: what must hold is in docs/platform.md, a row for each of
- * these.
+ * Two events that happen at the same time, forced into one order: what must hold is in
+ * docs/platform.md, a row for each of these.
  */
 class ConcurrentEventsTest {
-    private PlatformFixture bed;
+    /** A drain grace so long that nothing times out before a test is over. */
+    private static final UnaryOperator<String> LONG_DRAIN_GRACE =
+            text -> text.replace("\"drain_grace_us\":1000000", "\"drain_grace_us\":60000000");
 
-    @BeforeEach
-    void make() throws Exception {
-        bed = new PlatformFixture();
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        bed.close();
-    }
+    /** A connect timeout so long that delayed connections are still awaited. */
+    private static final UnaryOperator<String> LONG_CONNECT_TIMEOUT =
+            text -> text.replace("\"connect_timeout_us\":250000", "\"connect_timeout_us\":9000000");
 
-    private static String id(int n) {
-        return "%016x".formatted(0x9b1f03aa5c7e0000L + n);
-    }
+    private static final UnaryOperator<String> CANCELLATION_FORBIDDEN =
+            text -> text.replace("\"cancel\":true", "\"cancel\":false");
 
-    private static int status(String answer) {
-        return Integer.parseInt(answer.split(" ")[1]);
-    }
+    private static final String LOAD_THAT_OUTLASTS_THE_DEADLINE = "X-Extras: load_ms:9000\r\n";
 
-    private static void write(Socket s, String text) throws IOException {
-        s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-    }
+    private PlatformFixture fixture;
 
-    /** The node has seen all that was sent to it before: it answers what came after that. */
-    private void passed() throws Exception {
-        for (int i = 0; i < 2; i++) {
-            assertTrue(bed.ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n").startsWith("HTTP/1.1 "));
-        }
-    }
-
-    /** All that came before the other side ended the connection, in whatever way. */
-    private static String all(Socket s) throws IOException {
-        StringBuilder all = new StringBuilder();
-        try {
-            for (int c = s.getInputStream().read(); c >= 0; c = s.getInputStream().read()) {
-                all.append((char) c);
-            }
-        } catch (SocketException reset) {
-            // what came before it counts
-        }
-        return all.toString();
+    @BeforeEach
+    void createFixture() throws Exception {
+        fixture = new PlatformFixture();
     }
 
-    private void awaitClosedDoor() throws Exception {
-        PlatformFixture.until(
-                () -> {
-                    try (Socket s = bed.socket()) {
-                        return false;
-                    } catch (Exception closed) {
-                        return true;
-                    }
-                },
-                "it went on listening");
+    @AfterEach
+    void stopController() throws Exception {
+        fixture.close();
     }
 
     // ---- Shutdown. ----
     @Test
-    void afterTermAnAnswerTellsItsClientToComeOnAnotherConnectionAndThatOneIsTaken()
-            throws Exception {
-        bed.start();
-        try (Socket s = bed.socket()) {
-            write(s, PlatformFixture.call("read", id(1), "", "x"));
-            assertFalse(PlatformFixture.answer(s).contains("Connection: close"));
-            bed.node.stop();
-            PlatformFixture.until(
-                    () -> {
-                        try {
-                            return status(bed.ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n"))
-                                    == 503;
-                        } catch (Exception e) {
-                            throw new AssertionError(e);
-                        }
-                    },
-                    "TERM was not seen");
-            write(s, PlatformFixture.call("read", id(2), "", "x"));
-            String last = PlatformFixture.answer(s);
+    void afterTermAResponseClosesItsConnectionAndNewConnectionsAreStillAccepted() throws Exception {
+        fixture.start();
+        try (Socket connection = fixture.connect()) {
+            write(connection, request("read", correlationId(1), "", "x"));
+            assertFalse(readResponse(connection).contains("Connection: close"));
+            fixture.controller().stop();
+            awaitCondition(
+                    unchecked(() -> fixture.readinessStatus() == 503), "TERM was not handled");
+            write(connection, request("read", correlationId(2), "", "x"));
+            String last = readResponse(connection);
             assertEquals(200, status(last));
             assertTrue(last.contains("Connection: close\r\n"), last);
-            assertEquals(-1, s.getInputStream().read(), "and it closes");
-            assertEquals(200, status(bed.ask(PlatformFixture.call("read", id(3), "", "x"))));
+            assertEquals(-1, connection.getInputStream().read(), "and it closes");
+            assertEquals(200, status(fixture.send(request("read", correlationId(3), "", "x"))));
         }
     }
 
     @Test
-    void aRequestOfWhichOnlyPiecesCameBeforeTheEndIsAwaitedAndAnswered() throws Exception {
-        bed.start();
-        String call = PlatformFixture.call("book", id(1), "", "body");
-        try (Socket s = bed.socket()) {
-            write(s, call.substring(0, 60));
-            passed();
-            bed.node.stop();
-            awaitClosedDoor();
-            Thread.sleep(300); // far beyond what a process without open calls used to stay
-            write(s, call.substring(60));
-            assertEquals(200, status(PlatformFixture.answer(s)));
+    void aPartialRequestReceivedBeforeShutdownIsAwaitedAndAnswered() throws Exception {
+        fixture.start();
+        String message = request("book", correlationId(1), "", "body");
+        try (Socket connection = fixture.connect()) {
+            write(connection, message.substring(0, 60));
+            awaitEarlierMessagesHandled();
+            fixture.controller().stop();
+            awaitListenerClosed();
+            Thread.sleep(300); // far longer than a process without requests in flight would stay
+            write(connection, message.substring(60));
+            assertEquals(200, status(readResponse(connection)));
         }
-        assertEquals(0, bed.node.join(10_000));
+        assertEquals(0, fixture.controller().join(10_000));
     }
 
-    // ---- A client that left. ----
+    // ---- A client that disconnected. ----
     @Test
-    void nothingBeginsForAClientThatLeftWhileTheConnectionToTheInvokerWasComingUp()
-            throws Exception {
-        try (DelayedAcceptServer door = new DelayedAcceptServer()) {
-            bed.edit =
-                    s ->
-                            s.replace("127.0.0.1:" + bed.invoker.port(), "127.0.0.1:" + door.port())
-                                    .replace("\"cancel\":true", "\"cancel\":false")
-                                    .replace(
-                                            "\"connect_timeout_us\":250000",
-                                            "\"connect_timeout_us\":9000000");
-            bed.start();
-            try (Socket s = bed.socket()) {
-                write(s, PlatformFixture.call("book", id(1), "", "x"));
-                passed();
+    void nothingIsSentForAClientThatDisconnectedWhileConnectingToTheInvoker() throws Exception {
+        try (DelayedAcceptServer delayed = new DelayedAcceptServer()) {
+            fixture.setConfigurationEdit(
+                    text ->
+                            invokerAt(delayed, text)
+                                    .transform(CANCELLATION_FORBIDDEN)
+                                    .transform(LONG_CONNECT_TIMEOUT));
+            fixture.start();
+            try (Socket client = fixture.connect()) {
+                write(client, request("book", correlationId(1), "", "x"));
+                awaitEarlierMessagesHandled();
             }
-            passed();
-            try (Socket late = door.open()) {
-                assertNotNull(late, "the connection was still coming up");
-                assertEquals("", all(late), "its client had gone");
+            awaitEarlierMessagesHandled();
+            try (Socket connection = delayed.acceptDelayed()) {
+                assertNotNull(connection, "the connection was still being established");
+                assertEquals("", readUntilClosed(connection), "its client had disconnected");
             }
         }
     }
 
-    // ---- Hand-overs. ----
+    // ---- Endpoint updates. ----
     @Test
-    void nothingBeginsAtAnInvokerThatWasToldToEndWhileTheConnectionWasComingUp() throws Exception {
-        try (DelayedAcceptServer door = new DelayedAcceptServer()) {
-            bed.edit =
-                    s ->
-                            s.replace("127.0.0.1:" + bed.invoker.port(), "127.0.0.1:" + door.port())
-                                    .replace(
-                                            "\"connect_timeout_us\":250000",
-                                            "\"connect_timeout_us\":9000000");
-            bed.start();
-            try (Socket s = bed.socket()) {
-                write(s, PlatformFixture.call("book", id(1), "", "x"));
-                passed();
-                bed.board.say(
-                        PlatformFixture.event(
+    void nothingIsSentToAnInvokerThatWasDeclaredDrainingWhileConnecting() throws Exception {
+        try (DelayedAcceptServer delayed = new DelayedAcceptServer()) {
+            fixture.setConfigurationEdit(
+                    text -> invokerAt(delayed, text).transform(LONG_CONNECT_TIMEOUT));
+            fixture.start();
+            try (Socket client = fixture.connect()) {
+                write(client, request("book", correlationId(1), "", "x"));
+                awaitEarlierMessagesHandled();
+                fixture.watchServer.send(
+                        watchEventJson(
                                 2,
                                 false,
-                                PlatformFixture.host("s-1", "Terminating", door.port()),
-                                bed.host("s-2", "Ready")));
-                try (Socket late = door.open()) {
-                    assertNotNull(late, "the connection was still coming up");
+                                endpointJson("s-1", "Terminating", delayed.port()),
+                                fixture.endpointJson("s-2", "Ready")));
+                try (Socket connection = delayed.acceptDelayed()) {
+                    assertNotNull(connection, "the connection was still being established");
                     assertEquals(
-                            "", all(late), "the invoker was told to end before anything was sent");
+                            "",
+                            readUntilClosed(connection),
+                            "the invoker was declared draining before anything was sent");
                 }
-                assertEquals(200, status(PlatformFixture.answer(s)), "another one serves it");
-                assertEquals(1, bed.asked.size());
+                assertEquals(200, status(readResponse(client)), "another invoker serves it");
+                assertEquals(1, fixture.invoker.requests().size());
             }
         }
     }
 
     @Test
-    void noLoadIsOrderedAtAnInvokerThatWasToldToEndWhileTheConnectionWasComingUp()
-            throws Exception {
-        try (DelayedAcceptServer door = new DelayedAcceptServer()) {
-            bed.edit =
-                    s ->
-                            s.replace("127.0.0.1:" + bed.invoker.port(), "127.0.0.1:" + door.port())
-                                    .replace(
-                                            "\"connect_timeout_us\":250000",
-                                            "\"connect_timeout_us\":9000000");
-            bed.script =
-                    e -> {
-                        if (e.message().method().equals("PUT")) {
-                            e.answer(200, "", new byte[0], "X-Units", "1");
-                        } else {
-                            e.answer(404, "", new byte[0]);
-                        }
-                    };
-            bed.start();
-            bed.board.say(
-                    PlatformFixture.event(
+    void noPreloadIsSentToAnInvokerThatWasDeclaredDrainingWhileConnecting() throws Exception {
+        try (DelayedAcceptServer delayed = new DelayedAcceptServer()) {
+            fixture.setConfigurationEdit(
+                    text -> invokerAt(delayed, text).transform(LONG_CONNECT_TIMEOUT));
+            fixture.invoker.setScript(ConcurrentEventsTest::loadInstancesButRunNothing);
+            fixture.start();
+            fixture.watchServer.send(
+                    watchEventJson(
                             2,
                             false,
-                            bed.host("s-2", "Ready"),
-                            PlatformFixture.host("s-1", "Terminating", door.port())));
-            for (int i = 0; i < 4; i++) { // misses at s-2 teach that guesses find no copy
-                bed.ask(PlatformFixture.call("book", id(i), "X-Extras: load_ms:9000\r\n", "x"));
+                            fixture.endpointJson("s-2", "Ready"),
+                            endpointJson("s-1", "Terminating", delayed.port())));
+            for (int i = 0; i < 4; i++) { // teaches that guesses find no loaded instance
+                fixture.send(
+                        request("book", correlationId(i), LOAD_THAT_OUTLASTS_THE_DEADLINE, "x"));
             }
-            bed.board.say(
-                    PlatformFixture.event(
+            fixture.watchServer.send(
+                    watchEventJson(
                             3,
                             false,
-                            bed.host("s-2", "Terminating"),
-                            PlatformFixture.host("s-1", "Ready", door.port())));
-            passed();
-            int refused =
-                    status(
-                            bed.ask(
-                                    PlatformFixture.call(
-                                                    "book",
-                                                    id(9),
-                                                    "X-Extras: load_ms:9000\r\n",
-                                                    "x")
-                                            .replace("7f3a9c21e0b4d655", "00000000000000aa")));
-            assertEquals(503, refused, "its load is ordered at the only invoker, and outlasts it");
-            bed.board.say(
-                    PlatformFixture.event(
-                            4, false, PlatformFixture.host("s-1", "Terminating", door.port())));
-            passed();
-            try (Socket late = door.open()) {
-                assertNotNull(late, "the connection was still coming up");
-                assertEquals("", all(late), "it was told to end before the order was sent");
+                            fixture.endpointJson("s-2", "Terminating"),
+                            endpointJson("s-1", "Ready", delayed.port())));
+            awaitEarlierMessagesHandled();
+            String message =
+                    request("book", correlationId(9), LOAD_THAT_OUTLASTS_THE_DEADLINE, "x")
+                            .replace(PlatformFixture.FUNCTION, "00000000000000aa");
+            assertEquals(
+                    503,
+                    status(fixture.send(message)),
+                    "its function is preloaded at the only invoker, which outlasts the deadline");
+            fixture.watchServer.send(
+                    watchEventJson(4, false, endpointJson("s-1", "Terminating", delayed.port())));
+            awaitEarlierMessagesHandled();
+            try (Socket connection = delayed.acceptDelayed()) {
+                assertNotNull(connection, "the connection was still being established");
+                assertEquals(
+                        "",
+                        readUntilClosed(connection),
+                        "it was declared draining before the preload was sent");
             }
         }
     }
 
     @Test
-    void aKnownInvokerAtANewAddressIsAskedThere() throws Exception {
-        bed.start();
-        assertEquals(200, status(bed.ask(PlatformFixture.call("read", id(1), "", "x"))));
-        AtomicInteger elsewhere = new AtomicInteger();
+    void aKnownInvokerAtANewAddressIsSentRequestsThere() throws Exception {
+        fixture.start();
+        assertEquals(200, status(fixture.send(request("read", correlationId(1), "", "x"))));
+        AtomicInteger received = new AtomicInteger();
         HttpServer moved =
-                new HttpServer(
-                        bed.loop,
-                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                        HttpLimits.DEFAULT,
+                fixture.invoker.openServer(
                         100,
-                        e -> {
-                            elsewhere.incrementAndGet();
-                            e.answer(200, "", "there".getBytes());
+                        exchange -> {
+                            received.incrementAndGet();
+                            ScriptedInvoker.respond(exchange, 200, "there");
                         });
-        bed.board.say(
-                PlatformFixture.event(
-                        2, false, PlatformFixture.host("s-1", "Ready", moved.port())));
-        bed.board.say(
-                PlatformFixture.event(3, false, PlatformFixture.host("s-9", "Gone", moved.port())));
-        PlatformFixture.until(
-                () -> {
-                    try {
-                        return bed.ask(
-                                        PlatformFixture.call(
-                                                "read",
-                                                id((int) System.nanoTime() & 0xffff),
-                                                "",
-                                                "x"))
-                                .endsWith("there");
-                    } catch (Exception e) {
-                        throw new AssertionError(e);
-                    }
-                },
-                "it was asked at the address it had left");
-        int before = bed.asked.size();
-        assertTrue(bed.ask(PlatformFixture.call("book", id(2), "", "x")).endsWith("there"));
-        assertEquals(before, bed.asked.size());
-        assertTrue(elsewhere.get() >= 2);
-    }
-
-    // ---- List watch. ----
-    private static final String LONG_GRACE =
-            "\"drain_grace_us\":60000000"; // no time-out before the test is over
-
-    private HttpServer elsewhere() throws Exception {
-        return new HttpServer(
-                bed.loop,
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                HttpLimits.DEFAULT,
-                100,
-                e -> e.answer(200, "", "elsewhere".getBytes()));
-    }
-
-    /**
-     * What the board tells while the process starts: the one that was ready drains, another has
-     * come.
-     */
-    private String drains(HttpServer other) {
-        return PlatformFixture.event(
-                2,
-                false,
-                bed.host("s-1", "Terminating"),
-                PlatformFixture.host("s-2", "Ready", other.port()));
+        fixture.watchServer.send(
+                watchEventJson(2, false, endpointJson("s-1", "Ready", moved.port())));
+        fixture.watchServer.send(
+                watchEventJson(3, false, endpointJson("s-9", "Gone", moved.port())));
+        awaitCondition(
+                unchecked(() -> fixture.send(requestOfAnyId()).endsWith("there")),
+                "requests still go to the old address");
+        int before = fixture.invoker.requests().size();
+        String response = fixture.send(request("book", correlationId(2), "", "x"));
+        assertTrue(response.endsWith("there"), response);
+        assertEquals(before, fixture.invoker.requests().size());
+        assertTrue(received.get() >= 2);
     }
 
+    // ---- The watch at the start. ----
     @Test
-    void aRestartWhileAnInvokerIsToldToEndSendsNothingThereBeforeTheBoardHasAnswered()
+    void afterARestartNothingIsSentToADrainingInvokerBeforeTheWatchServerHasAnswered()
             throws Exception {
-        bed.edit = s -> s.replace("\"drain_grace_us\":1000000", LONG_GRACE);
-        bed.board.answers = false;
-        bed.startUnready();
-        try (Socket s = bed.socket()) {
-            write(s, PlatformFixture.call("book", id(1), "", "x"));
-            passed();
+        fixture.setConfigurationEdit(LONG_DRAIN_GRACE);
+        fixture.watchServer.leaveRequestsUnanswered();
+        fixture.startUnready();
+        try (Socket client = fixture.connect()) {
+            write(client, request("book", correlationId(1), "", "x"));
+            awaitEarlierMessagesHandled();
+            assertEquals(503, fixture.readinessStatus(), "not ready yet");
+            Thread.sleep(150); // several ticks of queued requests
             assertEquals(
-                    503,
-                    status(bed.ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n")),
-                    "not ready yet");
-            Thread.sleep(150); // several looks at calls that wait
-            assertEquals(0, bed.asked.size(), "nothing is sent by a list that may be old");
-            bed.board.say(drains(elsewhere()));
-            assertTrue(PlatformFixture.answer(s).endsWith("elsewhere"));
+                    0,
+                    fixture.invoker.requests().size(),
+                    "nothing is sent by an endpoint list that may be stale");
+            fixture.watchServer.send(drainingEvent(openOtherInvoker()));
+            assertTrue(readResponse(client).endsWith("elsewhere"));
         }
-        assertEquals(200, status(bed.ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n")));
-        assertEquals(0, bed.asked.size());
+        assertEquals(200, fixture.readinessStatus());
+        assertEquals(0, fixture.invoker.requests().size());
     }
 
     @Test
-    void aBoardWhoseConnectionComesUpLateIsAwaited() throws Exception {
-        try (DelayedAcceptServer late = new DelayedAcceptServer()) {
-            bed.edit =
-                    s ->
-                            s.replace("\"drain_grace_us\":1000000", LONG_GRACE)
-                                    .replaceFirst(
-                                            "\"board\":\"127.0.0.1:\\d+\"",
-                                            "\"board\":\"127.0.0.1:" + late.port() + "\"");
-            bed.startUnready();
-            try (Socket s = bed.socket()) {
-                write(s, PlatformFixture.call("book", id(1), "", "x"));
-                passed();
-                try (Socket board = late.open()) {
-                    assertNotNull(board, "the connection was still coming up");
-                    assertEquals(0, bed.asked.size());
-                    write(board, drains(elsewhere()) + "\n");
-                    assertTrue(PlatformFixture.answer(s).endsWith("elsewhere"));
+    void aWatchServerWhoseConnectionIsEstablishedLateIsAwaited() throws Exception {
+        try (DelayedAcceptServer delayed = new DelayedAcceptServer()) {
+            fixture.setConfigurationEdit(
+                    text -> watchServerAt(delayed, text).transform(LONG_DRAIN_GRACE));
+            fixture.startUnready();
+            try (Socket client = fixture.connect()) {
+                write(client, request("book", correlationId(1), "", "x"));
+                awaitEarlierMessagesHandled();
+                try (Socket watch = delayed.acceptDelayed()) {
+                    assertNotNull(watch, "the connection was still being established");
+                    assertEquals(0, fixture.invoker.requests().size());
+                    write(watch, drainingEvent(openOtherInvoker()) + "\n");
+                    assertTrue(readResponse(client).endsWith("elsewhere"));
                 }
             }
-            assertEquals(0, bed.asked.size());
+            assertEquals(0, fixture.invoker.requests().size());
         }
     }
 
     @Test
-    void withABoardThatNeverAnswersCallsAreServedByWhatIsKnown() throws Exception {
-        try (DelayedAcceptServer never = new DelayedAcceptServer()) {
-            bed.edit =
-                    s ->
-                            s.replaceFirst(
-                                    "\"board\":\"127.0.0.1:\\d+\"",
-                                    "\"board\":\"127.0.0.1:" + never.port() + "\"");
-            bed.startUnready();
-            assertEquals(
-                    200,
-                    status(bed.ask(PlatformFixture.call("book", id(1), "", "x"))),
-                    "it waited, and was served");
-            assertEquals(200, status(bed.ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n")));
-            assertEquals(1, bed.asked.size());
+    void requestsAreServedByConfiguredEndpointsWhenTheWatchServerNeverAnswers() throws Exception {
+        try (DelayedAcceptServer silent = new DelayedAcceptServer()) {
+            fixture.setConfigurationEdit(text -> watchServerAt(silent, text));
+            fixture.startUnready();
+            String response = fixture.send(request("book", correlationId(1), "", "x"));
+            assertEquals(200, status(response), "it was queued, and served");
+            assertEquals(200, fixture.readinessStatus());
+            assertEquals(1, fixture.invoker.requests().size());
         }
     }
 
+    // ---- Reload. ----
     @Test
-    void ofTwoConfigurationsReadAtOnceTheLaterOneCountsThoughTheOlderIsReadLast() throws Exception {
-        bed.start();
-        PlatformFixture.until(() -> bed.board.asked.contains("watch 1"), "never asked");
-        Path older = Path.of(bed.file + ".older");
-        assertEquals(0, new ProcessBuilder("mkfifo", older.toString()).start().waitFor());
-        try (PlatformFixture.Board later = bed.new Board();
-                PlatformFixture.Board wrong = bed.new Board()) {
-            Thread reading = new Thread(() -> bed.node.reload(older));
-            reading.start();
-            try (OutputStream out =
-                    Files.newOutputStream(older)) { // opens once the older reading has begun
-                Files.writeString(bed.file, bed.json(later));
-                bed.node.reload(bed.file);
-                PlatformFixture.until(
-                        () -> later.asked.contains("watch 1"), "the new address was not asked");
-                out.write(bed.json(wrong).getBytes(StandardCharsets.UTF_8));
+    void ofTwoConcurrentReloadsTheLaterOneCountsThoughTheOlderIsReadLast() throws Exception {
+        fixture.start();
+        awaitCondition(() -> fixture.watchServer.requests().contains("watch 1"), "never watched");
+        Path olderFile = Path.of(fixture.configurationFile + ".older");
+        assertEquals(0, new ProcessBuilder("mkfifo", olderFile.toString()).start().waitFor());
+        try (WatchServer later = new WatchServer();
+                WatchServer older = new WatchServer()) {
+            Thread olderReload = new Thread(() -> fixture.controller().reload(olderFile));
+            olderReload.start();
+            // The pipe opens once the older reload has begun to read it.
+            try (OutputStream pipe = Files.newOutputStream(olderFile)) {
+                fixture.writeConfiguration(later);
+                fixture.controller().reload(fixture.configurationFile);
+                awaitCondition(
+                        () -> later.requests().contains("watch 1"),
+                        "the new address is not watched");
+                String olderText = fixture.configurationJson(older);
+                pipe.write(olderText.getBytes(StandardCharsets.UTF_8));
             }
-            reading.join(TimeUnit.SECONDS.toMillis(10));
-            passed();
-            later.say(PlatformFixture.event(2, false, bed.host("s-2", "Ready")));
-            later.last.close();
-            PlatformFixture.until(
-                    () -> later.asked.contains("watch 2") || !wrong.asked.isEmpty(),
-                    "no longer followed");
-            assertTrue(wrong.asked.isEmpty(), "the older configuration was let count");
+            olderReload.join(TimeUnit.SECONDS.toMillis(10));
+            awaitEarlierMessagesHandled();
+            later.send(watchEventJson(2, false, fixture.endpointJson("s-2", "Ready")));
+            later.lastConnection().close();
+            awaitCondition(
+                    () -> later.requests().contains("watch 2") || !older.requests().isEmpty(),
+                    "no longer watched");
+            assertTrue(older.requests().isEmpty(), "the older configuration was applied");
         } finally {
-            Files.delete(older);
+            Files.delete(olderFile);
+        }
+    }
+
+    // ---- Helpers. ----
+    /** The controller has handled all that was sent before: it answers what was sent after that. */
+    private void awaitEarlierMessagesHandled() throws Exception {
+        for (int i = 0; i < 2; i++) {
+            int status = fixture.readinessStatus();
+            assertTrue(status == 200 || status == 503, "readiness " + status);
+        }
+    }
+
+    private void awaitListenerClosed() throws Exception {
+        awaitCondition(this::refusesConnections, "it went on listening");
+    }
+
+    private boolean refusesConnections() {
+        try (Socket connection = fixture.connect()) {
+            return false;
+        } catch (Exception e) {
+            return true;
+        }
+    }
+
+    /** All that comes before the other side ends the connection, in whatever way. */
+    private static String readUntilClosed(Socket connection) throws IOException {
+        StringBuilder text = new StringBuilder();
+        try {
+            int next = connection.getInputStream().read();
+            while (next >= 0) {
+                text.append((char) next);
+                next = connection.getInputStream().read();
+            }
+        } catch (SocketException e) {
+            // reset by the other side: what came before it counts
         }
+        return text.toString();
+    }
+
+    private static String requestOfAnyId() {
+        int number = (int) System.nanoTime() & 0xffff;
+        return request("read", correlationId(number), "", "x");
+    }
+
+    /** Replaces the address of the configured invoker. */
+    private String invokerAt(DelayedAcceptServer server, String configuration) {
+        return configuration.replace(
+                "127.0.0.1:" + fixture.invoker.port(), "127.0.0.1:" + server.port());
+    }
+
+    /** Replaces the address of the watch server. */
+    private static String watchServerAt(DelayedAcceptServer server, String configuration) {
+        return configuration.replaceFirst(
+                "\"board\":\"127.0.0.1:\\d+\"", "\"board\":\"127.0.0.1:" + server.port() + "\"");
+    }
+
+    private static void loadInstancesButRunNothing(HttpServer.Exchange exchange) {
+        if (exchange.message().method().equals("PUT")) {
+            ScriptedInvoker.respond(exchange, 200, "", "X-Units", "1");
+        } else {
+            ScriptedInvoker.respond(exchange, 404, "");
+        }
+    }
+
+    private HttpServer openOtherInvoker() throws Exception {
+        return fixture.invoker.openServer(
+                100, exchange -> ScriptedInvoker.respond(exchange, 200, "elsewhere"));
+    }
+
+    /** The event of the time while the process starts: s-1 drains, another invoker is ready. */
+    private String drainingEvent(HttpServer other) {
+        return watchEventJson(
+                2,
+                false,
+                fixture.endpointJson("s-1", "Terminating"),
+                endpointJson("s-2", "Ready", other.port()));
     }
 }
--- a/src/test/java/waytrestle/platform/DelayedAcceptServer.java
+++ b/src/test/java/waytrestle/platform/DelayedAcceptServer.java
@@ -12,30 +12,26 @@
 import java.util.Set;
 
 /**
- * An address at which connections neither come up nor fail until told: its backlog is full of
- * connections of its own.
+ * Test fixture: an address at which connections are neither established nor refused until a test
+ * accepts them. Its backlog is full of connections of its own.
  */
 final class DelayedAcceptServer implements AutoCloseable {
-    private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    private static final int SMALLEST_BACKLOG = 1;
+    private static final int CONNECT_CHECKS = 20;
+    private static final long CONNECT_CHECK_PAUSE_MILLIS = 10;
+
+    /** The kernel retries to connect after one second, then after two more. */
+    private static final int ACCEPT_TIMEOUT_MILLIS = 6_000;
+
+    private final ServerSocket server =
+            new ServerSocket(0, SMALLEST_BACKLOG, InetAddress.getLoopbackAddress());
     private final List<SocketChannel> fillers = new ArrayList<>();
-    private final Set<Integer> ports = new HashSet<>();
+    private final Set<Integer> fillerPorts = new HashSet<>();
 
     DelayedAcceptServer() throws Exception {
-        for (boolean full = false; !full; ) {
-            SocketChannel filler = SocketChannel.open();
-            filler.configureBlocking(false);
-            filler.connect(
-                    new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()));
-            for (int i = 0; i < 20 && !filler.finishConnect(); i++) {
-                Thread.sleep(10);
-            }
-            full = !filler.isConnected();
-            if (full) {
-                filler.close();
-            } else {
-                fillers.add(filler);
-                ports.add(((InetSocketAddress) filler.getLocalAddress()).getPort());
-            }
+        boolean full = false;
+        while (!full) {
+            full = !addFiller();
         }
     }
 
@@ -43,26 +39,45 @@
         return server.getLocalPort();
     }
 
-    /** Lets connections come up, and gives the first that is not its own; null when none came. */
-    Socket open() throws Exception {
-        server.setSoTimeout(6_000); // the kernel asks again after one second, then after two more
+    /** Accepts connections and returns the first that is not a filler; null when none came. */
+    Socket acceptDelayed() throws Exception {
+        server.setSoTimeout(ACCEPT_TIMEOUT_MILLIS);
         try {
-            for (Socket s = server.accept(); ; s = server.accept()) {
-                if (!ports.contains(s.getPort())) {
-                    s.setSoTimeout(6_000);
-                    return s;
+            while (true) {
+                Socket connection = server.accept();
+                if (!fillerPorts.contains(connection.getPort())) {
+                    connection.setSoTimeout(ACCEPT_TIMEOUT_MILLIS);
+                    return connection;
                 }
-                s.close();
+                connection.close();
             }
-        } catch (SocketTimeoutException none) {
+        } catch (SocketTimeoutException e) {
             return null;
         }
     }
 
+    /** Connects one filler; false when it found the backlog full. */
+    private boolean addFiller() throws Exception {
+        SocketChannel filler = SocketChannel.open();
+        filler.configureBlocking(false);
+        filler.connect(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()));
+        for (int i = 0; i < CONNECT_CHECKS && !filler.finishConnect(); i++) {
+            Thread.sleep(CONNECT_CHECK_PAUSE_MILLIS);
+        }
+        if (!filler.isConnected()) {
+            filler.close();
+            return false;
+        }
+        fillers.add(filler);
+        fillerPorts.add(((InetSocketAddress) filler.getLocalAddress()).getPort());
+        return true;
+    }
+
     @Override
     public void close() throws Exception {
-        for (SocketChannel each : fillers) {
-            each.close();
+        for (SocketChannel filler : fillers) {
+            filler.close();
         }
         server.close();
     }
--- a/src/test/java/waytrestle/platform/PlatformControllerTest.java
+++ b/src/test/java/waytrestle/platform/PlatformControllerTest.java
@@ -4,6 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static waytrestle.platform.PlatformFixture.awaitCondition;
+import static waytrestle.platform.PlatformFixture.correlationId;
+import static waytrestle.platform.PlatformFixture.readResponse;
+import static waytrestle.platform.PlatformFixture.request;
+import static waytrestle.platform.PlatformFixture.status;
+import static waytrestle.platform.PlatformFixture.unchecked;
+import static waytrestle.platform.PlatformFixture.watchEventJson;
+import static waytrestle.platform.PlatformFixture.write;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -11,8 +19,6 @@
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -23,64 +29,59 @@
 
 /** The platform's controller over sockets: what crosses them, message by message. */
 class PlatformControllerTest {
-    private PlatformFixture bed;
+    private static final String LOAD_THAT_OUTLASTS_THE_DEADLINE = "X-Extras: load_ms:9000\r\n";
+
+    private PlatformFixture fixture;
 
     @BeforeEach
-    void start() throws Exception {
-        bed = new PlatformFixture().start();
+    void startController() throws Exception {
+        fixture = new PlatformFixture().start();
     }
 
     @AfterEach
-    void stop() throws Exception {
-        bed.close();
-    }
-
-    private static String id(int n) {
-        return "%016x".formatted(0x9b1f03aa5c7e0000L + n);
+    void stopController() throws Exception {
+        fixture.close();
     }
 
-    private static int status(String answer) {
-        return Integer.parseInt(answer.split(" ")[1]);
+    @Test
+    void theReadinessCheckSucceedsOnceStarted() throws Exception {
+        assertEquals(200, fixture.readinessStatus());
     }
 
     @Test
-    void aCallIsPassedOnUnchangedAndItsAnswerToo() throws Exception {
-        assertTrue(bed.ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n").startsWith("HTTP/1.1 200 "));
-        String answer =
-                bed.ask(
-                        PlatformFixture.call(
-                                "read",
-                                id(1),
-                                "X-Extras: memory_mb:512;lanes:2;load_ms:640\r\n",
-                                "a b\nc"));
-        assertEquals(200, status(answer));
-        assertTrue(answer.endsWith("\r\n\r\ndone"), answer);
-        assertEquals(200, status(bed.ask(PlatformFixture.call("book", id(2), "", ""))));
-        String first = bed.asked.get(0);
+    void aRequestIsForwardedUnchangedAndItsResponseToo() throws Exception {
+        String hints = "X-Extras: memory_mb:512;lanes:2;load_ms:640\r\n";
+        String response = fixture.send(request("read", correlationId(1), hints, "a b\nc"));
+        assertEquals(200, status(response));
+        assertTrue(response.endsWith("\r\n\r\ndone"), response);
+        String forwarded = fixture.invoker.requests().get(0);
         assertTrue(
-                first.matches(
+                forwarded.matches(
                         "(?s)POST /fetch/read\\|host=.*\\|x-txn="
-                                + id(1)
-                                + "\\|x-name=7f3a9c21e0b4d655\\|x-limit-ms=29\\d\\d\\|content-length=5\\|a"
-                                + " b\n"
-                                + "c"),
-                first);
-        String second = bed.asked.get(1);
-        assertTrue(
-                second.startsWith("GET /fetch/book|") && !second.contains("content-length"),
-                second);
+                                + correlationId(1)
+                                + "\\|x-name=7f3a9c21e0b4d655\\|x-limit-ms=29\\d\\d"
+                                + "\\|content-length=5\\|a b\nc"),
+                forwarded);
     }
 
     @Test
-    void whatNoClientCouldMeanIsTurnedAwayAndReachesNoInvoker() throws Exception {
-        String good = PlatformFixture.call("read", id(1), "", "x");
-        String[][] cases = {
+    void aRequestWithoutABodyIsForwardedAsGet() throws Exception {
+        assertEquals(200, status(fixture.send(request("book", correlationId(2), "", ""))));
+        String forwarded = fixture.invoker.requests().get(0);
+        assertTrue(forwarded.startsWith("GET /fetch/book|"), forwarded);
+        assertFalse(forwarded.contains("content-length"), forwarded);
+    }
+
+    @Test
+    void anInvalidRequestIsRejectedAndReachesNoInvoker() throws Exception {
+        String valid = request("read", correlationId(1), "", "x");
+        String[][] replacements = {
             {"X-Class: read", "X-Class: none"},
             {"X-Class: read\r\n", ""},
             {"X-Class: read", "X-Class: read\r\nX-Class: book"},
-            {id(1), "9B1F03AA5C7E2D41"},
-            {id(1), "12"},
-            {"X-Correlation-Id: " + id(1) + "\r\n", ""},
+            {correlationId(1), "9B1F03AA5C7E2D41"},
+            {correlationId(1), "12"},
+            {"X-Correlation-Id: " + correlationId(1) + "\r\n", ""},
             {"Ms: 3000", "Ms: 0"},
             {"Ms: 3000", "Ms: -1"},
             {"Ms: 3000", "Ms: 1e3"},
@@ -99,331 +100,277 @@
             {"Content-Length: 1", "Content-Length: 60000000"},
             {"Content-Length: 1", "Content-Length: 1\r\nTransfer-Encoding: chunked"}
         };
-        for (String[] each : cases) {
-            int status = status(bed.ask(good.replace(each[0], each[1])));
+        for (String[] replacement : replacements) {
+            String invalid = valid.replace(replacement[0], replacement[1]);
+            int status = status(fixture.send(invalid));
             assertTrue(
                     status >= 400 && status < 500 && status != 429,
-                    each[1] + " was answered " + status);
+                    replacement[1] + " was answered " + status);
         }
-        assertEquals(0, bed.asked.size());
-        assertEquals(200, status(bed.ask(good)), "the form that all cases spoil is good itself");
+        assertEquals(0, fixture.invoker.requests().size());
+        assertEquals(200, status(fixture.send(valid)), "the request itself is valid");
     }
 
     @Test
-    void anIdThatIsOpenIsNotTakenTwice() throws Exception {
-        AtomicInteger come = new AtomicInteger();
-        bed.script =
-                e -> {
-                    come.incrementAndGet();
-                    bed.loop.after(300_000, () -> e.answer(200, "", "late".getBytes()));
-                };
-        try (Socket s = bed.socket()) {
-            s.getOutputStream().write(PlatformFixture.call("book", id(1), "", "x").getBytes());
-            PlatformFixture.until(() -> come.get() == 1, "the first never came");
-            assertEquals(409, status(bed.ask(PlatformFixture.call("book", id(1), "", "y"))));
-            assertEquals(200, status(PlatformFixture.answer(s)));
+    void aCorrelationIdIsNotAcceptedTwiceWhileItsRequestIsInFlight() throws Exception {
+        AtomicInteger received = new AtomicInteger();
+        fixture.invoker.setScript(
+                exchange -> {
+                    received.incrementAndGet();
+                    fixture.invoker.schedule(
+                            300_000, () -> ScriptedInvoker.respond(exchange, 200, "late"));
+                });
+        try (Socket connection = fixture.connect()) {
+            write(connection, request("book", correlationId(1), "", "x"));
+            awaitCondition(() -> received.get() == 1, "the first was not forwarded");
+            assertEquals(409, status(fixture.send(request("book", correlationId(1), "", "y"))));
+            assertEquals(200, status(readResponse(connection)));
         }
         assertEquals(
                 200,
-                status(bed.ask(PlatformFixture.call("book", id(1), "", "x"))),
-                "open no more, so taken");
+                status(fixture.send(request("book", correlationId(1), "", "x"))),
+                "no longer in flight, so accepted");
     }
 
     @Test
-    void anIdleConnectionThatSpokeOrEndedIsNotUsedWhileAMessageIsBeingRead() throws Exception {
-        bed.script =
-                e -> {
-                    e.answer(200, "", "done".getBytes(), "Connection", "keep-alive");
-                    if (bed.asked.size() == 1) {
-                        bed.loop.after(0, () -> bed.invoker.closeIdle());
+    void anIdleConnectionThatSentBytesOrClosedIsNotUsedWhileAMessageIsBeingRead() throws Exception {
+        List<String> forwarded = fixture.invoker.requests();
+        fixture.invoker.setScript(
+                exchange -> {
+                    ScriptedInvoker.respond(exchange, 200, "done", "Connection", "keep-alive");
+                    if (forwarded.size() == 1) {
+                        fixture.invoker.schedule(0, fixture.invoker::closeIdle);
                     }
-                };
-        try (Socket s = bed.socket()) {
-            for (int i = 1;
-                    i <= 20;
-                    i++) { // bodies: what is read of them must not be touched by the look
-                s.getOutputStream()
-                        .write(PlatformFixture.call("book", id(i), "", "body " + i).getBytes());
-                assertEquals(200, status(PlatformFixture.answer(s)), "call " + i);
-                assertTrue(bed.asked.get(i - 1).endsWith("|body " + i), bed.asked.get(i - 1));
+                });
+        try (Socket connection = fixture.connect()) {
+            // With bodies: the check of an idle connection must not touch what was read of them.
+            for (int i = 1; i <= 20; i++) {
+                write(connection, request("book", correlationId(i), "", "body " + i));
+                assertEquals(200, status(readResponse(connection)), "request " + i);
+                assertTrue(forwarded.get(i - 1).endsWith("|body " + i), forwarded.get(i - 1));
                 Thread.sleep(i == 1 ? 50 : 0);
             }
         }
     }
 
     @Test
-    void aSpoiltAnswerFailsAnUnsafeCallAndASafeOneIsResent() throws Exception {
-        bed.script =
-                e -> {
-                    if (bed.asked.size() <= 2) {
-                        e.answer(503, "", "no mark, no proof".getBytes());
+    void anUnmarkedRejectionFailsANonIdempotentRequestWithoutARetry() throws Exception {
+        fixture.invoker.setScript(
+                exchange -> ScriptedInvoker.respond(exchange, 503, "no mark, no proof"));
+        int status = status(fixture.send(request("book", correlationId(1), "", "x")));
+        assertTrue(status >= 500 && status != 503, "it may have run: " + status);
+        assertEquals(1, fixture.invoker.requests().size());
+    }
+
+    @Test
+    void anUnmarkedRejectionOfAnIdempotentRequestIsRetried() throws Exception {
+        fixture.invoker.setScript(
+                exchange -> {
+                    if (fixture.invoker.requests().size() == 1) {
+                        ScriptedInvoker.respond(exchange, 503, "no mark, no proof");
                     } else {
-                        e.answer(200, "", "done".getBytes());
+                        ScriptedInvoker.respond(exchange, 200, "done");
                     }
-                };
-        int unsafe = status(bed.ask(PlatformFixture.call("book", id(1), "", "x")));
-        assertTrue(unsafe >= 500 && unsafe != 503, "it may have run: " + unsafe);
-        assertEquals(1, bed.asked.size());
-        bed.board.say(PlatformFixture.event(2, false, bed.host("s-2", "Ready")));
+                });
+        fixture.watchServer.send(watchEventJson(2, false, fixture.endpointJson("s-2", "Ready")));
         Thread.sleep(200);
-        assertEquals(200, status(bed.ask(PlatformFixture.call("read", id(2), "", "x"))));
-        assertEquals(3, bed.asked.size());
+        assertEquals(200, status(fixture.send(request("read", correlationId(2), "", "x"))));
+        assertEquals(2, fixture.invoker.requests().size());
     }
 
     @Test
-    void aRefusalComesAtOnceAndSaysWhenToComeBack() throws Exception {
-        bed.script =
-                e -> {
-                    if (!e.message().method().equals("PUT")) {
-                        e.answer(404, "", new byte[0]);
-                    }
-                };
-        long before = System.nanoTime();
-        String answer =
-                bed.ask(PlatformFixture.call("book", id(1), "X-Extras: load_ms:9000\r\n", "x"));
-        assertEquals(
-                503,
-                status(answer),
-                "the load outlasts the call, and a miss proves that nothing ran");
-        assertTrue(answer.contains("X-Pushback-Ms: 2000\r\n"), answer);
-        assertTrue(System.nanoTime() - before < 2_000_000_000L, "not held until its time is up");
-        PlatformFixture.until(() -> bed.asked.size() > 1, "nothing was ordered");
-        assertTrue(
-                bed.asked.get(1).startsWith("PUT /fetch/7f3a9c21e0b4d655/1|"),
-                "ordered for those who come back");
+    void aRejectionIsSentAtOnceAndSaysWhenToRetry() throws Exception {
+        fixture.invoker.setScript(ScriptedInvoker::reportNotLoaded);
+        long startNanos = System.nanoTime();
+        String response =
+                fixture.send(
+                        request("book", correlationId(1), LOAD_THAT_OUTLASTS_THE_DEADLINE, "x"));
+        assertEquals(503, status(response), "not loaded, so it is proved not to have run");
+        assertTrue(response.contains("X-Pushback-Ms: 2000\r\n"), response);
+        assertTrue(System.nanoTime() - startNanos < 2_000_000_000L, "not held until its deadline");
+    }
+
+    @Test
+    void aFunctionIsPreloadedForTheRetryOfARejectedRequest() throws Exception {
+        fixture.invoker.setScript(ScriptedInvoker::reportNotLoaded);
+        String response =
+                fixture.send(
+                        request("book", correlationId(1), LOAD_THAT_OUTLASTS_THE_DEADLINE, "x"));
+        assertEquals(503, status(response));
+        awaitCondition(() -> fixture.invoker.requests().size() > 1, "nothing was preloaded");
+        String preload = fixture.invoker.requests().get(1);
+        assertTrue(preload.startsWith("PUT /fetch/7f3a9c21e0b4d655/1|"), preload);
     }
 
     @Test
-    void theBoardIsFollowedOverBreaksAndToAnotherAddress() throws Exception {
-        PlatformFixture.until(() -> bed.board.asked.contains("watch 1"), "never asked");
-        bed.board.say(PlatformFixture.event(2, false, bed.host("s-2", "Ready")));
-        bed.board.say(PlatformFixture.event(2, false, bed.host("s-2", "Ready")));
-        bed.board.last.getOutputStream().write("{\"rev\":3,\"po".getBytes(StandardCharsets.UTF_8));
+    void aBrokenWatchResumesAfterTheLastCompleteEvent() throws Exception {
+        WatchServer watchServer = fixture.watchServer;
+        String event = watchEventJson(2, false, fixture.endpointJson("s-2", "Ready"));
+        awaitCondition(() -> watchServer.requests().contains("watch 1"), "never watched");
+        watchServer.send(event);
+        watchServer.send(event);
+        write(watchServer.lastConnection(), "{\"rev\":3,\"po");
         Thread.sleep(100);
-        bed.board.last.close();
-        PlatformFixture.until(
-                () -> bed.board.asked.contains("watch 2"),
-                "not asked again from the last whole event");
-        try (PlatformFixture.Board other = bed.new Board()) {
-            Files.writeString(bed.file, bed.json(other));
-            bed.node.reload(bed.file);
-            PlatformFixture.until(
-                    () -> other.asked.contains("watch 2"), "the new address was not asked");
-            Files.writeString(bed.file, "{\"board\":");
-            Thread reading = new Thread(() -> bed.node.reload(bed.file));
-            reading.start();
-            assertEquals(
-                    200,
-                    status(bed.ask(PlatformFixture.call("read", id(1), "", "x"))),
-                    "a torn file changes nothing");
-            try (PlatformFixture.Board third = bed.new Board()) {
-                Files.writeString(bed.file, bed.json(third));
-                PlatformFixture.until(
-                        () -> third.asked.contains("watch 2"), "once whole it is read");
-                reading.join();
-            }
+        watchServer.lastConnection().close();
+        awaitCondition(
+                () -> watchServer.requests().contains("watch 2"),
+                "not resumed from the last complete event");
+    }
+
+    @Test
+    void aReloadMovesTheWatchToTheNewAddress() throws Exception {
+        advanceWatchToRevisionTwo();
+        try (WatchServer moved = new WatchServer()) {
+            fixture.writeConfiguration(moved);
+            fixture.controller().reload(fixture.configurationFile);
+            awaitCondition(
+                    () -> moved.requests().contains("watch 2"), "the new address is not watched");
+        }
+    }
+
+    @Test
+    void aPartlyWrittenConfigurationChangesNothingUntilItIsComplete() throws Exception {
+        advanceWatchToRevisionTwo();
+        Files.writeString(fixture.configurationFile, "{\"board\":");
+        Thread reload = new Thread(() -> fixture.controller().reload(fixture.configurationFile));
+        reload.start();
+        assertEquals(200, status(fixture.send(request("read", correlationId(1), "", "x"))));
+        try (WatchServer moved = new WatchServer()) {
+            fixture.writeConfiguration(moved);
+            awaitCondition(
+                    () -> moved.requests().contains("watch 2"),
+                    "the complete configuration was not applied");
+            reload.join();
         }
     }
 
+    private void advanceWatchToRevisionTwo() throws Exception {
+        WatchServer watchServer = fixture.watchServer;
+        watchServer.send(watchEventJson(2, false, fixture.endpointJson("s-2", "Ready")));
+        Thread.sleep(100);
+        watchServer.lastConnection().close();
+        awaitCondition(() -> watchServer.requests().contains("watch 2"), "not resumed");
+    }
+
     @Test
-    void afterTermCallsAreStillTakenForAWhileAndAllAreAnswered() throws Exception {
-        bed.script = e -> bed.loop.after(900_000, () -> e.answer(200, "", "done".getBytes()));
-        try (Socket s = bed.socket()) {
-            bed.node.stop();
+    void requestsAreStillAcceptedForAWhileAfterTermAndAllAreAnswered() throws Exception {
+        fixture.invoker.setScript(
+                exchange ->
+                        fixture.invoker.schedule(
+                                900_000, () -> ScriptedInvoker.respond(exchange, 200, "done")));
+        try (Socket openBefore = fixture.connect()) {
+            fixture.controller().stop();
             Thread.sleep(150);
-            s.getOutputStream().write(PlatformFixture.call("book", id(1), "", "x").getBytes());
-            try (Socket another = bed.socket()) {
-                another.getOutputStream()
-                        .write(PlatformFixture.call("read", id(2), "", "x").getBytes());
-                assertEquals(200, status(PlatformFixture.answer(another)));
-                assertEquals(200, status(PlatformFixture.answer(s)));
+            write(openBefore, request("book", correlationId(1), "", "x"));
+            try (Socket openedAfter = fixture.connect()) {
+                write(openedAfter, request("read", correlationId(2), "", "x"));
+                assertEquals(200, status(readResponse(openedAfter)));
+                assertEquals(200, status(readResponse(openBefore)));
             }
         }
-        assertEquals(0, bed.node.join(10_000));
-        assertThrows(IOException.class, () -> bed.socket(), "nobody listens any more");
+        assertEquals(0, fixture.controller().join(10_000));
+        assertThrows(IOException.class, () -> fixture.connect(), "the listener is closed");
     }
 
     @Test
-    void silentConnectionsGiveWayToThoseThatAsk() throws Exception {
-        bed.close();
-        bed = new PlatformFixture();
-        bed.sockets = "64"; // 8 for clients
-        bed.start();
+    void silentConnectionsGiveWayToThoseThatSendRequests() throws Exception {
+        fixture.close();
+        fixture = new PlatformFixture();
+        fixture.setSockets("64"); // 8 for clients
+        fixture.start();
         List<Socket> silent = new ArrayList<>();
         for (int i = 0; i < 30; i++) {
-            silent.add(bed.socket());
+            silent.add(fixture.connect());
         }
         Thread.sleep(400);
         for (int i = 0; i < 6; i++) {
-            assertEquals(200, status(bed.ask(PlatformFixture.call("read", id(i), "", "x"))));
+            assertEquals(200, status(fixture.send(request("read", correlationId(i), "", "x"))));
         }
-        for (Socket s : silent) {
-            String said =
-                    new String(
-                            s.getInputStream().readAllBytes(),
-                            StandardCharsets.US_ASCII); // throws if not ended
-            assertTrue(said.isEmpty() || said.startsWith("HTTP/1.1 503 "), said);
-            s.close();
+        for (Socket connection : silent) {
+            byte[] bytes = connection.getInputStream().readAllBytes(); // throws unless closed
+            String received = new String(bytes, StandardCharsets.US_ASCII);
+            assertTrue(received.isEmpty() || received.startsWith("HTTP/1.1 503 "), received);
+            connection.close();
         }
     }
 
     @Test
-    void aWrongConfigurationIsNamedByFileAndField() throws Exception {
-        String good = Files.readString(bed.file);
-        String[][] cases = {
+    void anInvalidConfigurationIsNamedByFileAndField() throws Exception {
+        String valid = Files.readString(fixture.configurationFile);
+        String[][] replacements = {
             {"\"board\":\"127.0.0.1", "\"board\":\"localhost"},
             {"8c1f30d27a5be964", "seed"},
             {"\"sockets\":256", "\"sockets\":\"many\""},
             {"\"health\":\"Ready\"", "\"health\":\"Well\""}
         };
-        String[] named = {"board", "seed", "sockets", "health"};
-        for (int i = 0; i < cases.length; i++) {
-            assertTrue(good.contains(cases[i][0]), cases[i][0]);
-            Files.writeString(bed.file, good.replace(cases[i][0], cases[i][1]));
-            String said =
-                    assertThrows(PlatformConfig.Wrong.class, () -> PlatformConfig.read(bed.file))
-                            .getMessage();
-            assertTrue(said.startsWith(bed.file + ": ") && said.contains(named[i]), said);
+        String[] namedFields = {"board", "seed", "sockets", "health"};
+        for (int i = 0; i < replacements.length; i++) {
+            String original = replacements[i][0];
+            assertTrue(valid.contains(original), original);
+            Files.writeString(
+                    fixture.configurationFile, valid.replace(original, replacements[i][1]));
+            PlatformConfig.Wrong error =
+                    assertThrows(
+                            PlatformConfig.Wrong.class,
+                            () -> PlatformConfig.read(fixture.configurationFile));
+            String message = error.getMessage();
+            assertTrue(message.startsWith(fixture.configurationFile + ": "), message);
+            assertTrue(message.contains(namedFields[i]), message);
         }
-        Files.writeString(bed.file, good);
-        assertFalse(PlatformConfig.read(bed.file).known().isEmpty());
-    }
-
-    private Map<String, Integer> tables() throws Exception {
-        CompletableFuture<Map<String, Integer>> told = new CompletableFuture<>();
-        bed.node.tables(told::complete);
-        return told.get(10, TimeUnit.SECONDS);
+        Files.writeString(fixture.configurationFile, valid);
+        assertFalse(PlatformConfig.read(fixture.configurationFile).known().isEmpty());
     }
 
     @Test
-    void thousandsOfInvokersAndClientsComeAndGoAndEveryTableIsAsItWas() throws Exception {
-        assertEquals(200, status(bed.ask(PlatformFixture.call("read", id(0), "", "x"))));
-        int number = 1;
-        Map<String, Integer> first = null;
+    void tablesDoNotGrowWhileThousandsOfInvokersAndClientsComeAndGo() throws Exception {
+        assertEquals(200, status(fixture.send(request("read", correlationId(0), "", "x"))));
+        TableSizes early = null;
         for (int round = 0; round < 40; round++) {
-            String[] come = new String[100], go = new String[100];
-            for (int i = 0; i < 100; i++) {
-                String host = "t-" + round + "-" + i;
-                come[i] =
-                        bed.host(host, "Ready")
-                                .replace(
-                                        "\"born_ms\":0",
-                                        "\"born_ms\":" + System.currentTimeMillis());
-                go[i] = bed.host(host, "Gone");
-            }
-            bed.board.say(PlatformFixture.event(++number, false, come));
-            for (int i = 0; i < 10; i++) {
-                assertEquals(
-                        200,
-                        status(
-                                bed.ask(
-                                        PlatformFixture.call(
-                                                "read", id(1 + round * 10 + i), "", "x"))));
-            }
-            bed.board.say(PlatformFixture.event(++number, false, go));
-            PlatformFixture.until(
-                    () -> {
-                        try {
-                            Map<String, Integer> now = tables();
-                            return now.get("addresses") == 1
-                                    && now.get("clients") == 0
-                                    && now.get("calls") == 0;
-                        } catch (Exception e) {
-                            throw new AssertionError(e);
-                        }
-                    },
-                    "not all that came has gone: " + tables());
+            addAndRemoveInvokers(round);
             if (round == 9) {
-                first = tables();
+                early = tableSizes();
             }
         }
-        Map<String, Integer> last = tables();
-        for (String each : List.of("ids", "addresses", "starts", "ways")) {
-            assertEquals(first.get(each), last.get(each), each);
-        }
-        PlatformFixture.until(
-                () -> {
-                    try {
-                        return tables().get("timers") <= 30;
-                    } catch (Exception e) {
-                        throw new AssertionError(e);
-                    }
-                },
-                "timers of ended calls last for their three seconds, no longer");
+        TableSizes last = tableSizes();
+        assertEquals(early.requestIds(), last.requestIds(), "request ids");
+        assertEquals(early.addresses(), last.addresses(), "addresses");
+        assertEquals(early.startTimes(), last.startTimes(), "start times");
+        assertEquals(early.invokerClients(), last.invokerClients(), "invoker clients");
+        awaitCondition(
+                unchecked(() -> tableSizes().timers() <= 30),
+                "timers of completed requests last for their three seconds, no longer");
     }
 
-    @Test
-    void whateverTheFieldsOfACallHoldItIsAnsweredAndNoInvokerIsAskedForWhatNobodyMeant()
-            throws Exception {
-        Random random = new Random(7);
-        String[] fields = {
-            "X-Class",
-            "X-Correlation-Id",
-            "X-Deadline-Ms",
-            "X-Extras",
-            "X-Resent",
-            "X-Estimate-Ms",
-            "Host"
-        };
-        String[] values = {
-            "",
-            "read",
-            "book",
-            "0",
-            "-0",
-            "1e9",
-            "NaN",
-            "Infinity",
-            "9".repeat(400),
-            ";",
-            ":",
-            "lanes:2;lanes:",
-            "lanes:2;;",
-            "memory_mb:0x10",
-            "load_ms:1.5.2",
-            "9b1f03aa5c7e2d4g",
-            "\u00e9",
-            "%00",
-            "1, 1",
-            " 1 ",
-            "true"
-        };
-        for (int i = 0; i < 300; i++) {
-            StringBuilder head =
-                    new StringBuilder(
-                            "POST /do/"
-                                    + (random.nextInt(4) > 0 ? "7f3a9c21e0b4d655" : "..%2f" + i)
-                                    + (random.nextInt(4) > 0 ? "/call" : "/")
-                                    + " HTTP/1.1\r\n");
-            for (String field : fields) {
-                for (int n = random.nextInt(8) == 0 ? 2 : random.nextInt(10) == 0 ? 0 : 1;
-                        n > 0;
-                        n--) {
-                    String good =
-                            switch (field) {
-                                case "X-Class" -> "read";
-                                case "X-Correlation-Id" -> id(5_000 + i);
-                                case "X-Deadline-Ms" -> "2000";
-                                case "X-Extras" -> "lanes:2";
-                                case "Host" -> "api";
-                                default -> "1";
-                            };
-                    head.append(field)
-                            .append(": ")
-                            .append(
-                                    random.nextInt(3) > 0
-                                            ? good
-                                            : values[random.nextInt(values.length)])
-                            .append("\r\n");
-                }
-            }
-            int before = bed.asked.size();
-            String answer = bed.ask(head + "Content-Length: 1\r\n\r\nx");
-            int status = status(answer);
-            assertTrue(
-                    status == 200 || status >= 400 && status < 500 && status != 429, head + answer);
-            assertEquals(before + (status == 200 ? 1 : 0), bed.asked.size(), head.toString());
+    /** Adds 100 invokers, sends 10 requests, removes the invokers and awaits that all is gone. */
+    private void addAndRemoveInvokers(int round) throws Exception {
+        String[] added = new String[100];
+        String[] removed = new String[100];
+        for (int i = 0; i < added.length; i++) {
+            String id = "t-" + round + "-" + i;
+            added[i] =
+                    fixture.endpointJson(id, "Ready")
+                            .replace("\"born_ms\":0", "\"born_ms\":" + System.currentTimeMillis());
+            removed[i] = fixture.endpointJson(id, "Gone");
         }
-        assertEquals(200, status(bed.ask(PlatformFixture.call("read", id(9_999), "", "x"))));
+        int revision = 2 + 2 * round;
+        fixture.watchServer.send(watchEventJson(revision, false, added));
+        for (int i = 0; i < 10; i++) {
+            String id = correlationId(1 + round * 10 + i);
+            assertEquals(200, status(fixture.send(request("read", id, "", "x"))));
+        }
+        fixture.watchServer.send(watchEventJson(revision + 1, false, removed));
+        awaitCondition(
+                unchecked(() -> onlyConfiguredInvokerRemains(tableSizes())),
+                "not everything that was added is gone: " + tableSizes());
+    }
+
+    private static boolean onlyConfiguredInvokerRemains(TableSizes sizes) {
+        return sizes.addresses() == 1 && sizes.clientConnections() == 0 && sizes.requests() == 0;
+    }
+
+    private TableSizes tableSizes() throws Exception {
+        CompletableFuture<TableSizes> sizes = new CompletableFuture<>();
+        fixture.controller().tableSizes(sizes::complete);
+        return sizes.get(10, TimeUnit.SECONDS);
     }
 }
--- a/src/test/java/waytrestle/platform/PlatformFixture.java
+++ b/src/test/java/waytrestle/platform/PlatformFixture.java
@@ -3,132 +3,62 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.List;
+import java.util.concurrent.Callable;
 import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
 import waytrestle.config.platform.PlatformConfig;
-import waytrestle.http.HttpLimits;
-import waytrestle.http.HttpServer;
-import waytrestle.net.Loop;
 
 /**
- * A node in this process, with scripted invokers and notice boards on loopback, spoken to over
- * plain sockets.
+ * Test fixture: a controller in this process with a scripted invoker and a watch server on
+ * loopback, spoken to over plain sockets.
  */
 final class PlatformFixture implements AutoCloseable {
-    interface Script {
-        void asked(HttpServer.Exchange e) throws Exception;
-    }
+    /** The function that {@link #request} asks for. */
+    static final String FUNCTION = "7f3a9c21e0b4d655";
 
-    /** A notice board that remembers what it was asked and says what it is told to. */
-    final class Board implements AutoCloseable {
-        final ServerSocket server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
-        final List<String> asked = Collections.synchronizedList(new ArrayList<>());
-        volatile Socket last;
-        volatile boolean answers =
-                true; // each question at once, with the number that was asked for
+    private static final String READINESS_CHECK = "GET /check HTTP/1.1\r\nHost: api\r\n\r\n";
+    private static final long FIRST_CORRELATION_ID = 0x9b1f03aa5c7e0000L;
+    private static final int READ_TIMEOUT_MILLIS = 10_000;
+    private static final long SHUTDOWN_MILLIS = 10_000;
+    private static final int CONDITION_CHECKS = 1_500;
+    private static final long CONDITION_CHECK_PAUSE_MILLIS = 10;
 
-        Board() throws Exception {
-            Thread taking =
-                    new Thread(
-                            () -> {
-                                try {
-                                    while (true) {
-                                        Socket s = server.accept();
-                                        StringBuilder line = new StringBuilder();
-                                        InputStream in = s.getInputStream();
-                                        for (int c = in.read();
-                                                c >= 0 && c != '\n';
-                                                c = in.read()) {
-                                            line.append((char) c);
-                                        }
-                                        if (answers) {
-                                            write(
-                                                    s,
-                                                    "{\"rev\":"
-                                                            + line.substring(line.indexOf(" ") + 1)
-                                                            + "}");
-                                        }
-                                        last = s;
-                                        asked.add(line.toString());
-                                    }
-                                } catch (IOException closed) {
-                                    // the board was closed
-                                }
-                            });
-            taking.setDaemon(true);
-            taking.start();
-        }
+    final ScriptedInvoker invoker = new ScriptedInvoker();
+    final WatchServer watchServer = new WatchServer();
+    final Path configurationFile = Files.createTempFile("platform", ".json");
 
-        void say(String line) throws Exception {
-            until(() -> last != null, "nobody asked the notice board");
-            write(last, line);
-        }
+    private String sockets = "256";
+    private UnaryOperator<String> configurationEdit = UnaryOperator.identity();
+    private PlatformController controller;
 
-        private void write(Socket to, String line) throws IOException {
-            to.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
-        }
+    PlatformFixture() throws Exception {}
 
-        @Override
-        public void close() throws Exception {
-            server.close();
-        }
+    /** Sets the number of descriptors of the configuration, before the start. */
+    void setSockets(String number) {
+        sockets = number;
     }
 
-    final List<Throwable> broken = Collections.synchronizedList(new ArrayList<>());
-    final Loop loop = new Loop("invokers", broken::add).start();
-    final List<String> asked = Collections.synchronizedList(new ArrayList<>());
-    final HttpServer invoker;
-    final Board board = new Board();
-    final Path file = Files.createTempFile("platform", ".json");
-    volatile Script script = e -> e.answer(200, "", "done".getBytes());
-    String sockets = "256";
-    UnaryOperator<String> edit = s -> s; // of the configuration
-    PlatformController node;
+    /** Sets an edit of the configuration's text, before the start. */
+    void setConfigurationEdit(UnaryOperator<String> edit) {
+        configurationEdit = edit;
+    }
 
-    PlatformFixture() throws Exception {
-        invoker =
-                new HttpServer(
-                        loop,
-                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                        HttpLimits.DEFAULT,
-                        1_000,
-                        e -> {
-                            StringBuilder text =
-                                    new StringBuilder(
-                                            e.message().method() + " " + e.message().target());
-                            for (int i = 0; i < e.message().headers(); i++) {
-                                text.append('|')
-                                        .append(e.message().name(i))
-                                        .append('=')
-                                        .append(e.message().value(i));
-                            }
-                            asked.add(
-                                    text
-                                            + "|"
-                                            + new String(
-                                                    e.message().body(), StandardCharsets.UTF_8));
-                            try {
-                                script.asked(e);
-                            } catch (Exception bad) {
-                                broken.add(bad);
-                            }
-                        });
+    /** The controller, once it was started. */
+    PlatformController controller() {
+        return controller;
     }
 
-    String host(String id, String state) {
-        return host(id, state, invoker.port());
+    // ---- Configuration and watch events. ----
+    /** The fixture's invoker under a name, as watch events list it. */
+    String endpointJson(String id, String state) {
+        return endpointJson(id, state, invoker.port());
     }
 
-    static String host(String id, String state, int port) {
+    static String endpointJson(String id, String state, int port) {
         return "{\"host\":\""
                 + id
                 + "\",\"dial\":\"127.0.0.1:"
@@ -139,17 +69,23 @@
                 + "\",\"share\":4,\"born_ms\":0}";
     }
 
-    static String event(int number, boolean whole, String... hosts) {
+    static String watchEventJson(int revision, boolean snapshot, String... endpoints) {
         return "{\"rev\":"
-                + number
+                + revision
                 + ",\"pool\":{\"seq\":0,\"whole\":"
-                + whole
+                + snapshot
                 + ",\"hosts\":["
-                + String.join(",", hosts)
+                + String.join(",", endpoints)
                 + "]}}";
     }
 
-    String json(Board at) {
+    /** The event of the endpoints that the configuration lists. */
+    String configuredEventJson() {
+        return watchEventJson(1, true, endpointJson("s-1", "Ready"));
+    }
+
+    /** The configuration's text before its edit. */
+    String configurationJson(WatchServer watched) {
         return """
         {"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
          "limits":{"cores":1.0,"memory_mb":192,"sockets":%s},
@@ -168,73 +104,92 @@
            "load_wait_us":4000000,"memory_mb_by_kind":[8000]},
           "prices":{}}}
         """
-                .formatted(sockets, at.server.getLocalPort(), event(1, true, host("s-1", "Ready")));
+                .formatted(sockets, watched.port(), configuredEventJson());
+    }
+
+    /** Writes a configuration that names another watch server. */
+    void writeConfiguration(WatchServer watched) throws IOException {
+        Files.writeString(configurationFile, configurationJson(watched));
     }
 
-    /** Starts it, and waits as its clients do until it is ready. */
+    // ---- The controller. ----
+    /** Starts the controller, and waits as its clients do until it is ready. */
     PlatformFixture start() throws Exception {
         startUnready();
-        until(
-                () -> {
-                    try {
-                        return ask("GET /check HTTP/1.1\r\nHost: api\r\n\r\n")
-                                .startsWith("HTTP/1.1 200 ");
-                    } catch (Exception e) {
-                        throw new AssertionError(e);
-                    }
-                },
+        awaitCondition(
+                unchecked(() -> send(READINESS_CHECK).startsWith("HTTP/1.1 200 ")),
                 "it never became ready");
         return this;
     }
 
+    /** Starts the controller without waiting. */
     PlatformFixture startUnready() throws Exception {
-        Files.writeString(file, edit.apply(json(board)));
-        node =
+        Files.writeString(
+                configurationFile, configurationEdit.apply(configurationJson(watchServer)));
+        controller =
                 PlatformController.start(
-                        PlatformConfig.read(file), System::currentTimeMillis, System.err);
+                        PlatformConfig.read(configurationFile),
+                        System::currentTimeMillis,
+                        System.err);
         return this;
     }
 
-    Socket socket() throws Exception {
-        Socket s = new Socket(InetAddress.getLoopbackAddress(), node.port());
-        s.setSoTimeout(10_000);
-        return s;
+    /** The status of the readiness check. */
+    int readinessStatus() throws Exception {
+        return status(send(READINESS_CHECK));
+    }
+
+    // ---- Requests and responses. ----
+    /** The nth correlation id. */
+    static String correlationId(int number) {
+        return "%016x".formatted(FIRST_CORRELATION_ID + number);
     }
 
-    static String call(String kind, String id, String more, String body) {
-        return "POST /do/7f3a9c21e0b4d655/call HTTP/1.1\r\nHost: api\r\nX-Class: "
-                + kind
+    /** A request's text; the headers each end with a line break. */
+    static String request(String requestClass, String id, String headers, String body) {
+        return "POST /do/"
+                + FUNCTION
+                + "/call HTTP/1.1\r\nHost: api\r\nX-Class: "
+                + requestClass
                 + "\r\nX-Correlation-Id: "
                 + id
                 + "\r\nX-Deadline-Ms: 3000\r\n"
-                + more
+                + headers
                 + "Content-Length: "
                 + body.length()
                 + "\r\n\r\n"
                 + body;
     }
 
-    /**
-     * What comes back for some bytes on a connection of their own, until it is closed or an answer
-     * is whole.
-     */
-    String ask(String message) throws Exception {
-        try (Socket s = socket()) {
-            s.getOutputStream().write(message.getBytes(StandardCharsets.ISO_8859_1));
-            return answer(s);
+    /** A new connection to the controller. */
+    Socket connect() throws Exception {
+        Socket connection = new Socket(InetAddress.getLoopbackAddress(), controller.port());
+        connection.setSoTimeout(READ_TIMEOUT_MILLIS);
+        return connection;
+    }
+
+    /** Sends a message on a connection of its own and reads the response. */
+    String send(String message) throws Exception {
+        try (Socket connection = connect()) {
+            write(connection, message);
+            return readResponse(connection);
         }
     }
 
-    static String answer(Socket s) throws Exception {
+    static void write(Socket connection, String message) throws IOException {
+        connection.getOutputStream().write(message.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** Reads until one response is complete or the connection is closed. */
+    static String readResponse(Socket connection) throws Exception {
         StringBuilder text = new StringBuilder();
-        InputStream in = s.getInputStream();
+        InputStream in = connection.getInputStream();
         int end = -1;
-        for (int c = in.read(); c >= 0; c = in.read()) {
-            text.append((char) c);
-            int head = text.indexOf("\r\n\r\n");
-            if (head >= 0 && end < 0) {
-                int at = text.indexOf("Content-Length: ");
-                end = head + 4 + Integer.parseInt(text.substring(at + 16, text.indexOf("\r", at)));
+        for (int next = in.read(); next >= 0; next = in.read()) {
+            text.append((char) next);
+            int headEnd = text.indexOf("\r\n\r\n");
+            if (headEnd >= 0 && end < 0) {
+                end = headEnd + 4 + Integer.parseInt(header(text.toString(), "Content-Length"));
             }
             if (text.length() == end) {
                 break;
@@ -243,28 +198,51 @@
         return text.toString();
     }
 
-    static void until(BooleanSupplier condition, String otherwise) throws InterruptedException {
-        for (int i = 0; i < 1_500; i++) {
+    static int status(String response) {
+        return Integer.parseInt(response.split(" ")[1]);
+    }
+
+    /** The value of a response's header, null without one. */
+    static String header(String response, String name) {
+        String start = name + ": ";
+        int startIndex = response.indexOf(start);
+        return startIndex < 0
+                ? null
+                : response.substring(
+                        startIndex + start.length(), response.indexOf("\r", startIndex));
+    }
+
+    // ---- Waiting. ----
+    static void awaitCondition(BooleanSupplier condition, String failure)
+            throws InterruptedException {
+        for (int i = 0; i < CONDITION_CHECKS; i++) {
             if (condition.getAsBoolean()) {
                 return;
             }
-            Thread.sleep(10);
+            Thread.sleep(CONDITION_CHECK_PAUSE_MILLIS);
         }
-        throw new AssertionError(otherwise);
+        throw new AssertionError(failure);
+    }
+
+    /** A condition that fails its test where the check throws. */
+    static BooleanSupplier unchecked(Callable<Boolean> check) {
+        return () -> {
+            try {
+                return check.call();
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        };
     }
 
     @Override
     public void close() throws Exception {
-        if (node != null) {
-            node.stop();
-            node.join(10_000);
-        }
-        board.close();
-        loop.stop();
-        loop.join(5_000);
-        Files.delete(file);
-        if (!broken.isEmpty()) {
-            throw new AssertionError("a script broke", broken.get(0));
+        if (controller != null) {
+            controller.stop();
+            controller.join(SHUTDOWN_MILLIS);
         }
+        watchServer.close();
+        Files.delete(configurationFile);
+        invoker.close();
     }
 }
--- a/src/test/java/waytrestle/platform/RunLineTest.java
+++ b/src/test/java/waytrestle/platform/RunLineTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static waytrestle.platform.PlatformFixture.awaitCondition;
 
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -13,52 +14,57 @@
 
 /** The deploy file's run line, with the classes under test in place of the jar. */
 class RunLineTest {
+    private static final long EXIT_SECONDS = 15;
+
     @Test
-    void aNewConfigurationIsReadAtHupAlsoWhenWhoeverStartedTheControllerIgnoresThatSignal()
-            throws Exception {
-        String run =
-                Toml.parse(Path.of("deploy/balancer.toml"))
-                        .getString("run")
-                        .replace(
-                                "-jar target/waytrestle.jar",
-                                "-cp '"
-                                        + System.getProperty("java.class.path")
-                                        + "' waytrestle.Main");
-        assertTrue(run.startsWith("exec ") && run.contains("waytrestle.Main platform"), run);
-        try (PlatformFixture bed = new PlatformFixture();
-                PlatformFixture.Board moved = bed.new Board()) {
-            Files.writeString(bed.file, bed.json(bed.board));
+    void aReloadSignalIsObeyedAlsoWhenTheParentProcessIgnoresIt() throws Exception {
+        String runLine = runLine();
+        assertTrue(runLine.startsWith("exec "), runLine);
+        assertTrue(runLine.contains("waytrestle.Main platform"), runLine);
+        try (PlatformFixture fixture = new PlatformFixture();
+                WatchServer moved = new WatchServer()) {
+            fixture.writeConfiguration(fixture.watchServer);
             Path log = Files.createTempFile("platform", ".log");
-            ProcessBuilder starting =
-                    new ProcessBuilder("/bin/sh", "-c", "trap '' HUP; " + run)
-                            .redirectErrorStream(true)
-                            .redirectOutput(log.toFile());
-            starting.environment().put("BALANCER_CONFIG", bed.file.toString());
-            Process controller = starting.start();
+            Process controller = startIgnoringReloadSignal(runLine, fixture.configurationFile, log);
             try {
-                PlatformFixture.until(
-                        () -> bed.board.asked.contains("watch 1"),
-                        "it never followed its notice board");
+                awaitCondition(
+                        () -> fixture.watchServer.requests().contains("watch 1"),
+                        "it never followed its watch server");
                 assertEquals(0, controller.children().count(), "one process, by exec");
-                Files.writeString(bed.file, bed.json(moved));
-                assertEquals(
-                        0,
-                        new ProcessBuilder("kill", "-HUP", "" + controller.pid())
-                                .start()
-                                .waitFor());
-                PlatformFixture.until(() -> moved.asked.contains("watch 1"), "HUP was not heard");
-                assertEquals(
-                        0,
-                        new ProcessBuilder("kill", "-TERM", "" + controller.pid())
-                                .start()
-                                .waitFor());
-                assertTrue(controller.waitFor(15, TimeUnit.SECONDS), "TERM was not heard");
+                fixture.writeConfiguration(moved);
+                assertEquals(0, sendSignal("-HUP", controller));
+                awaitCondition(() -> moved.requests().contains("watch 1"), "HUP was not handled");
+                assertEquals(0, sendSignal("-TERM", controller));
+                assertTrue(
+                        controller.waitFor(EXIT_SECONDS, TimeUnit.SECONDS), "TERM was not handled");
                 assertEquals(0, controller.exitValue());
-                assertFalse(Files.readString(log, StandardCharsets.UTF_8).contains("is ignored"));
+                String logged = Files.readString(log, StandardCharsets.UTF_8);
+                assertFalse(logged.contains(PlatformProcess.SIGNAL_IGNORED_EVENT), logged);
             } finally {
                 controller.destroyForcibly();
                 Files.delete(log);
             }
         }
     }
+
+    private static String runLine() throws Exception {
+        String testClasses = "-cp '" + System.getProperty("java.class.path") + "' waytrestle.Main";
+        return Toml.parse(Path.of("deploy/balancer.toml"))
+                .getString("run")
+                .replace("-jar target/waytrestle.jar", testClasses);
+    }
+
+    private static Process startIgnoringReloadSignal(String runLine, Path configuration, Path log)
+            throws Exception {
+        ProcessBuilder builder =
+                new ProcessBuilder("/bin/sh", "-c", "trap '' HUP; " + runLine)
+                        .redirectErrorStream(true)
+                        .redirectOutput(log.toFile());
+        builder.environment().put("BALANCER_CONFIG", configuration.toString());
+        return builder.start();
+    }
+
+    private static int sendSignal(String signal, Process process) throws Exception {
+        return new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
+    }
 }
