--- /dev/null
+++ b/src/test/java/waytrestle/platform/PlatformLogTest.java
@@ -0,0 +1,41 @@
+package waytrestle.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What the controller's log writes. */
+class PlatformLogTest {
+    private final ByteArrayOutputStream written = new ByteArrayOutputStream();
+    private final PlatformLog log =
+            new PlatformLog(new PrintStream(written, true, StandardCharsets.UTF_8));
+
+    @Test
+    void aFailureIsLoggedWithItsStackTrace() {
+        log.handlerFailed(new IllegalStateException("no capacity"));
+        List<String> lines = lines();
+        assertEquals(
+                "handler.failed error=\"java.lang.IllegalStateException: no capacity\"",
+                lines.get(0));
+        assertTrue(lines.get(1).startsWith("stack.frame at="), lines.get(1));
+    }
+
+    @Test
+    void aFloodOfLinesIsCutOffEachSecond() {
+        for (int i = 0; i < 1_000; i++) {
+            log.message("line");
+        }
+        // At most two seconds of the clock: the flood takes milliseconds.
+        int count = lines().size();
+        assertTrue(count >= 20 && count <= 40, count + " lines");
+    }
+
+    private List<String> lines() {
+        return written.toString(StandardCharsets.UTF_8).lines().toList();
+    }
+}
