Tests of the platform's packages without package descriptions of their own

Cause: the packages are described once, in the program. Change: the two package-info files beside the tests are gone.

--- a/src/test/java/waytrestle/invoker/platform/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Tests of the protocol of the platform's invokers. */
-package waytrestle.invoker.platform;
--- a/src/test/java/waytrestle/platform/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Tests of the platform's controller over real sockets, and their fixtures. */
-package waytrestle.platform;
