--- /dev/null
+++ b/src/main/java/waytrestle/controller/AttemptCompletionHandler.java
@@ -0,0 +1,151 @@
+package waytrestle.controller;
+
+import waytrestle.invoker.LoadMetrics;
+import waytrestle.requests.AdmissionControl;
+import waytrestle.requests.PendingRequests;
+import waytrestle.requests.RequestOutcome;
+import waytrestle.responses.Classification;
+import waytrestle.responses.ClassifierCommand;
+import waytrestle.responses.ClassifierEvent;
+import waytrestle.responses.ExchangeResult;
+import waytrestle.responses.InvokerLoadReport;
+import waytrestle.scheduler.ResponseCode;
+import waytrestle.scheduler.SchedulerEvent;
+import waytrestle.scheduler.StartKind;
+
+/**
+ * Handles the ends of attempts: the classifier gives the code, then the pending requests hear it,
+ * then the scheduler.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
+ */
+final class AttemptCompletionHandler {
+    private final Transport transport;
+    private final EventDispatcher dispatcher;
+    private final OpenRequests openRequests;
+    private final InvokerConnections connections;
+    private final AdmissionControl admission;
+    private final ControllerListener listener;
+
+    AttemptCompletionHandler(
+            Transport transport,
+            EventDispatcher dispatcher,
+            OpenRequests openRequests,
+            InvokerConnections connections,
+            AdmissionControl admission,
+            ControllerListener listener) {
+        this.transport = transport;
+        this.dispatcher = dispatcher;
+        this.openRequests = openRequests;
+        this.connections = connections;
+        this.admission = admission;
+        this.listener = listener;
+    }
+
+    /** An attempt has ended: the classifier says what that means. */
+    void completed(Attempt attempt, AttemptResult result) {
+        attempt.recordResult(result, transport.now());
+        dispatcher.notifyClassifier(
+                new ClassifierEvent.AttemptCompleted(
+                        attempt.request().id(),
+                        attempt.number(),
+                        result.result(),
+                        loadReport(result.metrics())));
+        attempt.releaseResult();
+        dispatcher.runScheduler();
+    }
+
+    private static InvokerLoadReport loadReport(LoadMetrics metrics) {
+        return new InvokerLoadReport(metrics.start(), metrics.company(), metrics.report());
+    }
+
+    /**
+     * How an attempt ends instead of being sent, or null to send it. Its connection may have come
+     * up late, or the event loop been busy: nothing is started for a client that has disconnected,
+     * even where attempts are not cancelled, nor at an invoker that stopped being ready meanwhile.
+     */
+    ExchangeResult.Kind withdrawal(Attempt attempt) {
+        OpenRequest request = attempt.request();
+        request.firstClient().checkConnected();
+        if (request.isCompleted()) {
+            return ExchangeResult.Kind.CANCELLED;
+        }
+        return connections.withdrawal(attempt.invoker(), attempt.plan().invokerWasReady());
+    }
+
+    /** The classifier has classified an end: the pending requests hear it before the scheduler. */
+    void classified(ClassifierCommand.CompleteAttempt command) {
+        OpenRequest request = openRequests.find(command.requestId());
+        Attempt attempt = request.attempts().get(command.attempt());
+        Classification classification = command.classification();
+        request.attemptEnded();
+        attempt.setCode(classification.code());
+        recordWarmResponse(attempt, command.loadReport().start());
+        listener.attemptCompleted(
+                attempt.code(),
+                attempt.invoker(),
+                attempt.exchangeResult(),
+                attempt.elapsedMicros());
+        boolean endsRequest = classification.endsRequest() && !request.isCompleted();
+        dispatcher.notifyPendingRequests(
+                new PendingRequests.AttemptCompleted(
+                        request.id(),
+                        attempt.number(),
+                        attempt.code(),
+                        functionOutcome(attempt, classification),
+                        endsRequest,
+                        attempt.exchangeResult().text()));
+        if (endsRequest) {
+            request.setFunctionResponded(isFunctionResponse(attempt.code()));
+            openRequests.complete(request.id());
+        } else {
+            openRequests.removeIfFinished(request);
+        }
+        notifyScheduler(attempt, command.loadReport());
+    }
+
+    private void recordWarmResponse(Attempt attempt, StartKind start) {
+        boolean warm = start == StartKind.WARM || start == StartKind.UNKNOWN;
+        if (attempt.code() == ResponseCode.OK && warm) {
+            admission.warmResponseServed(
+                    attempt.completedAtMicros(),
+                    attempt.request().incoming().function(),
+                    attempt.elapsedMicros());
+        }
+    }
+
+    private static boolean isFunctionResponse(ResponseCode code) {
+        return code == ResponseCode.OK || code == ResponseCode.REJECTED;
+    }
+
+    /** The result or the error of the function itself, or null where it did not respond. */
+    private static RequestOutcome functionOutcome(Attempt attempt, Classification classification) {
+        AttemptResult result = attempt.result();
+        if (result.served() != null) {
+            return result.served();
+        }
+        if (!classification.functionError()) {
+            return null;
+        }
+        return new RequestOutcome.FunctionError(
+                attempt.exchangeResult().status(),
+                result.contentType(),
+                result.body(),
+                true,
+                RequestOutcome.AttemptSummary.NONE);
+    }
+
+    private void notifyScheduler(Attempt attempt, InvokerLoadReport loadReport) {
+        dispatcher.enqueueForScheduler(
+                new SchedulerEvent.AttemptCompleted(
+                        attempt.request().id(),
+                        attempt.number(),
+                        attempt.invoker(),
+                        attempt.code(),
+                        attempt.request().isCompleted(),
+                        attempt.elapsedMicros(),
+                        loadReport.start(),
+                        loadReport.concurrentRequests(),
+                        loadReport.metrics()));
+    }
+}
--- a/src/main/java/waytrestle/controller/AttemptResult.java
+++ b/src/main/java/waytrestle/controller/AttemptResult.java
@@ -6,13 +6,19 @@
 import waytrestle.responses.ExchangeResult;
 
 /**
- * What came of an attempt: the answer with ANSWER alone, type and body of any other message, the
- * load report.
+ * What an attempt ended with.
+ *
+ * @param result how the exchange ended
+ * @param served the function's response, only where the exchange ended with {@link
+ *     ExchangeResult.Kind#RESPONSE}; null otherwise
+ * @param contentType the content type of any other message; empty without one
+ * @param body the body of any other message
+ * @param metrics the invoker's load report
  */
 public record AttemptResult(
         ExchangeResult result, Served served, String contentType, Bytes body, LoadMetrics metrics) {
-    /** Nothing but how it ended. */
-    public static AttemptResult of(ExchangeResult.Kind how) {
-        return new AttemptResult(ExchangeResult.of(how), null, "", Bytes.NONE, LoadMetrics.NONE);
+    /** A result without any message. */
+    public static AttemptResult of(ExchangeResult.Kind kind) {
+        return new AttemptResult(ExchangeResult.of(kind), null, "", Bytes.NONE, LoadMetrics.NONE);
     }
 }
--- a/src/main/java/waytrestle/controller/ControllerDependencies.java
+++ b/src/main/java/waytrestle/controller/ControllerDependencies.java
@@ -9,8 +9,9 @@
 import waytrestle.scheduler.SchedulerSettings;
 
 /**
- * What a way of running puts together for its controller; functions tells what is known of one
- * where its calls do not.
+ * The parts that a gateway, a platform or a simulation assembles its controller from.
+ *
+ * @param functionHints what is known of a function whose requests say nothing of it
  */
 public record ControllerDependencies(
         SchedulerSettings settings,
--- a/src/main/java/waytrestle/controller/ControllerEnvironment.java
+++ b/src/main/java/waytrestle/controller/ControllerEnvironment.java
@@ -1,13 +1,23 @@
 package waytrestle.controller;
 
-/** What the controller reaches beyond invokers. */
+/**
+ * What a controller uses beside its invokers: service discovery, the other controllers and the
+ * process. Called on the controller's event loop.
+ */
 public interface ControllerEnvironment {
-    void subscribe(boolean on);
+    /** Subscribes to endpoint updates, or ends the subscription. */
+    void subscribe(boolean enabled);
 
+    /** Fetches the endpoint list once. */
     void fetchEndpoints();
 
+    /**
+     * Sends a message to another controller.
+     *
+     * @param peer its number, or {@link waytrestle.scheduler.SchedulerCommand#ALL_PEERS}
+     */
     void sendGossip(int peer, byte[] message);
 
-    /** The module has failed too often; the process should stop. */
-    void schedulerFailed(String why);
+    /** The scheduler has failed too often; the process should stop. */
+    void schedulerFailed(String reason);
 }
--- a/src/main/java/waytrestle/controller/ControllerListener.java
+++ b/src/main/java/waytrestle/controller/ControllerListener.java
@@ -7,28 +7,49 @@
 import waytrestle.scheduler.ResponseCode;
 import waytrestle.scheduler.SchedulerEvent;
 
-/** Hears what a controller does, to count or log it; nothing is decided by what it does. */
+/**
+ * Observes a controller, for metrics and logs; no decision depends on it. Called on the
+ * controller's event loop.
+ */
 public interface ControllerListener {
-    /** A call's end: served, refused, failed or left by its client. */
-    default void requestCompleted(IncomingRequest call, String end, String reason, long micros) {}
-
+    /**
+     * A request has ended for a client.
+     *
+     * @param end the label of how it ended: served, refused, failed or left
+     * @param reason the label of the reason, empty without one
+     * @param micros the time since the request was accepted; 0 where its client disconnected
+     */
+    default void requestCompleted(
+            IncomingRequest request, String end, String reason, long micros) {}
+
+    /** An attempt has ended, also one that was never sent. */
     default void attemptCompleted(
-            ResponseCode code, String invoker, ExchangeResult said, long micros) {}
+            ResponseCode code, String invoker, ExchangeResult result, long micros) {}
 
+    /** A preload request has passed the limit that holds after a start. */
     default void preloadSent() {}
 
+    /** An invoker is ejected as an outlier for this time. */
     default void invokerEjected(String invoker, long micros) {}
 
+    /** An ejected invoker gets requests again. */
     default void invokerReadmitted(String invoker) {}
 
-    default void capabilityWarning(ClassifierCommand.WarnOfCapability what) {}
+    /** An invoker breaks or never reports a capability that the settings declare. */
+    default void capabilityWarning(ClassifierCommand.WarnOfCapability warning) {}
 
     /** An invoker is gone; nothing of it needs to be kept. */
     default void invokerRemoved(String invoker) {}
 
-    /** A decision threw; the events before it are enough to replay it. */
-    void decisionFailed(SchedulerEvent event, Collection<SchedulerEvent> before, Throwable why);
+    /**
+     * A decision of the scheduler threw.
+     *
+     * @param recentEvents the last events up to and including the failed one, to replay it; valid
+     *     only during this method
+     */
+    void decisionFailed(
+            SchedulerEvent event, Collection<SchedulerEvent> recentEvents, Throwable cause);
 
-    /** A line for whoever reads the log. */
+    /** A line for the log. */
     void message(String text);
 }
--- a/src/main/java/waytrestle/controller/FailureThreshold.java
+++ b/src/main/java/waytrestle/controller/FailureThreshold.java
@@ -3,31 +3,36 @@
 import java.util.ArrayDeque;
 
 /**
- * Whether the process goes on after a decision threw. One failed decision is one failed call; many
- * within a span mean that the module's state is broken, and a restart with a fresh one serves
- * better. Guards against a module that throws at each event while its process looks alive to
- * whoever spreads the clients.
+ * Decides whether the process goes on after a decision of the scheduler threw. One failed decision
+ * fails one request; many within a time window mean that the scheduler's state is corrupt, and a
+ * restart with a fresh one serves better. Symptom: a process that looks healthy to load balancers
+ * while every decision in it throws.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 public final class FailureThreshold {
-    private final int most;
-    private final long span;
-    private final ArrayDeque<Long> times = new ArrayDeque<>();
+    private static final long MICROS_PER_MILLI = 1_000;
 
-    public FailureThreshold(int most, long spanMicros) {
-        this.most = most;
-        this.span = spanMicros;
+    private final int maxFailures;
+    private final long windowMicros;
+    private final ArrayDeque<Long> failureTimes = new ArrayDeque<>();
+
+    /** Tolerates this many failures within any window of this length. */
+    public FailureThreshold(int maxFailures, long windowMicros) {
+        this.maxFailures = maxFailures;
+        this.windowMicros = windowMicros;
     }
 
     String description() {
-        return most + " decisions failed within " + span / 1_000 + " ms";
+        return maxFailures + " decisions failed within " + windowMicros / MICROS_PER_MILLI + " ms";
     }
 
-    /** Counts a fault; true when the process should stop. */
-    public boolean exceededBy(long now) {
-        times.add(now);
-        while (times.peek() < now - span) {
-            times.poll();
+    /** Counts a failure; true when the process should stop. */
+    public boolean exceededBy(long nowMicros) {
+        failureTimes.add(nowMicros);
+        while (failureTimes.peek() < nowMicros - windowMicros) {
+            failureTimes.poll();
         }
-        return times.size() > most;
+        return failureTimes.size() > maxFailures;
     }
 }
--- a/src/main/java/waytrestle/controller/InvokerClient.java
+++ b/src/main/java/waytrestle/controller/InvokerClient.java
@@ -1,50 +1,74 @@
 package waytrestle.controller;
 
-import waytrestle.controller.InvokerClient.AttemptListener;
-import waytrestle.controller.InvokerClient.OperationListener;
-import waytrestle.controller.InvokerClient.Withdrawable;
 import waytrestle.invoker.LoadMetrics;
 import waytrestle.requests.RequestHandler.IncomingRequest;
 import waytrestle.responses.ExchangeResult;
 
-/** The way to one invoker. */
+/**
+ * The client of one invoker. All methods are called, and all listeners are notified, on the
+ * controller's event loop.
+ */
 public interface InvokerClient {
-    /** Sends an attempt; what is returned cancels it. */
+    /**
+     * Sends an attempt of a request.
+     *
+     * @param id the request's id as the invoker is to see it
+     * @param withinMicros the time after which the attempt is given up
+     * @return cancels the attempt
+     */
     Runnable sendAttempt(
-            IncomingRequest call, String id, int attempt, long withinMicros, AttemptListener ended);
+            IncomingRequest request,
+            String id,
+            int attempt,
+            long withinMicros,
+            AttemptListener listener);
 
-    /** Holds at least so many copies, or (0) asks how many stand. */
-    void preload(String function, int copies, long withinMicros, OperationListener told);
+    /**
+     * Sends a preload request: hold at least so many instances of the function.
+     *
+     * @param instances 0 only asks how many are loaded
+     */
+    void preload(String function, int instances, long withinMicros, OperationListener listener);
 
+    /** Unloads the idle instances of the function. */
     void unload(String function, long withinMicros);
 
-    void checkHealth(long withinMicros, OperationListener told);
+    /** Sends a health check. */
+    void checkHealth(long withinMicros, OperationListener listener);
 
+    /** Closes idle connections. */
     void closeIdle();
 
     /** Closes idle connections now, others when their exchange ends. */
     void close();
 
+    /** Open connections. */
     int connections();
 
-    /** Something that waits for a connection. */
+    /** Something that waits for a connection and may be withdrawn before it is sent. */
     interface Withdrawable {
         /**
-         * Asked before the first byte is sent, which may be late: how it ends instead, or null to
-         * send it.
+         * Called before the first byte is sent, which may be late: how the exchange ends instead,
+         * or null to send it.
          */
         default ExchangeResult.Kind withdrawal() {
             return null;
         }
     }
 
-    /** Hears how an attempt ended, once and never within the call that began it. */
+    /** Waits for the end of an attempt. */
     interface AttemptListener extends Withdrawable {
-        void completed(AttemptResult came);
+        /** The attempt has ended; called once, never within the call that began it. */
+        void completed(AttemptResult result);
     }
 
-    /** Hears how an order or a probe ended; copies that stand, where that was asked. */
+    /** Waits for the end of a preload request or a health check. */
     interface OperationListener extends Withdrawable {
-        void completed(ExchangeResult reply, int copies, LoadMetrics told);
+        /**
+         * The operation has ended; called once.
+         *
+         * @param instances loaded instances of the function, where that was asked
+         */
+        void completed(ExchangeResult result, int instances, LoadMetrics metrics);
     }
 }
--- /dev/null
+++ b/src/main/java/waytrestle/controller/InvokerConnections.java
@@ -0,0 +1,141 @@
+package waytrestle.controller;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import waytrestle.responses.ClassifierEvent;
+import waytrestle.responses.ExchangeResult;
+import waytrestle.scheduler.EndpointState;
+import waytrestle.scheduler.InvokerEndpoint;
+import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
+
+/**
+ * The clients of the listed invokers, and which invokers are listed as ready.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
+ */
+final class InvokerConnections {
+    private final Transport transport;
+    private final EventDispatcher dispatcher;
+    private final ControllerListener listener;
+    private final Map<String, InvokerClient> clients = new HashMap<>();
+    private final Set<String> readyInvokers = new HashSet<>();
+
+    InvokerConnections(
+            Transport transport, EventDispatcher dispatcher, ControllerListener listener) {
+        this.transport = transport;
+        this.dispatcher = dispatcher;
+        this.listener = listener;
+    }
+
+    /** The client of an invoker, or null where the invoker is not listed. */
+    InvokerClient find(String invoker) {
+        return clients.get(invoker);
+    }
+
+    boolean isConnected(String invoker) {
+        return clients.containsKey(invoker);
+    }
+
+    boolean isReady(String invoker) {
+        return readyInvokers.contains(invoker);
+    }
+
+    int clientCount() {
+        return clients.size();
+    }
+
+    int readyCount() {
+        return readyInvokers.size();
+    }
+
+    int openConnections() {
+        return clients.values().stream().mapToInt(InvokerClient::connections).sum();
+    }
+
+    /**
+     * How something that has not been sent yet ends instead, or null to send it: an invoker that
+     * stopped being ready since the decision gets nothing more, so nothing ran.
+     *
+     * @param wasReady whether the invoker was ready at the decision
+     */
+    ExchangeResult.Kind withdrawal(String invoker, boolean wasReady) {
+        if (wasReady && !isReady(invoker)) {
+            return ExchangeResult.Kind.NO_CAPACITY;
+        }
+        return null;
+    }
+
+    /** Opens and closes clients as an endpoint list demands. */
+    void update(EndpointsUpdated update) {
+        if (update.snapshot()) {
+            removeUnlisted(update);
+        }
+        for (InvokerEndpoint endpoint : update.entries()) {
+            updateClient(endpoint);
+        }
+        updateReadiness(update);
+    }
+
+    /** What a snapshot leaves out is gone, its connections with it. */
+    private void removeUnlisted(EndpointsUpdated snapshot) {
+        Set<String> listed = new HashSet<>();
+        snapshot.entries().forEach(endpoint -> listed.add(endpoint.id()));
+        clients.entrySet().removeIf(entry -> closeUnlisted(entry, listed));
+    }
+
+    private boolean closeUnlisted(Map.Entry<String, InvokerClient> entry, Set<String> listed) {
+        if (listed.contains(entry.getKey())) {
+            return false;
+        }
+        entry.getValue().close();
+        listener.invokerRemoved(entry.getKey());
+        return true;
+    }
+
+    private void updateClient(InvokerEndpoint endpoint) {
+        if (endpoint.state() == EndpointState.GONE) {
+            disconnect(endpoint.id());
+            listener.invokerRemoved(endpoint.id());
+        } else {
+            clients.computeIfAbsent(endpoint.id(), this::connect);
+        }
+        if (endpoint.state() != EndpointState.READY) {
+            listener.message(
+                    "invoker_state_reported invoker="
+                            + endpoint.id()
+                            + " state="
+                            + endpoint.state());
+        }
+    }
+
+    private InvokerClient connect(String invoker) {
+        return transport.connect(
+                invoker,
+                () ->
+                        dispatcher.dispatchToClassifier(
+                                new ClassifierEvent.ConnectionsLost(invoker)));
+    }
+
+    /** Closes the client of an invoker; a later entry of the endpoint list opens a new one. */
+    void disconnect(String invoker) {
+        InvokerClient client = clients.remove(invoker);
+        if (client != null) {
+            client.close();
+        }
+    }
+
+    private void updateReadiness(EndpointsUpdated update) {
+        if (update.snapshot()) {
+            readyInvokers.clear();
+        }
+        for (InvokerEndpoint endpoint : update.entries()) {
+            if (endpoint.state() == EndpointState.READY) {
+                readyInvokers.add(endpoint.id());
+            } else {
+                readyInvokers.remove(endpoint.id());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/controller/InvokerOperations.java
@@ -0,0 +1,166 @@
+package waytrestle.controller;
+
+import java.util.Map;
+import java.util.function.Function;
+import waytrestle.invoker.LoadMetrics;
+import waytrestle.overload.StartupPreloadLimit;
+import waytrestle.requests.RequestHandler.FunctionHints;
+import waytrestle.responses.ClassifierEvent;
+import waytrestle.responses.ExchangeResult;
+import waytrestle.responses.ResponseClassifier;
+import waytrestle.scheduler.ResponseCode;
+import waytrestle.scheduler.SchedulerCommand;
+import waytrestle.scheduler.SchedulerEvent;
+import waytrestle.scheduler.SchedulerEvent.HealthCheckCompleted;
+import waytrestle.scheduler.SchedulerSettings;
+
+/**
+ * Sends what the scheduler asks of invokers beside attempts: preload and unload requests, health
+ * checks, the closing of idle connections.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
+ */
+final class InvokerOperations {
+    private final Transport transport;
+    private final SchedulerSettings settings;
+    private final ResponseClassifier classifier;
+    private final Function<String, FunctionHints> functionHints;
+    private final EventDispatcher dispatcher;
+    private final InvokerConnections connections;
+    private final StartupPreloadLimit startupPreloadLimit;
+    private final ControllerListener listener;
+
+    InvokerOperations(
+            Transport transport,
+            ControllerDependencies dependencies,
+            EventDispatcher dispatcher,
+            InvokerConnections connections,
+            StartupPreloadLimit startupPreloadLimit,
+            ControllerListener listener) {
+        this.transport = transport;
+        this.settings = dependencies.settings();
+        this.classifier = dependencies.classifier();
+        this.functionHints = dependencies.functionHints();
+        this.dispatcher = dispatcher;
+        this.connections = connections;
+        this.startupPreloadLimit = startupPreloadLimit;
+        this.listener = listener;
+    }
+
+    /** Sends a preload request, within the limit that holds after a start. */
+    void preload(SchedulerCommand.PreloadFunction command) {
+        if (loadsInstances(command) && !startupPreloadLimit.tryAcquire(transport.now())) {
+            failPreloadLater(command, ResponseCode.NOT_SENT);
+            return;
+        }
+        listener.preloadSent();
+        InvokerClient client = connections.find(command.invoker());
+        if (client == null) {
+            failPreloadLater(command, ResponseCode.CONNECT_FAILED);
+            return;
+        }
+        client.preload(
+                command.function(),
+                command.instances(),
+                settings.preloading().preloadTimeoutMicros(),
+                new PreloadListener(command));
+    }
+
+    /** Whether a preload request may load instances; otherwise it only asks how many there are. */
+    private static boolean loadsInstances(SchedulerCommand.PreloadFunction command) {
+        return command.instances() > 0;
+    }
+
+    private void failPreloadLater(SchedulerCommand.PreloadFunction command, ResponseCode code) {
+        dispatchLater(
+                new SchedulerEvent.PreloadCompleted(
+                        command.invoker(), command.function(), code, 0, 0));
+    }
+
+    /** Dispatches an event once the present one has been handled. */
+    private void dispatchLater(SchedulerEvent event) {
+        transport.schedule(0, () -> dispatcher.dispatchToScheduler(event));
+    }
+
+    /** Waits for the end of a preload request. */
+    private final class PreloadListener implements InvokerClient.OperationListener {
+        private final SchedulerCommand.PreloadFunction command;
+        private final long sentAtMicros = transport.now();
+        private final boolean invokerWasReady;
+
+        PreloadListener(SchedulerCommand.PreloadFunction command) {
+            this.command = command;
+            this.invokerWasReady = connections.isReady(command.invoker());
+        }
+
+        @Override
+        public ExchangeResult.Kind withdrawal() {
+            return connections.withdrawal(command.invoker(), invokerWasReady);
+        }
+
+        /** Notifies the classifier of the end, then the scheduler. */
+        @Override
+        public void completed(ExchangeResult result, int instances, LoadMetrics metrics) {
+            long elapsedMicros = transport.now() - sentAtMicros;
+            if (loadsInstances(command)) {
+                notifyClassifier(result, metrics, elapsedMicros);
+            }
+            dispatcher.dispatchToScheduler(
+                    new SchedulerEvent.PreloadCompleted(
+                            command.invoker(),
+                            command.function(),
+                            classifier.codeOfPreload(result),
+                            elapsedMicros,
+                            instances));
+        }
+
+        private void notifyClassifier(
+                ExchangeResult result, LoadMetrics metrics, long elapsedMicros) {
+            dispatcher.notifyClassifier(
+                    new ClassifierEvent.PreloadCompleted(
+                            command.invoker(),
+                            command.function(),
+                            result,
+                            metrics.copies(),
+                            elapsedMicros,
+                            functionHints.apply(command.function()).loadMicros()));
+        }
+    }
+
+    /** Sends an unload request; nobody waits for its end. */
+    void unload(SchedulerCommand.UnloadFunction command) {
+        InvokerClient client = connections.find(command.invoker());
+        if (client != null) {
+            client.unload(command.function(), settings.preloading().preloadTimeoutMicros());
+        }
+    }
+
+    /** Sends a health check. */
+    void checkHealth(SchedulerCommand.CheckHealth command) {
+        InvokerClient client = connections.find(command.invoker());
+        long sentAtMicros = transport.now();
+        if (client == null) {
+            dispatchLater(
+                    new HealthCheckCompleted(
+                            command.invoker(), ResponseCode.CONNECT_FAILED, 0, Map.of()));
+            return;
+        }
+        client.checkHealth(
+                settings.limits().connectTimeoutMicros(),
+                (result, instances, metrics) ->
+                        dispatcher.dispatchToScheduler(
+                                new HealthCheckCompleted(
+                                        command.invoker(),
+                                        classifier.codeOfPreload(result),
+                                        transport.now() - sentAtMicros,
+                                        metrics.report())));
+    }
+
+    /** Closes the idle connections to an invoker. */
+    void closeIdleConnections(SchedulerCommand.CloseIdleConnections command) {
+        InvokerClient client = connections.find(command.invoker());
+        if (client != null) {
+            client.closeIdle();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/controller/RequestAccessLogger.java
@@ -0,0 +1,101 @@
+package waytrestle.controller;
+
+import java.util.ArrayList;
+import java.util.List;
+import waytrestle.access.AccessLine;
+import waytrestle.access.AccessLog;
+import waytrestle.requests.RequestHandler.IncomingRequest;
+import waytrestle.requests.RequestOutcome;
+import waytrestle.scheduler.SchedulerEvent;
+import waytrestle.scheduler.SchedulerSettings;
+
+/**
+ * Writes responses to the access log, each with the attempts of the request that its client
+ * started.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
+ */
+final class RequestAccessLogger {
+    /** The response of an attempt that is outstanding. */
+    private static final String OUTSTANDING = "open";
+
+    /** An id or a tenant that the request does not have. */
+    private static final String NONE = "";
+
+    private final Transport transport;
+    private final WallClock wallClock;
+    private final SchedulerSettings settings;
+    private final AccessLog accessLog;
+
+    RequestAccessLogger(
+            Transport transport,
+            WallClock wallClock,
+            SchedulerSettings settings,
+            AccessLog accessLog) {
+        this.transport = transport;
+        this.wallClock = wallClock;
+        this.settings = settings;
+        this.accessLog = accessLog;
+    }
+
+    /** Writes the response to a client, if the access log takes requests of this id. */
+    void log(WaitingClient client, RequestOutcome outcome) {
+        IncomingRequest incoming = client.incoming();
+        String id = requestId(incoming);
+        if (!accessLog.takes(id)) {
+            return;
+        }
+        accessLog.write(
+                new AccessLine(
+                        wallClock.millis(),
+                        id,
+                        tenantName(incoming),
+                        settings.classes().get(incoming.requestClass()).name(),
+                        incoming.function(),
+                        attempts(client.startedRequest()),
+                        CompletionKind.of(outcome).label(),
+                        CompletionKind.reasonLabel(outcome),
+                        transport.now() - client.acceptedAtMicros()));
+    }
+
+    private static String requestId(IncomingRequest incoming) {
+        if (incoming.idempotencyKey() == null) {
+            return NONE;
+        }
+        return incoming.idempotencyKey().key();
+    }
+
+    private String tenantName(IncomingRequest incoming) {
+        if (incoming.tenant() <= SchedulerEvent.NO_TENANT) {
+            return NONE;
+        }
+        return settings.tenants().get(incoming.tenant()).name();
+    }
+
+    private List<AccessLine.Tried> attempts(OpenRequest request) {
+        if (request == null) {
+            return List.of();
+        }
+        List<AccessLine.Tried> lines = new ArrayList<>(request.attempts().size());
+        for (Attempt attempt : request.attempts()) {
+            lines.add(attemptLine(attempt));
+        }
+        return lines;
+    }
+
+    private AccessLine.Tried attemptLine(Attempt attempt) {
+        Attempt.Plan plan = attempt.plan();
+        if (attempt.hasEnded()) {
+            return new AccessLine.Tried(
+                    attempt.invoker(),
+                    attempt.exchangeResult().text(),
+                    attempt.elapsedMicros(),
+                    plan.estimateMicros());
+        }
+        return new AccessLine.Tried(
+                attempt.invoker(),
+                OUTSTANDING,
+                transport.now() - plan.decidedAtMicros(),
+                plan.estimateMicros());
+    }
+}
--- /dev/null
+++ b/src/main/java/waytrestle/controller/SchedulerEventLoop.java
@@ -0,0 +1,92 @@
+package waytrestle.controller;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.function.Consumer;
+import waytrestle.scheduler.RequestScheduler;
+import waytrestle.scheduler.SchedulerCommand;
+import waytrestle.scheduler.SchedulerEvent;
+
+/**
+ * Feeds the scheduler one event at a time. The commands of an event are all carried out before the
+ * next event is handled; events that arise meanwhile are queued.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
+ */
+final class SchedulerEventLoop {
+    /** Events reported with a failed decision: enough to replay it. */
+    private static final int RECENT_EVENTS = 64;
+
+    /** Handles an exception that the scheduler threw. */
+    interface FailureHandler {
+        /**
+         * Called before the commands are carried out that the scheduler gave before it threw.
+         *
+         * @param recentEvents the last events up to and including the failed one
+         */
+        void schedulerThrew(
+                SchedulerEvent event, Collection<SchedulerEvent> recentEvents, Throwable cause);
+    }
+
+    private final Transport transport;
+    private final RequestScheduler scheduler;
+    private final ArrayDeque<SchedulerEvent> queue = new ArrayDeque<>();
+    private final ArrayDeque<SchedulerEvent> recentEvents = new ArrayDeque<>();
+    private final List<SchedulerCommand> commands = new ArrayList<>();
+    private Consumer<SchedulerCommand> commandHandler;
+    private FailureHandler failureHandler;
+    private boolean running;
+
+    SchedulerEventLoop(Transport transport, RequestScheduler scheduler) {
+        this.transport = transport;
+        this.scheduler = scheduler;
+    }
+
+    /** Sets who carries out commands and handles failures; once, before the first event. */
+    void connect(Consumer<SchedulerCommand> commandHandler, FailureHandler failureHandler) {
+        this.commandHandler = commandHandler;
+        this.failureHandler = failureHandler;
+    }
+
+    /** Queues an event for the next {@link #run}. */
+    void enqueue(SchedulerEvent event) {
+        queue.add(event);
+    }
+
+    /** Handles all queued events; does nothing while they are being handled already. */
+    void run() {
+        if (running) {
+            return;
+        }
+        running = true;
+        try {
+            for (SchedulerEvent event = queue.poll(); event != null; event = queue.poll()) {
+                handle(event);
+            }
+        } finally {
+            running = false;
+        }
+    }
+
+    private void handle(SchedulerEvent event) {
+        remember(event);
+        commands.clear();
+        try {
+            scheduler.handle(transport.now(), event, commands::add);
+        } catch (RuntimeException | StackOverflowError e) {
+            failureHandler.schedulerThrew(event, recentEvents, e);
+        }
+        for (int i = 0; i < commands.size(); i++) {
+            commandHandler.accept(commands.get(i));
+        }
+    }
+
+    private void remember(SchedulerEvent event) {
+        recentEvents.add(event);
+        if (recentEvents.size() > RECENT_EVENTS) {
+            recentEvents.poll();
+        }
+    }
+}
--- a/src/main/java/waytrestle/controller/Transport.java
+++ b/src/main/java/waytrestle/controller/Transport.java
@@ -1,18 +1,21 @@
 package waytrestle.controller;
 
 /**
- * What a controller stands on: time, and the ways to invokers. Sockets in service, models in the
- * emulator.
+ * The clock, the timers and the invoker clients of a controller: sockets in service, models in a
+ * simulation. Everything scheduled runs on the controller's event loop.
  */
 public interface Transport {
-    /** Monotonic micros. */
+    /** The monotonic time in microseconds. */
     long now();
 
+    /** Runs a task after a delay. */
     void schedule(long micros, Runnable task);
 
     /**
-     * A way to an invoker, kept until it is closed; lost hears that all connections there were
-     * closed, young ones too.
+     * Creates the client of an invoker.
+     *
+     * @param lost called when all connections to the invoker were closed by it, though used a
+     *     moment ago
      */
     InvokerClient connect(String invoker, Runnable lost);
 }
--- /dev/null
+++ b/src/main/java/waytrestle/controller/WaitingClients.java
@@ -0,0 +1,101 @@
+package waytrestle.controller;
+
+import java.util.HashMap;
+import java.util.Map;
+import waytrestle.requests.PendingRequests;
+import waytrestle.requests.RequestHandler.IncomingRequest;
+import waytrestle.requests.RequestHandler.PendingResponse;
+import waytrestle.requests.RequestHandler.ResponseListener;
+import waytrestle.requests.RequestOutcome;
+
+/**
+ * The clients that wait for a response: accepts their requests, sets their deadline timers and
+ * passes them their responses.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
+ */
+final class WaitingClients {
+    private final Transport transport;
+    private final EventDispatcher dispatcher;
+    private final ControllerListener listener;
+    private final RequestAccessLogger accessLogger;
+    private final Map<Long, WaitingClient> clients = new HashMap<>();
+    private long lastClientId;
+
+    WaitingClients(
+            Transport transport,
+            EventDispatcher dispatcher,
+            ControllerListener listener,
+            RequestAccessLogger accessLogger) {
+        this.transport = transport;
+        this.dispatcher = dispatcher;
+        this.listener = listener;
+        this.accessLogger = accessLogger;
+    }
+
+    int size() {
+        return clients.size();
+    }
+
+    /** Accepts a request of a client; its response may come within this call. */
+    PendingResponse accept(IncomingRequest incoming, ResponseListener client) {
+        lastClientId++;
+        long clientId = lastClientId;
+        clients.put(clientId, new WaitingClient(client, incoming, transport.now(), null));
+        dispatcher.dispatchToPendingRequests(
+                new PendingRequests.RequestArrived(
+                        clientId,
+                        incoming.requestClass(),
+                        incoming.tenant(),
+                        incoming.retryMark(),
+                        incoming.idempotencyKey(),
+                        incoming.timeLeftMicros()));
+        return () -> disconnected(clientId, incoming);
+    }
+
+    private void disconnected(long clientId, IncomingRequest incoming) {
+        if (clients.remove(clientId) == null) {
+            return;
+        }
+        listener.requestCompleted(
+                incoming, CompletionKind.CLIENT_DISCONNECTED.label(), CompletionKind.NO_REASON, 0);
+        dispatcher.dispatchToPendingRequests(new PendingRequests.ClientDisconnected(clientId));
+    }
+
+    /** The client of this id, or null where it waits no more. */
+    WaitingClient find(long clientId) {
+        return clients.get(clientId);
+    }
+
+    /** Notes the request that a client has started. */
+    void recordStartedRequest(long clientId, OpenRequest request) {
+        clients.put(clientId, clients.get(clientId).withStartedRequest(request));
+    }
+
+    /** Passes a client its response; nothing where it has disconnected. */
+    void respond(PendingRequests.RespondToClient command) {
+        WaitingClient client = clients.remove(command.clientId());
+        if (client == null) {
+            return;
+        }
+        RequestOutcome outcome = command.outcome();
+        listener.requestCompleted(
+                client.incoming(),
+                CompletionKind.of(outcome).label(),
+                CompletionKind.reasonLabel(outcome),
+                transport.now() - client.acceptedAtMicros());
+        accessLogger.log(client, outcome);
+        client.listener().completed(outcome);
+    }
+
+    /** Lets the pending requests hear of a client's deadline, if it still waits then. */
+    void setDeadlineTimer(PendingRequests.SetDeadlineTimer command) {
+        transport.schedule(command.afterMicros(), () -> deadlineExpired(command.clientId()));
+    }
+
+    private void deadlineExpired(long clientId) {
+        if (clients.containsKey(clientId)) {
+            dispatcher.dispatchToPendingRequests(new PendingRequests.DeadlineExpired(clientId));
+        }
+    }
+}
--- a/src/test/java/waytrestle/gateway/ControllerTest.java
+++ b/src/test/java/waytrestle/gateway/ControllerTest.java
@@ -9,6 +9,7 @@
 import java.net.InetAddress;
 import java.net.http.HttpResponse;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -20,6 +21,7 @@
 import waytrestle.net.Loop;
 import waytrestle.requests.PendingRequests;
 import waytrestle.scheduler.ResponseCode;
+import waytrestle.scheduler.SchedulerCommand;
 import waytrestle.scheduler.SchedulerCommand.CancelAttempt;
 import waytrestle.scheduler.SchedulerCommand.CheckHealth;
 import waytrestle.scheduler.SchedulerCommand.CloseIdleConnections;
@@ -47,306 +49,359 @@
 import waytrestle.scheduler.StartKind;
 
 /**
- * The module's host: every kind of action is carried out, every kind of end is told, a failed
- * decision is survived.
+ * Every kind of scheduler command is carried out, every way an attempt can end reaches the
+ * scheduler, and a failed decision is survived.
  */
 class ControllerTest {
-    private static final SchedulerTimer MINE = new RequestDeadline(77);
+    private static final String ENDPOINT = "seat-charge";
+    private static final SchedulerTimer TIMER = new RequestDeadline(77);
+    private static final long TIMER_DELAY_MICROS = 1_000;
+    private static final int PEER = 1;
+
+    /** First four bytes of a gossip packet. */
+    private static final int GOSSIP_MAGIC = 0x77747231;
+
+    /** Bytes of a gossip packet before its message: the magic and the sender's number. */
+    private static final int GOSSIP_HEADER_BYTES = 8;
+
+    /** Time for an attempt to reach its invoker before it is cancelled or given up. */
+    private static final long ATTEMPT_MICROS = 50_000;
 
     private interface Decision {
-        void on(SchedulerEvent event, Sink out);
+        void on(SchedulerEvent event, Sink commands);
     }
 
     private final List<SchedulerEvent> events = Collections.synchronizedList(new ArrayList<>());
 
     private Controller.SchedulerFactory scripted(Decision decision) {
         return (settings, seed) ->
-                (now, event, out) -> {
+                (now, event, commands) -> {
                     events.add(event);
-                    decision.on(event, out);
+                    decision.on(event, commands);
                 };
     }
 
-    private <T extends SchedulerEvent> List<T> seen(Class<T> type) {
+    private <T extends SchedulerEvent> List<T> received(Class<T> type) {
         synchronized (events) {
             return events.stream().filter(type::isInstance).map(type::cast).toList();
         }
     }
 
+    private static HttpResponse<String> send(GatewayFixture fixture, String id, String function)
+            throws Exception {
+        return fixture.http.send(
+                fixture.signed(ENDPOINT, id, fixture.soon(), GatewayFixture.body(function)).build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
+    @Test
+    void everyKindOfCommandIsCarriedOut() throws Exception {
+        try (GatewayFixture fixture = new GatewayFixture(1)) {
+            String invoker = fixture.invokers.get(0);
+            fixture.script = ControllerTest::respondToOperation;
+            fixture.start(
+                    fixture.text(false),
+                    scripted(
+                            (event, commands) -> {
+                                if (event instanceof RequestReceived request) {
+                                    addAllCommands(commands, request.id(), invoker);
+                                }
+                            }));
+            assertEquals("ran", fixture.await(ENDPOINT, "m").body());
+            GatewayFixture.until(this::allOperationsCompleted, "the end of each operation");
+            GatewayFixture.until(
+                    () -> fixture.asked.stream().anyMatch(a -> a.path().endsWith("/unload")),
+                    "the unload request");
+            assertOperationResults();
+            assertRequestEvents();
+        }
+    }
+
+    private static void respondToOperation(GatewayFixture.Asked asked) {
+        switch (asked.path()) {
+            case "/v2/repository/index" ->
+                    asked.exchange()
+                            .answer(
+                                    200,
+                                    "application/json",
+                                    "[{\"name\":\"f\",\"state\":\"READY\",\"copies\":2}]"
+                                            .getBytes(StandardCharsets.UTF_8));
+            case "/v2/repository/models/f/load" -> respondWithMetric(asked, "copies=3");
+            case "/v2/health/ready" -> respondWithMetric(asked, "queue=9");
+            case "/v2/repository/models/f/unload" -> asked.status(200);
+            default -> asked.ok("ran");
+        }
+    }
+
+    private static void respondWithMetric(GatewayFixture.Asked asked, String metric) {
+        asked.exchange()
+                .answer(
+                        200,
+                        "",
+                        new byte[0],
+                        "endpoint-load-metrics",
+                        "TEXT named_metrics." + metric);
+    }
+
+    private static void addAllCommands(Sink commands, long requestId, String invoker) {
+        commands.add(new LogMessage("one line"));
+        commands.add(new PreloadFunction(invoker, "f", 3));
+        commands.add(new PreloadFunction(invoker, "f", 0));
+        commands.add(new UnloadFunction(invoker, "f"));
+        commands.add(new CheckHealth(invoker));
+        commands.add(new CloseIdleConnections(invoker));
+        commands.add(new FetchEndpoints());
+        commands.add(new SubscribeToEndpoints(true));
+        commands.add(new SetTimer(TIMER_DELAY_MICROS, TIMER));
+        commands.add(new ForwardAttempt(requestId, invoker, 0));
+    }
+
+    private boolean allOperationsCompleted() {
+        return received(PreloadCompleted.class).size() == 2
+                && received(HealthCheckCompleted.class).size() == 1
+                && received(TimerExpired.class).size() == 1
+                && received(EndpointsUpdated.class).size() == 2;
+    }
+
+    private void assertOperationResults() {
+        List<Integer> instances =
+                received(PreloadCompleted.class).stream()
+                        .map(PreloadCompleted::instances)
+                        .sorted(Comparator.reverseOrder())
+                        .toList();
+        assertEquals(List.of(3, 2), instances);
+        assertEquals(
+                Map.of("queue", 9.0), received(HealthCheckCompleted.class).get(0).loadReport());
+        assertEquals(TIMER, received(TimerExpired.class).get(0).timer());
+        assertTrue(received(EndpointsUpdated.class).get(1).snapshot(), "the list fetched");
+    }
+
+    private void assertRequestEvents() {
+        AttemptCompleted attempt = received(AttemptCompleted.class).get(0);
+        assertEquals(SchedulerEvent.CONCURRENCY_NOT_REPORTED, attempt.concurrentRequests());
+        assertEquals(StartKind.WARM, attempt.start());
+        assertTrue(attempt.isFinal());
+        assertEquals(0, received(RequestReceived.class).get(0).tenant());
+    }
+
     @Test
-    void everyKindOfActionIsCarriedOut() throws Exception {
-        try (GatewayFixture bed = new GatewayFixture(1);
+    void gossipIsExchangedWithPeersAndDroppedFromStrangers() throws Exception {
+        try (GatewayFixture fixture = new GatewayFixture(1);
                 DatagramSocket peer = new DatagramSocket(0, InetAddress.getLoopbackAddress());
                 DatagramSocket stranger = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
             peer.setSoTimeout(5_000);
-            String to = bed.invokers.get(0);
-            int own = freePort();
-            bed.script =
-                    a -> {
-                        switch (a.path()) {
-                            case "/v2/repository/index" ->
-                                    a.exchange()
-                                            .answer(
-                                                    200,
-                                                    "application/json",
-                                                    "[{\"name\":\"f\",\"state\":\"READY\",\"copies\":2}]"
-                                                            .getBytes());
-                            case "/v2/repository/models/f/load" ->
-                                    a.exchange()
-                                            .answer(
-                                                    200,
-                                                    "",
-                                                    new byte[0],
-                                                    "endpoint-load-metrics",
-                                                    "TEXT named_metrics.copies=3");
-                            case "/v2/health/ready" ->
-                                    a.exchange()
-                                            .answer(
-                                                    200,
-                                                    "",
-                                                    new byte[0],
-                                                    "endpoint-load-metrics",
-                                                    "TEXT named_metrics.queue=9");
-                            case "/v2/repository/models/f/unload" -> a.status(200);
-                            default -> a.ok("ran");
-                        }
-                    };
-            bed.start(
-                    bed.text(false)
-                            + "\n[peers]\nlisten = \"127.0.0.1:"
-                            + own
-                            + "\"\n[[peers.peer]]\nnumber = 1\n"
-                            + "address = \"127.0.0.1:"
-                            + peer.getLocalPort()
-                            + "\"\n",
+            String invoker = fixture.invokers.get(0);
+            int gossipPort = freePort();
+            byte[] sent = {5, 6};
+            byte[] replied = {7, 8, 9};
+            fixture.start(
+                    fixture.text(false) + peerSettings(gossipPort, peer.getLocalPort()),
                     scripted(
-                            (event, out) -> {
-                                if (event instanceof RequestReceived r) {
-                                    out.add(new LogMessage("one line"));
-                                    out.add(new PreloadFunction(to, "f", 3));
-                                    out.add(new PreloadFunction(to, "f", 0));
-                                    out.add(new UnloadFunction(to, "f"));
-                                    out.add(new CheckHealth(to));
-                                    out.add(new CloseIdleConnections(to));
-                                    out.add(new SendGossip(-1, new byte[] {5, 6}));
-                                    out.add(new FetchEndpoints());
-                                    out.add(new SubscribeToEndpoints(true));
-                                    out.add(new SetTimer(1_000, MINE));
-                                    out.add(new ForwardAttempt(r.id(), to, 0));
+                            (event, commands) -> {
+                                if (event instanceof RequestReceived request) {
+                                    commands.add(new SendGossip(SchedulerCommand.ALL_PEERS, sent));
+                                    commands.add(new ForwardAttempt(request.id(), invoker, 0));
                                 }
                             }));
-            HttpResponse<String> r = bed.await("seat-charge", "m");
-            assertEquals("ran", r.body());
-            GatewayFixture.until(
-                    () ->
-                            seen(PreloadCompleted.class).size() == 2
-                                    && seen(HealthCheckCompleted.class).size() == 1
-                                    && seen(TimerExpired.class).size() == 1
-                                    && seen(EndpointsUpdated.class).size() == 2,
-                    "all that was asked");
-            assertEquals(
-                    List.of(3, 2),
-                    seen(PreloadCompleted.class).stream()
-                            .sorted(Comparator.comparing(o -> -o.instances()))
-                            .map(PreloadCompleted::instances)
-                            .toList());
-            assertEquals(
-                    Map.of("queue", 9.0), seen(HealthCheckCompleted.class).get(0).loadReport());
-            assertEquals(MINE, seen(TimerExpired.class).get(0).timer());
-            assertTrue(seen(EndpointsUpdated.class).get(1).snapshot(), "the list fetched");
-            GatewayFixture.until(
-                    () -> bed.asked.stream().anyMatch(a -> a.path().endsWith("/unload")),
-                    "the unload");
+            assertEquals("done", fixture.await(ENDPOINT, "m").body());
             DatagramPacket packet = new DatagramPacket(new byte[300], 300);
             peer.receive(packet);
-            assertEquals(10, packet.getLength());
-            byte[] hello =
-                    ByteBuffer.allocate(11)
-                            .putInt(0x77747231)
-                            .putInt(1)
-                            .put(new byte[] {7, 8, 9})
-                            .array();
-            DatagramPacket back =
-                    new DatagramPacket(hello, hello.length, InetAddress.getLoopbackAddress(), own);
-            stranger.send(back);
-            peer.send(back);
-            GatewayFixture.until(() -> !seen(GossipReceived.class).isEmpty(), "the peer's word");
-            assertArrayEquals(new byte[] {7, 8, 9}, seen(GossipReceived.class).get(0).message());
-            assertEquals(1, seen(GossipReceived.class).size(), "a stranger's word is dropped");
-            RequestReceived request = seen(RequestReceived.class).get(0);
-            assertEquals(-1, seen(AttemptCompleted.class).get(0).concurrentRequests());
-            assertEquals(StartKind.WARM, seen(AttemptCompleted.class).get(0).start());
-            assertTrue(seen(AttemptCompleted.class).get(0).isFinal());
-            assertEquals(0, request.tenant());
+            assertEquals(GOSSIP_HEADER_BYTES + sent.length, packet.getLength());
+            DatagramPacket reply = gossipPacket(replied, gossipPort);
+            stranger.send(reply);
+            peer.send(reply);
+            GatewayFixture.until(
+                    () -> !received(GossipReceived.class).isEmpty(), "the peer's message");
+            assertArrayEquals(replied, received(GossipReceived.class).get(0).message());
+            assertEquals(
+                    1, received(GossipReceived.class).size(), "a stranger's message is dropped");
         }
     }
 
+    private static String peerSettings(int ownPort, int peerPort) {
+        return """
+
+        [peers]
+        listen = "127.0.0.1:%d"
+        [[peers.peer]]
+        number = %d
+        address = "127.0.0.1:%d"
+        """
+                .formatted(ownPort, PEER, peerPort);
+    }
+
+    private static DatagramPacket gossipPacket(byte[] message, int port) {
+        byte[] packet =
+                ByteBuffer.allocate(GOSSIP_HEADER_BYTES + message.length)
+                        .putInt(GOSSIP_MAGIC)
+                        .putInt(PEER)
+                        .put(message)
+                        .array();
+        return new DatagramPacket(packet, packet.length, InetAddress.getLoopbackAddress(), port);
+    }
+
     private static int freePort() throws Exception {
-        try (DatagramSocket s = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-            return s.getLocalPort();
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** A way an attempt can end, with its code and the status that the client gets. */
+    private enum Ending {
+        CANCELLED(ResponseCode.CANCELLED, 502),
+        SILENT(ResponseCode.TIMEOUT, 502),
+        EXPIRED(ResponseCode.NOT_SENT, 502),
+        BUSY(ResponseCode.FULL, 502),
+        MALFORMED(ResponseCode.ERROR, 502),
+        CONNECTION_RESET(ResponseCode.RESET, 502),
+        SERVED(ResponseCode.OK, 200),
+        FUNCTION_ERROR(ResponseCode.ERROR, 500),
+        FULL(ResponseCode.FULL, 502),
+        NOT_LOADED(ResponseCode.NOT_LOADED, 404),
+        UNREACHABLE(ResponseCode.CONNECT_FAILED, 502);
+
+        private final ResponseCode code;
+        private final int clientStatus;
+
+        Ending(ResponseCode code, int clientStatus) {
+            this.code = code;
+            this.clientStatus = clientStatus;
+        }
+
+        /** Whether the client gets what the function responded, without a problem detail. */
+        private boolean isFunctionResponse() {
+            return this == SERVED || this == FUNCTION_ERROR;
         }
     }
 
-    /**
-     * Each way an attempt can end reaches the module under the code that the wire's page gives it.
-     */
     @Test
-    void everyWayAnAttemptEndsIsToldByItsCode() throws Exception {
-        try (GatewayFixture bed = new GatewayFixture(1)) {
-            String to = bed.invokers.get(0);
-            Map<String, ResponseCode> expected =
-                    new HashMap<>(
-                            Map.of(
-                                    "ok",
-                                    ResponseCode.OK,
-                                    "full",
-                                    ResponseCode.FULL,
-                                    "busy",
-                                    ResponseCode.FULL,
-                                    "miss",
-                                    ResponseCode.NOT_LOADED,
-                                    "error",
-                                    ResponseCode.ERROR,
-                                    "garbage",
-                                    ResponseCode.ERROR,
-                                    "reset",
-                                    ResponseCode.RESET,
-                                    "silent",
-                                    ResponseCode.TIMEOUT,
-                                    "gone",
-                                    ResponseCode.CONNECT_FAILED,
-                                    "moot",
-                                    ResponseCode.NOT_SENT));
-            expected.put("cancel", ResponseCode.CANCELLED);
-            bed.script =
-                    a -> {
-                        String what = a.id().substring(a.id().indexOf(' ') + 1);
-                        switch (what) {
-                            case "ok" -> a.ok("fine");
-                            case "full" -> a.status(503);
-                            case "busy" -> a.status(429);
-                            case "miss" -> a.status(404);
-                            case "error" -> a.status(500);
-                            case "garbage" ->
-                                    a.exchange()
-                                            .answer(
-                                                    200,
-                                                    "application/json",
-                                                    "{\"outputs\"".getBytes());
-                            case "reset" -> a.exchange().reset();
-                            default -> {}
-                        }
-                    };
-            Map<Long, String> names = Collections.synchronizedMap(new HashMap<>());
-            Map<String, ResponseCode> got = Collections.synchronizedMap(new HashMap<>());
-            bed.start(
-                    bed.text(false),
+    void everyWayAnAttemptEndsReachesTheSchedulerByItsCode() throws Exception {
+        try (GatewayFixture fixture = new GatewayFixture(1)) {
+            String invoker = fixture.invokers.get(0);
+            Map<Long, Ending> endings = Collections.synchronizedMap(new HashMap<>());
+            Map<Ending, ResponseCode> codes = Collections.synchronizedMap(new HashMap<>());
+            fixture.script = ControllerTest::respondWithEnding;
+            fixture.start(
+                    fixture.text(false),
                     scripted(
-                            (event, out) -> {
-                                if (event instanceof RequestReceived r) {
-                                    names.put(r.id(), r.function());
-                                    long soon = Loop.now();
-                                    out.add(
-                                            new ForwardAttempt(
-                                                    r.id(),
-                                                    r.function().equals("gone")
-                                                            ? "127.0.0.1:1"
-                                                            : to,
-                                                    r.function().equals("silent")
-                                                            ? soon + 50_000
-                                                            : r.function().equals("moot") ? 1 : 0));
-                                    if (r.function().equals("cancel")) {
-                                        out.add(new SetTimer(50_000, new RequestDeadline(r.id())));
-                                    }
-                                } else if (event instanceof TimerExpired t
-                                        && t.timer() instanceof RequestDeadline deadline) {
-                                    out.add(new CancelAttempt(deadline.requestId(), 0));
-                                } else if (event instanceof AttemptCompleted e) {
-                                    got.put(names.get(e.id()), e.code());
-                                    if (!e.isFinal()) {
-                                        out.add(new FailRequest(e.id()));
-                                    }
+                            (event, commands) -> {
+                                if (event instanceof RequestReceived request) {
+                                    Ending ending = Ending.valueOf(request.function());
+                                    endings.put(request.id(), ending);
+                                    forward(commands, request.id(), ending, invoker);
+                                } else if (event instanceof TimerExpired expired
+                                        && expired.timer() instanceof RequestDeadline deadline) {
+                                    commands.add(new CancelAttempt(deadline.requestId(), 0));
+                                } else if (event instanceof AttemptCompleted attempt) {
+                                    codes.put(endings.get(attempt.id()), attempt.code());
+                                    failUnlessFinal(commands, attempt);
                                 }
                             }));
-            for (String each : expected.keySet()) {
-                HttpResponse<String> r =
-                        bed.http.send(
-                                bed.signed(
-                                                "seat-charge",
-                                                each,
-                                                bed.soon(),
-                                                GatewayFixture.body(each))
-                                        .build(),
-                                HttpResponse.BodyHandlers.ofString());
-                Map<String, Integer> statuses = Map.of("ok", 200, "error", 500, "miss", 404);
-                assertEquals(statuses.getOrDefault(each, 502), r.statusCode(), each + r.body());
-                boolean proved = PendingRequests.provesNotRun(expected.get(each));
-                assertTrue(
-                        each.equals("ok")
-                                || each.equals("error")
-                                || r.body().contains("\"harmless\":" + proved),
-                        each + r.body());
-                assertTrue(
-                        !each.equals("error")
-                                || r.body().equals("{\"error\":\"x\"}")
-                                        && r.headers()
-                                                .firstValue("waytrestle-harmless")
-                                                .orElse("")
-                                                .equals("false"),
-                        r.body());
+            Map<Ending, ResponseCode> expectedCodes = new HashMap<>();
+            for (Ending ending : Ending.values()) {
+                expectedCodes.put(ending, ending.code);
+                assertResponse(ending, send(fixture, ending.name(), ending.name()));
             }
-            assertEquals(expected, got);
+            assertEquals(expectedCodes, codes);
+        }
+    }
+
+    private static void respondWithEnding(GatewayFixture.Asked asked) {
+        switch (Ending.valueOf(asked.id().substring(asked.id().indexOf(' ') + 1))) {
+            case SERVED -> asked.ok("fine");
+            case FULL -> asked.status(503);
+            case BUSY -> asked.status(429);
+            case NOT_LOADED -> asked.status(404);
+            case FUNCTION_ERROR -> asked.status(500);
+            case MALFORMED ->
+                    asked.exchange()
+                            .answer(
+                                    200,
+                                    "application/json",
+                                    "{\"outputs\"".getBytes(StandardCharsets.UTF_8));
+            case CONNECTION_RESET -> asked.exchange().reset();
+            default -> {
+                // CANCELLED and SILENT get no response; the others do not reach the invoker.
+            }
+        }
+    }
+
+    private static void forward(Sink commands, long requestId, Ending ending, String invoker) {
+        long now = Loop.now();
+        switch (ending) {
+            case UNREACHABLE -> commands.add(new ForwardAttempt(requestId, "127.0.0.1:1", 0));
+            case SILENT ->
+                    commands.add(new ForwardAttempt(requestId, invoker, now + ATTEMPT_MICROS));
+            case EXPIRED -> commands.add(new ForwardAttempt(requestId, invoker, 1));
+            default -> commands.add(new ForwardAttempt(requestId, invoker, 0));
+        }
+        if (ending == Ending.CANCELLED) {
+            commands.add(new SetTimer(ATTEMPT_MICROS, new RequestDeadline(requestId)));
+        }
+    }
+
+    private static void failUnlessFinal(Sink commands, AttemptCompleted attempt) {
+        if (!attempt.isFinal()) {
+            commands.add(new FailRequest(attempt.id()));
+        }
+    }
+
+    private static void assertResponse(Ending ending, HttpResponse<String> response) {
+        String description = ending + response.body();
+        assertEquals(ending.clientStatus, response.statusCode(), description);
+        boolean harmless = PendingRequests.provesNotRun(ending.code);
+        assertTrue(
+                ending.isFunctionResponse() || response.body().contains("\"harmless\":" + harmless),
+                description);
+        if (ending == Ending.FUNCTION_ERROR) {
+            assertEquals("{\"error\":\"x\"}", response.body());
+            assertEquals(
+                    "false",
+                    response.headers().firstValue("waytrestle-harmless").orElse(""),
+                    description);
         }
     }
 
     @Test
-    void aFailedDecisionFailsItsCallAloneAndTooManyStopTheProcess() throws Exception {
-        try (GatewayFixture bed = new GatewayFixture(1)) {
-            String to = bed.invokers.get(0);
-            bed.start(
-                    bed.text(false).replace("most = 10", "most = 2"),
+    void aFailedDecisionFailsItsRequestAloneAndTooManyStopTheProcess() throws Exception {
+        try (GatewayFixture fixture = new GatewayFixture(1)) {
+            String invoker = fixture.invokers.get(0);
+            fixture.start(
+                    fixture.text(false).replace("most = 10", "most = 2"),
                     scripted(
-                            (event, out) -> {
-                                if (event instanceof RequestReceived r) {
-                                    if (r.function().equals("bad")) {
+                            (event, commands) -> {
+                                if (event instanceof RequestReceived request) {
+                                    if (request.function().equals("bad")) {
                                         throw new IllegalStateException("scripted");
                                     }
-                                    out.add(new ForwardAttempt(r.id(), to, 0));
+                                    commands.add(new ForwardAttempt(request.id(), invoker, 0));
                                 }
                             }));
             for (int i = 0; i < 3; i++) {
-                assertEquals(200, bed.await("seat-charge", "good" + i).statusCode());
-                HttpResponse<String> r =
-                        bed.http.send(
-                                bed.signed(
-                                                "seat-charge",
-                                                "bad" + i,
-                                                bed.soon(),
-                                                GatewayFixture.body("bad"))
-                                        .build(),
-                                HttpResponse.BodyHandlers.ofString());
-                assertEquals(500, r.statusCode());
-                assertTrue(r.body().contains("\"harmless\":true"), "never sent: " + r.body());
+                assertEquals(200, fixture.await(ENDPOINT, "good" + i).statusCode());
+                HttpResponse<String> response = send(fixture, "bad" + i, "bad");
+                assertEquals(500, response.statusCode());
+                assertTrue(
+                        response.body().contains("\"harmless\":true"),
+                        "never sent: " + response.body());
             }
             assertEquals(
-                    3, bed.gateway.join(10_000), "after the third the process stops by its rule");
+                    3, fixture.gateway.join(10_000), "the third failure exceeds the threshold");
         }
     }
 
-    /**
-     * A module that forgets its calls: the desk's backstop answers them before their time is up.
-     */
+    /** The pending requests respond before the deadline where the scheduler forgets a request. */
     @Test
-    void aModuleThatNeverDecidesLosesNoCall() throws Exception {
-        try (GatewayFixture bed = new GatewayFixture(1)) {
-            bed.start(
-                    bed.text(false)
+    void aRequestThatTheSchedulerNeverDecidesIsFailedAtItsDeadline() throws Exception {
+        try (GatewayFixture fixture = new GatewayFixture(1)) {
+            fixture.start(
+                    fixture.text(false)
                             .replace(
                                     "deadline_ms = 5000\nworth = 2",
                                     "deadline_ms = 1300\nworth = 2"),
-                    scripted((event, out) -> {}));
-            assertEquals(504, bed.await("seat-charge", "m").statusCode());
-            assertEquals(1, seen(RequestAbandoned.class).size());
+                    scripted((event, commands) -> {}));
+            assertEquals(504, fixture.await(ENDPOINT, "m").statusCode());
+            assertEquals(1, received(RequestAbandoned.class).size());
         }
     }
 }
