Overload protection: named quantities, one job a class, a test class for each

Cause: the package kept its tuned numbers and its state under short names, with several concerns in one class and one test class for all of it. Change: constants carry their unit and reason. The retry settings are named as in Linkerd: retryRatio, minRetriesPerSecond. Package documentation says which thread owns it.

--- a/src/main/java/waytrestle/overload/ByteBudget.java
+++ b/src/main/java/waytrestle/overload/ByteBudget.java
@@ -3,85 +3,104 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Queue;
 import java.util.function.LongConsumer;
 
 /**
- * Bytes of all bodies held at once. A body is read only once its whole length is granted, in the
- * order of asking; until then its sender is not read from, which the kernel tells it. Nothing is
- * dropped, and since a granted body can always be read to its end, waiting ones cannot block each
- * other for good.
+ * Bounds the bytes of all bodies that are in memory at once. A body is read only once its whole
+ * length is reserved, in the order of the requests for it; until then its connection is not read
+ * from, and TCP flow control stops its sender. Nothing is dropped. Since a body with a reservation
+ * can always be read to its end, waiting bodies cannot deadlock.
  *
- * <p>Guards against memory filled by many or large bodies at once. It can hurt small ones behind a
- * large one; those at most the small size pass it as long as they fit.
+ * <p>Guards against memory exhausted by many or large bodies at once. It can delay small bodies
+ * behind a large one, so small ones pass those that wait as long as they fit.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 public final class ByteBudget {
-    // ---- Tuned numbers. ----
-    private static final long SMALL =
-            16 * 1024; // bytes: such bodies pass a larger one that waits, if they fit
-    private static final double FOR_SMALL =
-            0.1; // of the budget kept from large bodies, so that small ones find room
+    /** Bodies up to this size pass larger ones that wait, if they fit. */
+    private static final long SMALL_BODY_BYTES = 16 * 1024;
+
+    /** Fraction of the budget kept from larger bodies, so that small ones find capacity. */
+    private static final double SMALL_BODY_RESERVED_FRACTION = 0.1;
 
-    private record Waiting(long id, long bytes) {}
+    private record PendingReservation(long id, long bytes) {}
 
-    private final long most;
-    private final ArrayDeque<Waiting> line = new ArrayDeque<>();
-    private final Map<Long, Long> held = new HashMap<>();
-    private long used;
+    private final long maxBytes;
+    private final Queue<PendingReservation> pending = new ArrayDeque<>();
+    private final Map<Long, Long> reservedById = new HashMap<>();
+    private long reservedBytes;
 
-    public ByteBudget(long most) {
-        this.most = most;
+    /** A budget of which nothing is reserved yet. */
+    public ByteBudget(long maxBytes) {
+        this.maxBytes = maxBytes;
     }
 
+    /** The bytes now reserved. */
     public long used() {
-        return used;
+        return reservedBytes;
     }
 
+    /** The number of bodies that wait for their reservation. */
     public int waiting() {
-        return line.size();
+        return pending.size();
     }
 
-    /** A body larger than what large ones may use together can never be granted. */
+    /** Whether a body of this size can be granted at all, once enough others are released. */
     public boolean isGrantable(long bytes) {
-        return bytes <= room(bytes);
-    }
-
-    private long room(long bytes) {
-        return bytes <= SMALL ? most : (long) (most * (1 - FOR_SMALL));
+        return bytes <= capacityFor(bytes);
     }
 
-    /** True when granted now; else it waits and is granted by a later release. */
+    /**
+     * Reserves the bytes of a body, or queues it to be granted by a later {@link #release}.
+     *
+     * @return whether the bytes are reserved now
+     */
     public boolean tryReserve(long id, long bytes) {
-        if ((line.isEmpty() || bytes <= SMALL) && used + bytes <= room(bytes)) {
-            grant(id, bytes);
+        boolean mayPass = pending.isEmpty() || bytes <= SMALL_BODY_BYTES;
+        if (mayPass && fits(bytes)) {
+            reserve(id, bytes);
             return true;
         }
-        line.add(new Waiting(id, bytes));
+        pending.add(new PendingReservation(id, bytes));
         return false;
     }
 
-    private void grant(long id, long bytes) {
-        used += bytes;
-        held.merge(id, bytes, Long::sum);
-    }
-
     /**
-     * More is held under an id than was asked for: an answer's body, known only once it has come.
+     * Reserves more bytes under an id without waiting, even past the budget: for the body of a
+     * response, whose size is known only once it has arrived.
      */
     public void reserve(long id, long bytes) {
-        grant(id, bytes);
+        reservedBytes += bytes;
+        reservedById.merge(id, bytes, Long::sum);
     }
 
-    /** Gives back all of an id, waiting or held; tells whom that lets in. */
+    /**
+     * Returns all bytes of an id, reserved or waiting.
+     *
+     * @param granted receives the id of each waiting body that is reserved by this, in order
+     */
     public void release(long id, LongConsumer granted) {
-        line.removeIf(w -> w.id() == id);
-        Long bytes = held.remove(id);
+        pending.removeIf(reservation -> reservation.id() == id);
+        Long bytes = reservedById.remove(id);
         if (bytes != null) {
-            used -= bytes;
+            reservedBytes -= bytes;
         }
-        while (!line.isEmpty() && used + line.peek().bytes() <= room(line.peek().bytes())) {
-            Waiting next = line.poll();
-            grant(next.id(), next.bytes());
+        while (!pending.isEmpty() && fits(pending.peek().bytes())) {
+            PendingReservation next = pending.poll();
+            reserve(next.id(), next.bytes());
             granted.accept(next.id());
         }
     }
+
+    private boolean fits(long bytes) {
+        return reservedBytes + bytes <= capacityFor(bytes);
+    }
+
+    private long capacityFor(long bytes) {
+        if (bytes <= SMALL_BODY_BYTES) {
+            return maxBytes;
+        }
+        return (long) (maxBytes * (1 - SMALL_BODY_RESERVED_FRACTION));
+    }
 }
--- a/src/main/java/waytrestle/overload/ConcurrencyLimit.java
+++ b/src/main/java/waytrestle/overload/ConcurrencyLimit.java
@@ -1,116 +1,134 @@
 package waytrestle.overload;
 
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.Map;
-
 /**
- * How many calls may be open at once, found from measured queueing: while answers take about as
- * long as they do unhindered the limit grows by its square root, when they take longer it shrinks
- * by how much longer. After the gradient limit of Netflix's concurrency-limits ("Performance Under
- * Load", 2018), itself after TCP Vegas.
+ * How many requests may be in flight at once, found from measured queueing: while responses take
+ * about as long as they do without load, the limit grows by its square root; when they take longer,
+ * it shrinks by how much longer. After the gradient limit of Netflix's concurrency-limits
+ * ("Performance Under Load", 2018), itself after TCP Vegas.
+ *
+ * <p>Guards against a backlog that only grows: every response would come late, most of them for
+ * clients that have given up. It can reject too much where the requests of one function vary widely
+ * in run time; the tolerated latency ratio allows for that.
  *
- * <p>Guards against a backlog that only grows: everything would be served late, most of it for
- * nobody. It can hurt where calls of one function vary widely; the tolerance is for that.
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 public final class ConcurrencyLimit {
-    // ---- Tuned numbers. ----
-    private static final double TOLERANCE =
-            3.0; // times the quickest time that counts as no queueing: run times vary
-    private static final double STEEPEST =
-            0.5; // least factor of one step: one bad window must not empty the house
-    private static final double SMOOTH =
-            0.5; // weight of a step: half its way, so that noise evens out
-    private static final long WINDOW = 250_000; // micros a step: a limit must follow within seconds
-    private static final int SAMPLES = 8; // least answers a step: fewer say nothing
-    private static final double START =
-            8; // times the least: the limit doubles from there, step by step, until
-    // it first meets queueing; a flood at the start builds no backlog
-    private static final double HEADROOM =
-            2.0; // times the most that was open: the limit stays near its use
-    private static final double FLOOR =
-            25_000; // micros: quicker functions count as this quick. What holds them up
-    // for a few milliseconds is a pause of some process, not a queue
-    private static final double FALL =
-            0.1; // of the gap: a quicker answer's correction of the quickest time
-    private static final double RISE =
-            0.02; // a second: its growth while answers are slower. By time, not by
-    // answers: a backlog must not pass for usual within seconds
-    private static final int FUNCTIONS = 4_096; // remembered times; the longest unused is let go
-
-    private final int least, most;
-
-    private static final class Quickest {
-        double micros;
-        long at;
-    }
+    /** Multiple of the baseline latency that counts as no queueing: run times vary. */
+    private static final double TOLERATED_LATENCY_RATIO = 3.0;
+
+    /** Latency ratio that a request counts with when its deadline passed: clearly queueing. */
+    private static final double TIMEOUT_LATENCY_RATIO = 2 * TOLERATED_LATENCY_RATIO;
+
+    /** Least factor of one step: a single bad window must not stop nearly all requests. */
+    private static final double MIN_GRADIENT = 0.5;
+
+    /** Fraction of a step that is taken, so that noise evens out. */
+    private static final double STEP_WEIGHT = 0.5;
+
+    /** Least time between two steps: the limit must follow a change within seconds. */
+    private static final long WINDOW_MICROS = 250_000;
+
+    /** Least responses and timeouts of a step: fewer say nothing. */
+    private static final int MIN_WINDOW_SAMPLES = 8;
+
+    /**
+     * Multiple of the minimum at which the limit starts. It doubles from there, step by step, until
+     * it first meets queueing: many requests at the start build no backlog.
+     */
+    private static final double INITIAL_LIMIT_MULTIPLE = 8;
+
+    /** Factor by which the limit grows until it first meets queueing. */
+    private static final double STARTUP_GROWTH_FACTOR = 2;
+
+    /** Multiple of the peak in flight that bounds the limit: it stays near its use. */
+    private static final double PEAK_HEADROOM_MULTIPLE = 2.0;
+
+    /** Value of {@link #windowStart} before the first window. */
+    private static final long NEVER = 0;
 
-    private final Map<String, Quickest> unhindered = new LinkedHashMap<>(16, 0.75f, true);
+    private final int minLimit;
+    private final int maxLimit;
+    private final FunctionLatencies latencies = new FunctionLatencies();
     private double limit;
-    private long windowFrom;
-    private int samples, timeouts, peak;
-    private double ratios;
-    private boolean starting = true;
-
-    public ConcurrencyLimit(int least, int most) {
-        this.least = least;
-        this.most = most;
-        this.limit = Math.min(most, START * least);
+    private boolean startingUp = true;
+
+    private long windowStart = NEVER;
+    private int windowResponses;
+    private int windowTimeouts;
+    private int windowPeakInFlight;
+    private double windowLatencyRatios;
+
+    /** A limit that always stays between a minimum and a maximum. */
+    public ConcurrencyLimit(int minLimit, int maxLimit) {
+        this.minLimit = minLimit;
+        this.maxLimit = maxLimit;
+        this.limit = Math.min(maxLimit, INITIAL_LIMIT_MULTIPLE * minLimit);
     }
 
+    /** The number of requests that may be in flight now. */
     public int limit() {
         return (int) limit;
     }
 
-    /** The number now open, told at each change. */
-    public void inFlight(long now, int open) {
-        peak = Math.max(peak, open);
-        step(now);
+    /** Records the number of requests in flight; called at each change of it. */
+    public void inFlight(long nowMicros, int requests) {
+        windowPeakInFlight = Math.max(windowPeakInFlight, requests);
+        updateWhenWindowIsOver(nowMicros);
     }
 
-    public void timedOut(long now) {
-        timeouts++;
-        step(now);
+    /** Records that the deadline of a request passed while it was in flight. */
+    public void timedOut(long nowMicros) {
+        windowTimeouts++;
+        updateWhenWindowIsOver(nowMicros);
     }
 
-    /** An answer of a function that needed no load. */
-    public void served(long now, String function, long tookMicros) {
-        Quickest usual = unhindered.computeIfAbsent(function, f -> new Quickest());
-        if (usual.at == 0) {
-            usual.micros = Math.max(1, tookMicros);
-        } else if (tookMicros < usual.micros) {
-            usual.micros += FALL * (tookMicros - usual.micros);
-        } else {
-            usual.micros *= 1 + RISE * Math.min(1, (now - usual.at) / 1e6);
-        }
-        usual.at = now;
-        ratios += tookMicros / Math.max(FLOOR, usual.micros);
-        samples++;
-        if (unhindered.size() > FUNCTIONS) {
-            Iterator<String> oldest = unhindered.keySet().iterator();
-            oldest.next();
-            oldest.remove();
-        }
-        step(now);
+    /** Records a response of a function that was already loaded when the request was sent. */
+    public void served(long nowMicros, String function, long responseMicros) {
+        windowLatencyRatios += latencies.record(nowMicros, function, responseMicros);
+        windowResponses++;
+        updateWhenWindowIsOver(nowMicros);
     }
 
-    private void step(long now) {
-        if (windowFrom == 0) {
-            windowFrom = now;
+    private void updateWhenWindowIsOver(long nowMicros) {
+        if (windowStart == NEVER) {
+            windowStart = nowMicros;
         }
-        if (now - windowFrom < WINDOW || samples + timeouts < SAMPLES) {
+        boolean windowIsOver =
+                nowMicros - windowStart >= WINDOW_MICROS
+                        && windowResponses + windowTimeouts >= MIN_WINDOW_SAMPLES;
+        if (!windowIsOver) {
             return;
         }
-        double queueing = (ratios + timeouts * 2 * TOLERANCE) / (samples + timeouts);
-        double gradient = Math.max(STEEPEST, Math.min(1, TOLERANCE / queueing));
-        double base = Math.min(limit, HEADROOM * Math.max(peak, START * least));
-        starting &= gradient >= 1;
-        double wanted = base * gradient + (gradient >= 1 ? Math.sqrt(base) : 0);
-        double next =
-                starting ? peak > limit / 2 ? 2 * limit : limit : base + SMOOTH * (wanted - base);
-        limit = Math.max(least, Math.min(most, next));
-        windowFrom = now;
-        samples = timeouts = peak = 0;
-        ratios = 0;
+        limit = Math.max(minLimit, Math.min(maxLimit, nextLimit()));
+        startWindow(nowMicros);
+    }
+
+    private double nextLimit() {
+        double gradient = gradient();
+        startingUp &= gradient >= 1;
+        if (startingUp) {
+            boolean limitIsUsed = windowPeakInFlight > limit / 2;
+            return limitIsUsed ? STARTUP_GROWTH_FACTOR * limit : limit;
+        }
+        double usedInFlight = Math.max(windowPeakInFlight, INITIAL_LIMIT_MULTIPLE * minLimit);
+        double base = Math.min(limit, PEAK_HEADROOM_MULTIPLE * usedInFlight);
+        double growth = gradient >= 1 ? Math.sqrt(base) : 0;
+        double target = base * gradient + growth;
+        return base + STEP_WEIGHT * (target - base);
+    }
+
+    /** Factor of the window's queueing on the limit: 1 without queueing, less with more of it. */
+    private double gradient() {
+        double ratioSum = windowLatencyRatios + windowTimeouts * TIMEOUT_LATENCY_RATIO;
+        double meanRatio = ratioSum / (windowResponses + windowTimeouts);
+        return Math.max(MIN_GRADIENT, Math.min(1, TOLERATED_LATENCY_RATIO / meanRatio));
+    }
+
+    private void startWindow(long nowMicros) {
+        windowStart = nowMicros;
+        windowResponses = 0;
+        windowTimeouts = 0;
+        windowPeakInFlight = 0;
+        windowLatencyRatios = 0;
     }
 }
--- a/src/main/java/waytrestle/overload/OverloadControl.java
+++ b/src/main/java/waytrestle/overload/OverloadControl.java
@@ -7,80 +7,108 @@
 import waytrestle.scheduler.SchedulerSettings.Tenant;
 
 /**
- * The order in which things give way: what is beyond a tenant's own bounds, then repeats beyond
- * their budget, then new calls of tenants beyond their share, the least worth first. What passes is
- * put before the module.
+ * Sheds load in a fixed order: requests beyond a tenant's own limits, then retries beyond their
+ * budget, then requests of tenants beyond their quota, those of the lowest priority weight first.
+ * What passes is handed to the scheduler.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 public final class OverloadControl implements AdmissionControl {
-    /** Settings; retryShare of first calls, plus so many repeats a second always. */
+    /**
+     * Settings of overload protection.
+     *
+     * @param enabled whether load is shed at all
+     * @param minInFlight least requests in flight that are always allowed
+     * @param retryRatio retries allowed for each first request
+     * @param minRetriesPerSecond further retries that are always allowed
+     */
     public record Settings(
-            boolean enabled, int minInFlight, double retryShare, double retriesPerSecond) {}
+            boolean enabled, int minInFlight, double retryRatio, double minRetriesPerSecond) {}
 
-    private final ConcurrencyLimit limit;
-    private final TenantQuotas shares;
-    private final RetryBudget budget;
-    private int open;
+    private final ConcurrencyLimit concurrencyLimit;
+    private final TenantQuotas tenantQuotas;
+    private final RetryBudget retryBudget;
+    private int inFlight;
 
+    /**
+     * A control without requests in flight.
+     *
+     * @param maxInFlight requests that may be in flight at most, however quick responses are
+     * @param tenantLimits limits of the tenants in the same order
+     */
     public OverloadControl(
             Settings settings,
-            int maxOpen,
+            int maxInFlight,
             List<Tenant> tenants,
-            List<TenantQuotas.Limit> bounds,
+            List<TenantQuotas.Limit> tenantLimits,
             List<RequestClass> classes) {
-        this.limit = new ConcurrencyLimit(Math.min(maxOpen, settings.minInFlight()), maxOpen);
-        this.shares = new TenantQuotas(tenants, bounds, classes);
-        this.budget = new RetryBudget(settings.retryShare(), settings.retriesPerSecond());
+        int minInFlight = Math.min(maxInFlight, settings.minInFlight());
+        this.concurrencyLimit = new ConcurrencyLimit(minInFlight, maxInFlight);
+        this.tenantQuotas = new TenantQuotas(tenants, tenantLimits, classes);
+        this.retryBudget = new RetryBudget(settings.retryRatio(), settings.minRetriesPerSecond());
     }
 
+    /** The number of requests that may be in flight now. */
     public int limit() {
-        return limit.limit();
+        return concurrencyLimit.limit();
     }
 
     @Override
-    public Reason rejectionReason(long now, int tenant, int requestClass, long mark) {
-        if (shares.exceedsLimit(now, tenant)) {
+    public Reason rejectionReason(long nowMicros, int tenant, int requestClass, long fingerprint) {
+        if (tenantQuotas.exceedsLimit(nowMicros, tenant)) {
             return Reason.TENANT_LIMIT_REACHED;
         }
-        if (budget.isRetry(now, mark)) {
-            if (!budget.tryWithdraw(now)) {
-                return Reason.RETRY_BUDGET_EXHAUSTED;
-            }
-        } else {
-            budget.deposit(now);
+        if (!isWithinRetryBudget(nowMicros, fingerprint)) {
+            return Reason.RETRY_BUDGET_EXHAUSTED;
         }
-        if (!shares.hasCapacity(tenant, requestClass, open, limit.limit())) {
-            budget.rejected(now, mark);
+        if (!tenantQuotas.hasCapacity(tenant, requestClass, inFlight, limit())) {
+            retryBudget.rejected(nowMicros, fingerprint);
             return Reason.TENANT_QUOTA_EXCEEDED;
         }
         return null;
     }
 
+    private boolean isWithinRetryBudget(long nowMicros, long fingerprint) {
+        if (retryBudget.isRetry(nowMicros, fingerprint)) {
+            return retryBudget.tryWithdraw(nowMicros);
+        }
+        retryBudget.deposit(nowMicros);
+        return true;
+    }
+
     @Override
-    public void requestStarted(long now, int tenant, int requestClass) {
-        shares.requestStarted(tenant);
-        limit.inFlight(now, ++open);
+    public void requestStarted(long nowMicros, int tenant, int requestClass) {
+        tenantQuotas.requestStarted(tenant);
+        inFlight++;
+        concurrencyLimit.inFlight(nowMicros, inFlight);
     }
 
     @Override
     public void requestCompleted(
-            long now, int tenant, int requestClass, long mark, boolean refused, boolean timedOut) {
-        shares.requestCompleted(tenant);
-        if (refused) {
-            budget.rejected(now, mark);
+            long nowMicros,
+            int tenant,
+            int requestClass,
+            long fingerprint,
+            boolean rejected,
+            boolean timedOut) {
+        tenantQuotas.requestCompleted(tenant);
+        if (rejected) {
+            retryBudget.rejected(nowMicros, fingerprint);
         }
         if (timedOut) {
-            limit.timedOut(now);
+            concurrencyLimit.timedOut(nowMicros);
         }
-        limit.inFlight(now, --open);
+        inFlight--;
+        concurrencyLimit.inFlight(nowMicros, inFlight);
     }
 
     @Override
-    public boolean admitsRetry(long now) {
-        return budget.tryWithdraw(now);
+    public boolean admitsRetry(long nowMicros) {
+        return retryBudget.tryWithdraw(nowMicros);
     }
 
     @Override
-    public void warmResponseServed(long now, String function, long tookMicros) {
-        limit.served(now, function, tookMicros);
+    public void warmResponseServed(long nowMicros, String function, long responseMicros) {
+        concurrencyLimit.served(nowMicros, function, responseMicros);
     }
 }
--- a/src/main/java/waytrestle/overload/StartupPreloadLimit.java
+++ b/src/main/java/waytrestle/overload/StartupPreloadLimit.java
@@ -1,38 +1,53 @@
 package waytrestle.overload;
 
 /**
- * Load orders of a process that has just started, where they are rationed. What its predecessor
- * ordered within the period is not known here, and the free ones may all have been given: until one
- * period has passed only the share that comes with calls taken since the start may be given. Guards
- * the ration against restarts; the decision module keeps it from then on. It can hurt a first
- * start, which has no predecessor: its first loads come by calls alone.
+ * Limits the preload requests of a controller that has just started, where preloads are limited at
+ * all. What an earlier incarnation requested within the current period is not known, and it may
+ * have used all free preloads; so until one period has passed, only the preloads that come with
+ * requests accepted since the start are allowed. From then on the scheduler keeps the limit alone.
+ *
+ * <p>Guards the preload limit against restarts. It can delay the first preloads of a controller
+ * that has no earlier incarnation.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 public final class StartupPreloadLimit {
-    private final long startedAt, period;
-    private final double ratio;
-    private int requestAccepted, given;
+    private final long startedAt;
+    private final long periodMicros;
+    private final double preloadsPerRequest;
+    private int acceptedRequests;
+    private int acquiredPreloads;
 
-    /** A period of 0 rations nothing. */
-    public StartupPreloadLimit(long now, long periodMicros, double ordersPerCall) {
-        this.startedAt = now;
-        this.period = periodMicros;
-        this.ratio = ordersPerCall;
+    /**
+     * A limit that holds for one period from now on.
+     *
+     * @param periodMicros time over which preloads are limited; 0 where they are not limited
+     */
+    public StartupPreloadLimit(long nowMicros, long periodMicros, double preloadsPerRequest) {
+        this.startedAt = nowMicros;
+        this.periodMicros = periodMicros;
+        this.preloadsPerRequest = preloadsPerRequest;
     }
 
-    private boolean over(long now) {
-        return now - startedAt > period;
+    /** Records an accepted request, which allows its fraction of a preload. */
+    public void requestAccepted(long nowMicros) {
+        if (!hasExpired(nowMicros)) {
+            acceptedRequests++;
+        }
     }
 
-    public void requestAccepted(long now) {
-        requestAccepted += over(now) ? 0 : 1;
+    /** Takes one preload from the limit, or returns false where it is used up. */
+    public boolean tryAcquire(long nowMicros) {
+        boolean allowed =
+                hasExpired(nowMicros)
+                        || acquiredPreloads + 1 <= preloadsPerRequest * acceptedRequests;
+        if (allowed) {
+            acquiredPreloads++;
+        }
+        return allowed;
     }
 
-    /** Whether an order may be given; counts it. */
-    public boolean tryAcquire(long now) {
-        if (over(now) || given + 1 <= ratio * requestAccepted) {
-            given++;
-            return true;
-        }
-        return false;
+    private boolean hasExpired(long nowMicros) {
+        return nowMicros - startedAt > periodMicros;
     }
 }
--- a/src/main/java/waytrestle/overload/TenantQuotas.java
+++ b/src/main/java/waytrestle/overload/TenantQuotas.java
@@ -1,102 +1,150 @@
 package waytrestle.overload;
 
+import java.util.ArrayList;
 import java.util.List;
 import waytrestle.scheduler.SchedulerSettings.RequestClass;
 import waytrestle.scheduler.SchedulerSettings.Tenant;
 
 /**
- * Who gives way when the limit is reached. Each tenant may always fill its share of the limit; what
- * others leave is lent, but less and less as the house fills, and least to the classes worth least,
- * so that a tenant below its share finds room at once. Shares follow capacity because the limit
- * does; no controller needs to know another's traffic.
+ * Divides the concurrency limit among tenants. Each tenant may always fill its quota of the limit;
+ * what others leave is lent, but only up to a fraction of the limit that is smaller for classes of
+ * lower priority weight, so that a tenant below its quota finds capacity at once. Quotas follow the
+ * fleet's capacity because the limit does; no controller needs to know another's traffic.
  *
- * <p>Guards against one tenant's flood, a runaway client or a retry storm, taking the others'
- * service.
+ * <p>Guards against one tenant's overload, a runaway client or a retry storm, that takes the
+ * service of the others.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
  */
 public final class TenantQuotas {
-    // ---- Tuned numbers, of the limit. ----
-    private static final double LENT =
-            0.75; // lent to the class worth most: the rest is for those below a share
-    private static final double LENT_LEAST = 0.45; // lent to a worthless class
-
-    /** Hard bounds of a tenant at this controller; 0 for none. */
-    public record Limit(double requestsPerSecond, int inFlight) {}
-
-    private final double[] share;
-    private final Limit[] bounds;
-    private final double[] lent;
-    private final int[] open;
-    private final double[] tokens;
-    private final long[] filledAt;
-
-    public TenantQuotas(List<Tenant> tenants, List<Limit> bounds, List<RequestClass> classes) {
-        int n = Math.max(1, tenants.size());
-        share = new double[n];
-        open = new int[n];
-        tokens = new double[n];
-        filledAt = new long[n];
-        this.bounds = new Limit[n];
-        double sum = tenants.stream().mapToDouble(Tenant::quota).sum();
-        for (int i = 0; i < n; i++) {
-            share[i] =
-                    tenants.isEmpty() || sum <= 0
-                            ? 1.0 / n
-                            : tenants.get(i).quota() / Math.max(1, sum);
-            this.bounds[i] = i < bounds.size() ? bounds.get(i) : new Limit(0, 0);
-            tokens[i] = this.bounds[i].requestsPerSecond();
+    /**
+     * Fraction of the limit up to which the class of the highest priority weight borrows: the rest
+     * is for tenants below their quota.
+     */
+    private static final double MAX_BORROWING_FRACTION = 0.75;
+
+    /** Fraction of the limit up to which a class of priority weight 0 borrows. */
+    private static final double MIN_BORROWING_FRACTION = 0.45;
+
+    /** Requests that a tenant may have in flight even where its quota of the limit is less. */
+    private static final int MIN_QUOTA_REQUESTS = 1;
+
+    /** Index of the tenant that requests without a known one count for. */
+    private static final int DEFAULT_TENANT = 0;
+
+    /** Limits that a tenant has at this controller whatever the load; 0 for none. */
+    public record Limit(double requestsPerSecond, int inFlight) {
+        private static final Limit NONE = new Limit(0, 0);
+
+        private boolean limitsRate() {
+            return requestsPerSecond > 0;
         }
-        double most = classes.stream().mapToDouble(RequestClass::priorityWeight).max().orElse(0);
-        lent =
-                classes.stream()
-                        .mapToDouble(
-                                c ->
-                                        LENT_LEAST
-                                                + (LENT - LENT_LEAST)
-                                                        * (most > 0
-                                                                ? c.priorityWeight() / most
-                                                                : 1))
-                        .toArray();
-    }
 
-    private int at(int tenant) {
-        return tenant < 0 || tenant >= open.length ? 0 : tenant;
+        private boolean limitsInFlight() {
+            return inFlight > 0;
+        }
     }
 
-    /** Whether a bound of the tenant's own is reached; takes one of its tokens where not. */
-    public boolean exceedsLimit(long now, int tenant) {
-        int t = at(tenant);
-        Limit bound = bounds[t];
-        if (bound.inFlight() > 0 && open[t] >= bound.inFlight()) {
-            return true;
+    private static final class TenantUsage {
+        final double quota;
+        final Limit limit;
+        final TokenBucket rate;
+        int inFlight;
+
+        TenantUsage(double quota, Limit limit) {
+            this.quota = quota;
+            this.limit = limit;
+            this.rate = new TokenBucket(limit.requestsPerSecond());
         }
-        if (bound.requestsPerSecond() <= 0) {
-            return false;
+
+        boolean exceedsLimit(long nowMicros) {
+            if (limit.limitsInFlight() && inFlight >= limit.inFlight()) {
+                return true;
+            }
+            return limit.limitsRate() && !rate.tryTake(nowMicros);
         }
-        if (filledAt[t] != 0) {
-            tokens[t] =
-                    Math.min(
-                            Math.max(1, bound.requestsPerSecond()),
-                            tokens[t] + (now - filledAt[t]) / 1e6 * bound.requestsPerSecond());
+
+        boolean isBelowQuota(int concurrencyLimit) {
+            return inFlight < Math.max(MIN_QUOTA_REQUESTS, quota * concurrencyLimit);
         }
-        filledAt[t] = now;
-        if (tokens[t] < 1) {
-            return true;
+    }
+
+    private final List<TenantUsage> usages;
+    private final double[] borrowingFractionByClass;
+
+    /**
+     * Quotas of tenants without requests.
+     *
+     * @param tenants the configured tenants; one that has the whole limit where there are none
+     * @param limits the limits of the tenants in the same order; those past its end have none
+     * @param classes the configured request classes
+     */
+    public TenantQuotas(List<Tenant> tenants, List<Limit> limits, List<RequestClass> classes) {
+        this.usages = unusedQuotas(tenants, limits);
+        this.borrowingFractionByClass = borrowingFractions(classes);
+    }
+
+    private static List<TenantUsage> unusedQuotas(List<Tenant> tenants, List<Limit> limits) {
+        int count = Math.max(1, tenants.size());
+        double quotaSum = tenants.stream().mapToDouble(Tenant::quota).sum();
+        List<TenantUsage> usages = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            // Quotas that sum up to less than 1 are not scaled up: the rest of the limit is lent.
+            boolean equalQuotas = quotaSum <= 0;
+            double quota =
+                    equalQuotas ? 1.0 / count : tenants.get(i).quota() / Math.max(1, quotaSum);
+            Limit limit = i < limits.size() ? limits.get(i) : Limit.NONE;
+            usages.add(new TenantUsage(quota, limit));
         }
-        tokens[t]--;
-        return false;
+        return usages;
+    }
+
+    private static double[] borrowingFractions(List<RequestClass> classes) {
+        double maxWeight =
+                classes.stream().mapToDouble(RequestClass::priorityWeight).max().orElse(0);
+        return classes.stream()
+                .mapToDouble(each -> borrowingFraction(each.priorityWeight(), maxWeight))
+                .toArray();
     }
 
-    /** Whether there is room for one more call of the tenant and class with so many open in all. */
-    public boolean hasCapacity(int tenant, int requestClass, int all, int limit) {
-        return open[at(tenant)] < Math.max(1, share[at(tenant)] * limit)
-                || all < lent[requestClass] * limit;
+    private static double borrowingFraction(double priorityWeight, double maxWeight) {
+        double relativeWeight = maxWeight > 0 ? priorityWeight / maxWeight : 1;
+        return MIN_BORROWING_FRACTION
+                + (MAX_BORROWING_FRACTION - MIN_BORROWING_FRACTION) * relativeWeight;
     }
 
+    /**
+     * Whether one more request would exceed a limit of the tenant's own. Where it would not, it
+     * counts towards the tenant's rate.
+     */
+    public boolean exceedsLimit(long nowMicros, int tenant) {
+        return usage(tenant).exceedsLimit(nowMicros);
+    }
+
+    /**
+     * Whether there is capacity for one more request of the tenant and class.
+     *
+     * @param totalInFlight requests in flight of all tenants
+     * @param concurrencyLimit requests that may be in flight now
+     */
+    public boolean hasCapacity(
+            int tenant, int requestClass, int totalInFlight, int concurrencyLimit) {
+        return usage(tenant).isBelowQuota(concurrencyLimit)
+                || totalInFlight < borrowingFractionByClass[requestClass] * concurrencyLimit;
+    }
+
+    /** Records that a request of the tenant is in flight. */
     public void requestStarted(int tenant) {
-        open[at(tenant)]++;
+        usage(tenant).inFlight++;
     }
 
+    /** Records that a request of the tenant is no longer in flight. */
     public void requestCompleted(int tenant) {
-        open[at(tenant)]--;
+        usage(tenant).inFlight--;
+    }
+
+    private TenantUsage usage(int tenant) {
+        boolean known = tenant >= 0 && tenant < usages.size();
+        return usages.get(known ? tenant : DEFAULT_TENANT);
     }
 }
--- /dev/null
+++ b/src/test/java/waytrestle/overload/StartupPreloadLimitTest.java
@@ -0,0 +1,31 @@
+package waytrestle.overload;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static waytrestle.overload.OverloadFixture.SECOND_MICROS;
+
+import org.junit.jupiter.api.Test;
+
+class StartupPreloadLimitTest {
+    private static final long START_MICROS = 5 * SECOND_MICROS;
+    private static final long PERIOD_MICROS = 60 * SECOND_MICROS;
+
+    @Test
+    void withinThePeriodPreloadsComeWithAcceptedRequests() {
+        StartupPreloadLimit limit = new StartupPreloadLimit(START_MICROS, PERIOD_MICROS, 0.5);
+        long now = START_MICROS + PERIOD_MICROS;
+        assertFalse(limit.tryAcquire(now), "no request yet");
+        limit.requestAccepted(now);
+        assertFalse(limit.tryAcquire(now), "half a preload");
+        limit.requestAccepted(now);
+        assertTrue(limit.tryAcquire(now));
+        assertFalse(limit.tryAcquire(now), "the only one is taken");
+    }
+
+    @Test
+    void afterThePeriodPreloadsAreNotLimited() {
+        StartupPreloadLimit limit = new StartupPreloadLimit(START_MICROS, PERIOD_MICROS, 0.5);
+        assertTrue(limit.tryAcquire(START_MICROS + PERIOD_MICROS + 1));
+        assertTrue(limit.tryAcquire(START_MICROS + PERIOD_MICROS + 1));
+    }
+}
