--- a/src/main/java/waytrestle/access/AccessLine.java
+++ b/src/main/java/waytrestle/access/AccessLine.java
@@ -1,88 +1,63 @@
 package waytrestle.access;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.time.Instant;
 import java.util.HexFormat;
 import java.util.List;
 
 /**
- * One call as it ended. Its id is written as a hash: ids are the clients' own and may say more than
- * they should.
+ * One request as it ended.
+ *
+ * @param endedAtMillis wall-clock time of its end
+ * @param id the client's id of the request, written as a hash alone; empty where it has none
+ * @param tenant name of its tenant; empty where none is known
+ * @param requestClass name of its class
+ * @param function the function it was for
+ * @param attempts its attempts in the order they were sent
+ * @param outcome how it ended
+ * @param reason why it ended so; empty where the outcome says it all
+ * @param durationMicros time from its arrival to its end
  */
 public record AccessLine(
-        long wallMillis,
+        long endedAtMillis,
         String id,
         String tenant,
         String requestClass,
         String function,
-        List<Tried> tried,
-        String end,
+        List<Tried> attempts,
+        String outcome,
         String reason,
-        long tookMicros) {
-    private static final JsonFactory JSON = new JsonFactory();
-    private static final int ID_BYTES =
-            8; // of the hash: enough to find a call by its id, too few to store the id
+        long durationMicros) {
+    /** Of the hash: enough to find a request by its id, too few to recover the id. */
+    private static final int ID_HASH_BYTES = 8;
 
     /**
-     * An attempt: where, what came, after how long, and the finish time that was estimated at the
-     * choice.
+     * One attempt of a request.
+     *
+     * @param invoker name of the invoker it was sent to
+     * @param response what came of it: a status, or a word in place of one
+     * @param durationMicros time from sending it to its end, or to now where it is in flight
+     * @param estimateMicros finish time that was estimated when the invoker was chosen; negative
+     *     where there was no estimate
      */
-    public record Tried(String invoker, String said, long tookMicros, long estimateMicros) {}
+    public record Tried(String invoker, String response, long durationMicros, long estimateMicros) {
+        boolean hasEstimate() {
+            return estimateMicros >= 0;
+        }
+    }
 
-    /** The hash of an id as the log has it. */
+    /**
+     * The hash of an id as the log has it. Ids are chosen by clients and may contain personal data,
+     * so they are not logged as they are.
+     */
     public static String hash(String id) {
         try {
-            byte[] all =
-                    MessageDigest.getInstance("SHA-256")
-                            .digest(id.getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(all, 0, ID_BYTES);
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            byte[] hash = digest.digest(id.getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(hash, 0, ID_HASH_BYTES);
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException("this Java lacks SHA-256", e);
         }
     }
-
-    byte[] bytes() {
-        ByteArrayOutputStream out = new ByteArrayOutputStream(256);
-        try (JsonGenerator json = JSON.createGenerator(out)) {
-            json.writeStartObject();
-            json.writeStringField("time", Instant.ofEpochMilli(wallMillis).toString());
-            if (!id.isEmpty()) {
-                json.writeStringField("id_sha256", hash(id));
-            }
-            if (!tenant.isEmpty()) {
-                json.writeStringField("tenant", tenant);
-            }
-            json.writeStringField("class", requestClass);
-            json.writeStringField("function", function);
-            json.writeStringField("end", end);
-            if (!reason.isEmpty()) {
-                json.writeStringField("reason", reason);
-            }
-            json.writeNumberField("took_us", tookMicros);
-            json.writeArrayFieldStart("attempts");
-            for (Tried each : tried) {
-                json.writeStartObject();
-                json.writeStringField("invoker", each.invoker());
-                json.writeStringField("said", each.said());
-                json.writeNumberField("took_us", each.tookMicros());
-                if (each.estimateMicros() >= 0) {
-                    json.writeNumberField("estimate_us", each.estimateMicros());
-                }
-                json.writeEndObject();
-            }
-            json.writeEndArray();
-            json.writeEndObject();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-        out.write('\n');
-        return out.toByteArray();
-    }
 }
--- a/src/main/java/waytrestle/access/AccessLog.java
+++ b/src/main/java/waytrestle/access/AccessLog.java
@@ -1,8 +1,11 @@
 package waytrestle.access;
 
-/** Where ended calls are noted. Asked first, so that a call that is not noted costs nothing. */
+/**
+ * Where ended requests are logged. It is asked first, so that a request that is not logged costs
+ * nothing. Used by the controller's event loop.
+ */
 public interface AccessLog {
-    /** Notes nothing. */
+    /** Logs nothing. */
     AccessLog OFF =
             new AccessLog() {
                 @Override
@@ -14,8 +17,9 @@
                 public void write(AccessLine line) {}
             };
 
-    /** Whether a call of this id is noted; "" where it has none. */
+    /** Whether a request of this id is logged; the id is empty where the request has none. */
     boolean takes(String id);
 
+    /** Logs an ended request, or drops it where the log cannot keep up. */
     void write(AccessLine line);
 }
