Response classifier: doc comments of two constructors, one test named by its behaviour

Cause: two constructor comments named a parameter only, and one test name used a withdrawn word. Change: a sentence on each; the test says what is distinguished.

--- a/src/main/java/waytrestle/responses/FailureAttribution.java
+++ b/src/main/java/waytrestle/responses/FailureAttribution.java
@@ -15,6 +15,8 @@
     private final boolean invokersReportNotLoaded;
 
     /**
+     * An attribution that adds to the health of these invokers.
+     *
      * @param invokersReportNotLoaded whether a not-loaded response is ordinary; otherwise it counts
      *     as a failure of the invoker
      */
--- a/src/main/java/waytrestle/responses/InvokerLoadReport.java
+++ b/src/main/java/waytrestle/responses/InvokerLoadReport.java
@@ -12,7 +12,7 @@
  */
 public record InvokerLoadReport(
         StartKind start, int concurrentRequests, Map<String, Double> metrics) {
-    /** Stands for concurrent requests that were not reported. */
+    /** Value of concurrent requests that were not reported. */
     public static final int CONCURRENCY_NOT_REPORTED = -1;
 
     /** A report of nothing. */
--- a/src/main/java/waytrestle/responses/RequestClassification.java
+++ b/src/main/java/waytrestle/responses/RequestClassification.java
@@ -19,6 +19,8 @@
     private final boolean loadsOnRequest;
 
     /**
+     * A classification for requests at these invokers.
+     *
      * @param failedAttempts failures alike that end a request
      */
     RequestClassification(InvokerTable invokers, int failedAttempts, Preloading preloading) {
--- a/src/test/java/waytrestle/responses/OutlierEjectionTest.java
+++ b/src/test/java/waytrestle/responses/OutlierEjectionTest.java
@@ -86,7 +86,7 @@
     }
 
     @Test
-    void aFailingFunctionAndAFailingInvokerAreToldApart() {
+    void aFailingFunctionAndAFailingInvokerAreDistinguished() {
         fixture.handle(readyInvokers(6));
         for (int i = 0; i < 40; i++) {
             String working = "i" + (1 + i % 5);
