Log lines: one event name and fields each; a test waits for the abandonment it counts

Cause: parts had chosen different forms of event names, and the gateway's lines were still sentences.

The test waits for the first abandonment and still asserts that there is exactly one.

--- a/src/main/java/waytrestle/controller/AttemptSender.java
+++ b/src/main/java/waytrestle/controller/AttemptSender.java
@@ -51,7 +51,7 @@
     void request(SchedulerCommand.ForwardAttempt command) {
         OpenRequest request = openRequests.find(command.id());
         if (request == null) {
-            listener.message("attempt_of_unknown_request request=" + command.id());
+            listener.message("attempt.request_unknown request=" + command.id());
             return;
         }
         Attempt attempt = create(request, command);
--- a/src/main/java/waytrestle/controller/InvokerConnections.java
+++ b/src/main/java/waytrestle/controller/InvokerConnections.java
@@ -103,7 +103,7 @@
         }
         if (endpoint.state() != EndpointState.READY) {
             listener.message(
-                    "invoker_state_reported invoker="
+                    "invoker.state_reported invoker="
                             + endpoint.id()
                             + " state="
                             + endpoint.state());
--- a/src/main/java/waytrestle/discovery/watch/WatchClient.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchClient.java
@@ -169,7 +169,7 @@
 
         private void fail(String reason) {
             log.accept(
-                    "watch_connection_dropped address="
+                    "watch.connection_dropped address="
                             + SocketAddresses.format(address)
                             + " after_revision="
                             + state.lastRevision()
--- a/src/main/java/waytrestle/gateway/Gateway.java
+++ b/src/main/java/waytrestle/gateway/Gateway.java
@@ -64,7 +64,7 @@
         this.loop =
                 new Loop(
                         "controller-" + config.module().controllerIndex(),
-                        e -> LOG.error("a handler failed", e));
+                        e -> LOG.error("handler.failed", e));
     }
 
     public static Gateway start(GatewayConfig config, Controller.SchedulerFactory maker)
@@ -80,7 +80,7 @@
         made.assemble(maker, wallMillis);
         made.loop.start();
         LOG.info(
-                "controller {} of {} takes calls on {}:{}, pages on port {}",
+                "gateway.started controller={} controllers={} address={}:{} admin_port={}",
                 config.module().controllerIndex(),
                 config.module().controllerCount(),
                 config.listen().getAddress().getHostAddress(),
@@ -105,7 +105,7 @@
                     new FileAccessLog(
                             config.access(),
                             config.seed(),
-                            e -> LOG.warn("the access log: {}", e.toString()));
+                            e -> LOG.warn("access_log.failed error=\"{}\"", e.toString()));
             metrics.family(
                     "waytrestle_access_lines_total",
                     "counter",
@@ -154,7 +154,7 @@
 
                             @Override
                             public void schedulerFailed(String why) {
-                                LOG.error("stopping: {}", why);
+                                LOG.error("scheduler.failed reason=\"{}\"", why);
                                 exit.set(3);
                                 stop();
                             }
@@ -350,7 +350,7 @@
                         return;
                     }
                     stopping = true;
-                    LOG.info("stopping: {} calls open", controller.inFlight());
+                    LOG.info("gateway.stopping in_flight={}", controller.inFlight());
                     server.stopTaking();
                     controller.startShutdown();
                     await(Loop.now() + LINGER, Loop.now() + config.stopGraceMicros());
@@ -368,7 +368,7 @@
         loop.after(
                 FLUSH,
                 () -> {
-                    LOG.info("stopped");
+                    LOG.info("gateway.stopped");
                     admin.stopTaking();
                     admin.closeIdle();
                     loop.stop();
@@ -387,7 +387,7 @@
                 try {
                     read.put(e.path(), SecretsFile.read(e.secretsFile()));
                 } catch (IOException wrong) {
-                    LOG.error("secrets stay as they are: {}", wrong.getMessage());
+                    LOG.error("secrets.rejected error=\"{}\"", wrong.getMessage());
                     return false;
                 }
             }
@@ -395,7 +395,7 @@
         loop.execute(
                 () -> {
                     webhooks.secrets(read);
-                    LOG.info("secrets of {} endpoints are read again", read.size());
+                    LOG.info("secrets.reloaded endpoints={}", read.size());
                 });
         if (access != null) {
             access.reopen();
--- a/src/main/java/waytrestle/gateway/GatewayControllerListener.java
+++ b/src/main/java/waytrestle/gateway/GatewayControllerListener.java
@@ -198,20 +198,20 @@
     @Override
     public void invokerEjected(String invoker, long micros) {
         metrics.counter("waytrestle_ejections_total", "").add();
-        LOG.warn("invoker {} alone errs and gets nothing for {} ms", invoker, micros / 1_000);
+        LOG.warn("invoker.ejected invoker={} duration_ms={}", invoker, micros / 1_000);
     }
 
     @Override
     public void invokerReadmitted(String invoker) {
-        LOG.info("invoker {} gets calls again", invoker);
+        LOG.info("invoker.readmitted invoker={}", invoker);
     }
 
     @Override
     public void capabilityWarning(ClassifierCommand.WarnOfCapability a) {
         LOG.warn(
-                "invoker {} {} what {} promises: that it {}",
+                "capability.{} invoker={} setting={} declared=\"{}\"",
+                a.unreported() ? "not_reported" : "refuted",
                 a.invoker(),
-                a.unreported() ? "never tells" : "breaks",
                 a.capability().setting(),
                 a.capability().description());
     }
@@ -225,7 +225,7 @@
     public void decisionFailed(
             SchedulerEvent event, Collection<SchedulerEvent> before, Throwable why) {
         LOG.error(
-                "a decision failed; seed {}, settings {}, event {}, events before it {}",
+                "scheduler.decision_failed seed={} settings={} event={} events_before={}",
                 config.seed(),
                 config.module(),
                 event,
--- a/src/test/java/waytrestle/gateway/ControllerTest.java
+++ b/src/test/java/waytrestle/gateway/ControllerTest.java
@@ -401,6 +401,10 @@
                                     "deadline_ms = 1300\nworth = 2"),
                     scripted((event, commands) -> {}));
             assertEquals(504, fixture.await(ENDPOINT, "m").statusCode());
+            // The response is written before the scheduler hears of it, on another thread than
+            // this.
+            GatewayFixture.until(
+                    () -> !received(RequestAbandoned.class).isEmpty(), "the abandonment");
             assertEquals(1, received(RequestAbandoned.class).size());
         }
     }
