Network layer: a failed or interrupted transfer is tried again and closes no good connection

Cause: read and write of a connection took every failure for its end, and the JDK's -3 of an interrupted call for the peer's end (read) or for minus three bytes taken (write). A client whose response failed for a moment was cut and sent its id again, which ran again. Lines: Connection.take (n < 0), flush (written += n), ready and send (IOException ends it), Loop.run. A selection that fails looks at all channels instead of ending the process. Registrations that epoll_ctl refused are found and made anew; options that cannot be set are no reason to close; accepting goes on at the end of a shutdown. Faults are counted by reaction and logged.

--- a/src/main/java/waytrestle/discovery/watch/WatchClient.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchClient.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import waytrestle.json.MalformedJsonException;
 import waytrestle.net.Connection;
+import waytrestle.net.ConnectionHandler;
 import waytrestle.net.Loop;
 import waytrestle.net.SocketAddresses;
 import waytrestle.net.TimerHeap;
@@ -107,7 +108,7 @@
     }
 
     /** One connection: requests the events after a revision and splits what arrives into lines. */
-    private final class WatchConnection implements Connection.Handler {
+    private final class WatchConnection implements ConnectionHandler {
         private final Connection transport;
         private final ByteArrayOutputStream line = new ByteArrayOutputStream(INITIAL_LINE_BYTES);
         private final long afterRevision;
--- a/src/main/java/waytrestle/gateway/GossipSocket.java
+++ b/src/main/java/waytrestle/gateway/GossipSocket.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import waytrestle.net.Loop;
+import waytrestle.net.Registration;
 
 /**
  * Short messages between controllers over UDP. They may be lost, and a message from an address that
@@ -18,6 +19,14 @@
 public final class GossipSocket {
     public static final int MOST = 256; // bytes of a message, as the module is promised
     private static final int MARK = 0x77747231;
+    private static final int MAX_MESSAGES_PER_TURN = 64;
+
+    /** Pause after a failed receive: a datagram that waits stays ready, and the loop would spin. */
+    private static final long FAILED_RECEIVE_PAUSE_MICROS = 10_000;
+
+    private final Loop loop;
+    private final BiConsumer<Integer, byte[]> said;
+    private final Registration registration;
 
     private final int me;
     private Map<Integer, InetSocketAddress> peers;
@@ -63,37 +72,54 @@
         this.all = all;
         this.framed = framed;
         this.channel = DatagramChannel.open().bind(listen);
-        loop.register(
-                channel,
-                SelectionKey.OP_READ,
-                key -> {
-                    for (int i = 0; i < 64; i++) {
-                        in.clear();
-                        SocketAddress from = channel.receive(in);
-                        if (from == null) {
-                            return;
-                        }
-                        in.flip();
-                        if (!framed) {
-                            plain(from, said);
-                            continue;
-                        }
-                        if (in.remaining() < 8
-                                || in.remaining() > MOST + 8
-                                || in.getInt() != MARK) {
-                            dropped++;
-                            continue;
-                        }
-                        int peer = in.getInt();
-                        if (!from.equals(this.peers.get(peer))) {
-                            dropped++;
-                            continue;
-                        }
-                        byte[] message = new byte[in.remaining()];
-                        in.get(message);
-                        said.accept(peer, message);
-                    }
-                });
+        this.said = said;
+        this.loop = loop;
+        this.registration = loop.register(channel, SelectionKey.OP_READ, ready -> receiveSome());
+    }
+
+    private void receiveSome() {
+        try {
+            for (int i = 0; i < MAX_MESSAGES_PER_TURN && receiveOne(); i++) {
+                // handed on
+            }
+        } catch (IOException e) {
+            loop.faults().count("gossip.receive", "paused", e);
+            registration.setOperations(0);
+            loop.after(
+                    FAILED_RECEIVE_PAUSE_MICROS,
+                    () -> registration.setOperations(SelectionKey.OP_READ));
+        }
+    }
+
+    /** Receives a message; false where none waits. */
+    private boolean receiveOne() throws IOException {
+        in.clear();
+        SocketAddress from = channel.receive(in);
+        if (from == null) {
+            return false;
+        }
+        in.flip();
+        if (framed) {
+            framed(from);
+        } else {
+            plain(from, said);
+        }
+        return true;
+    }
+
+    private void framed(SocketAddress from) {
+        if (in.remaining() < 8 || in.remaining() > MOST + 8 || in.getInt() != MARK) {
+            dropped++;
+            return;
+        }
+        int peer = in.getInt();
+        if (!from.equals(peers.get(peer))) {
+            dropped++;
+            return;
+        }
+        byte[] message = new byte[in.remaining()];
+        in.get(message);
+        said.accept(peer, message);
     }
 
     private void plain(SocketAddress from, BiConsumer<Integer, byte[]> said) {
--- a/src/main/java/waytrestle/http/HttpClient.java
+++ b/src/main/java/waytrestle/http/HttpClient.java
@@ -8,7 +8,10 @@
 import java.util.ArrayDeque;
 import java.util.Iterator;
 import waytrestle.net.Connection;
+import waytrestle.net.ConnectionHandler;
+import waytrestle.net.IdleState;
 import waytrestle.net.Loop;
+import waytrestle.net.NoSocketException;
 import waytrestle.net.TimerHeap;
 
 /**
@@ -243,8 +246,12 @@
         for (Iterator<Link> all = idle.descendingIterator(); all.hasNext(); ) {
             Link link = all.next();
             if (now - link.usedAt >= restMicros) {
+                IdleState found = link.connection.idle();
+                if (found == IdleState.UNKNOWN) {
+                    continue; // the look failed: it stays idle, and is looked at the next time
+                }
                 all.remove();
-                if (link.fit()) {
+                if (link.fit(found)) {
                     return link;
                 }
             }
@@ -264,7 +271,7 @@
         link.take(call);
     }
 
-    private final class Link implements Connection.Handler {
+    private final class Link implements ConnectionHandler {
         private final HttpParser parser = HttpParser.responses(limits);
         private Connection connection;
         private Call call;
@@ -276,15 +283,14 @@
         private long writtenBefore;
 
         /** Whether it may be used again; if not it is dropped. */
-        private boolean fit() {
-            Connection.Idle found = connection.idle();
-            if (found == Connection.Idle.SPOKE) {
+        private boolean fit(IdleState found) {
+            if (found == IdleState.SPOKE) {
                 strays++;
                 drop();
-            } else if (found == Connection.Idle.ENDED) {
+            } else if (found == IdleState.ENDED) {
                 closed(null);
             }
-            return found == Connection.Idle.FIT;
+            return found == IdleState.FIT;
         }
 
         private void take(Call next) {
@@ -416,7 +422,7 @@
                                     : Break.AFTER_FIRST_BYTE;
             // Nothing was sent, and nobody refused: it tells of this connection alone, as any
             // client takes it.
-            if (why instanceof Connection.NoSocket) {
+            if (why instanceof NoSocketException) {
                 broken.end(Break.NO_ROOM, why.getMessage());
                 return;
             }
--- a/src/main/java/waytrestle/http/HttpServer.java
+++ b/src/main/java/waytrestle/http/HttpServer.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import waytrestle.Bytes;
 import waytrestle.net.Connection;
+import waytrestle.net.ConnectionHandler;
 import waytrestle.net.Listener;
 import waytrestle.net.Loop;
 import waytrestle.net.TimerHeap;
@@ -65,7 +66,7 @@
     private final Map<Long, Peer> peers = new LinkedHashMap<>();
     private long accepted;
     private final Map<String, Long> turnedAway = new HashMap<>();
-    private boolean stopping, yields, oneAtATime;
+    private boolean stopping, stoppedTaking, yields, oneAtATime;
     private long freshMicros = Long.MAX_VALUE;
 
     public HttpServer(
@@ -136,6 +137,7 @@
      */
     public void stopTaking() {
         stopping = true;
+        stoppedTaking = true;
         listener.takeAndClose();
     }
 
@@ -150,16 +152,12 @@
 
     /**
      * Connections with something under way: a message of which pieces have come, a call, an answer
-     * still being taken.
+     * still being taken; also those that are still to be accepted at the end.
      */
     public int busy() {
-        return (int)
-                peers.values().stream()
-                        .filter(
-                                p ->
-                                        (!p.closing && (p.exchange != null || !p.parser.idle()))
-                                                || p.connection.pending() > 0)
-                        .count();
+        long peersBusy = peers.values().stream().filter(Peer::busy).count();
+        boolean acceptsStill = stoppedTaking && listener.isOpen();
+        return (int) peersBusy + (acceptsStill ? 1 : 0);
     }
 
     /** Closes everything at once, as a crash would. */
@@ -176,17 +174,27 @@
     }
 
     private void accept(SocketChannel channel) {
+        InetAddress from;
+        try {
+            from = ((InetSocketAddress) channel.getRemoteAddress()).getAddress();
+        } catch (IOException e) {
+            closeUnserved(channel, e);
+            return;
+        }
+        String reason = door.take(from);
+        if (reason != null && yields && makeRoom()) {
+            reason = door.take(from);
+        }
+        if (reason != null) {
+            count(reason);
+            turnAway(channel);
+            return;
+        }
+        serve(channel, from);
+    }
+
+    private void serve(SocketChannel channel, InetAddress from) {
         try {
-            InetAddress from = ((InetSocketAddress) channel.getRemoteAddress()).getAddress();
-            String reason = door.take(from);
-            if (reason != null && yields && makeRoom()) {
-                reason = door.take(from);
-            }
-            if (reason != null) {
-                count(reason);
-                turnAway(channel);
-                return;
-            }
             Connection.accepted(
                     loop,
                     channel,
@@ -197,7 +205,23 @@
                         return peer;
                     });
         } catch (IOException e) {
-            count("accept");
+            door.closed(from);
+            closeUnserved(channel, e);
+        }
+    }
+
+    /** Nothing was read of it, so whoever opened it may come again. */
+    private void closeUnserved(SocketChannel channel, IOException why) {
+        count("accept");
+        loop.faults().count("client.accept", "closed", why);
+        closeQuietly(channel);
+    }
+
+    private void closeQuietly(SocketChannel channel) {
+        try {
+            channel.close();
+        } catch (IOException e) {
+            loop.faults().count("client.close", "ignored", e);
         }
     }
 
@@ -250,19 +274,23 @@
     /**
      * A word to a client that finds all connections taken, as far as its socket takes it at once.
      */
-    private static void turnAway(SocketChannel channel) throws IOException {
+    private void turnAway(SocketChannel channel) {
         byte[] body = Problem.of(503, "connections", "all connections are taken", true).bytes();
-        channel.configureBlocking(false);
-        channel.write(
-                new ByteBuffer[] {
-                    HttpWriter.response(503)
-                            .header("Content-Type", Problem.TYPE)
-                            .header("Retry-After", 1)
-                            .header("Connection", "close")
-                            .head(body.length),
-                    ByteBuffer.wrap(body)
-                });
-        channel.close();
+        ByteBuffer[] response = {
+            HttpWriter.response(503)
+                    .header("Content-Type", Problem.TYPE)
+                    .header("Retry-After", 1)
+                    .header("Connection", "close")
+                    .head(body.length),
+            ByteBuffer.wrap(body)
+        };
+        try {
+            channel.configureBlocking(false);
+            channel.write(response);
+        } catch (IOException e) {
+            loop.faults().count("client.write", "ignored", e);
+        }
+        closeQuietly(channel);
     }
 
     /** One request and the one answer to it. */
@@ -353,7 +381,7 @@
         }
     }
 
-    private final class Peer implements Connection.Handler {
+    private final class Peer implements ConnectionHandler {
         private final Connection connection;
         private final HttpParser parser = HttpParser.requests(limits).stopAtBody();
         private final InetAddress from;
@@ -387,6 +415,10 @@
                     && connection.pending() == 0;
         }
 
+        private boolean busy() {
+            return (!closing && (exchange != null || !parser.idle())) || connection.pending() > 0;
+        }
+
         private boolean mayGiveWay() {
             return exchange == null && !waiting && (!asked || parser.idle());
         }
--- a/src/main/java/waytrestle/net/Connection.java
+++ b/src/main/java/waytrestle/net/Connection.java
@@ -1,14 +1,12 @@
 package waytrestle.net;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.SocketTimeoutException;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
-import java.util.ArrayDeque;
 import java.util.function.Function;
 
 /**
@@ -16,86 +14,93 @@
  * and offered again at {@link #offer}; at the bound reading stops, which is the back-pressure on
  * the sender. Output is queued by reference and written gathered; {@link #pending} tells the writer
  * when to stop producing.
+ *
+ * <p>A read or write that fails is tried again after a pause: a connection ends only when the peer
+ * has ended it, when a read says that it is broken, or when it has failed for longer than {@link
+ * TransferRetry#PATIENCE_MICROS}.
+ *
+ * <table>
+ * <caption>States</caption>
+ * <tr><th>state</th><th>entered by</th><th>left for</th></tr>
+ * <tr><td>CONNECTING</td><td>{@link #open}</td><td>OPEN, CLOSED</td></tr>
+ * <tr><td>OPEN</td><td>{@link #accepted}, the connection came up</td><td>CLOSING, CLOSED</td></tr>
+ * <tr><td>CLOSING</td><td>{@link #closeWhenSent} with output pending</td><td>CLOSED</td></tr>
+ * <tr><td>CLOSED</td><td>{@link #close}, {@link #reset}, the peer's end, a failure</td><td></td></tr>
+ * </table>
  */
 public final class Connection {
-    /** Callbacks, all on the loop. After {@code closed} there are none. */
-    public interface Handler {
-        default void connected() {}
-
-        /** Takes what it wants from the buffer; what remains is kept. */
-        void received(ByteBuffer in);
-
-        default void drained() {}
-
-        /**
-         * More is kept unread than may be: reading has stopped, and the peer's going would not be
-         * seen.
-         */
-        default void crammed() {}
-
-        /** The peer closed (null), or the connection broke. */
-        void closed(IOException why);
+    private enum State {
+        CONNECTING,
+        OPEN,
+        CLOSING,
+        CLOSED
     }
 
-    private static final int GATHER = 16; // buffers a gathered write: more gain nothing on a socket
-    private static final int SLICE =
-            64 * 1024; // bytes of one buffer: the JDK copies all that is left of a heap buffer
-    // for each write, however little the socket takes
-    private static final long BEHIND =
-            50_000; // micros: a loop behind by more looks again before it acts for a client
-    private static final long TURN =
-            256 * 1024; // bytes a turn: a large answer must not hold up the small ones
+    /** A loop behind by more looks again before it acts for a client. */
+    private static final long BEHIND_MICROS = 50_000;
 
-    /** No connection was tried: this process can have no further socket now. */
-    public static final class NoSocket extends IOException {
-        private static final long serialVersionUID = 1L;
+    /** Bytes written a turn: a large answer must not hold up the small ones. */
+    private static final long MAX_BYTES_PER_TURN = 256 * 1024;
 
-        NoSocket(Exception why) {
-            super("no socket is to be had: " + why.getMessage(), why);
-        }
-    }
+    /** Bytes read outside the loop's turn, at most. */
+    private static final int MAX_POLLED_BYTES = 64 * 1024;
 
     private final Loop loop;
     private final SocketChannel channel;
-    private final int keep;
-    private final Handler handler;
-    private final ArrayDeque<ByteBuffer> out = new ArrayDeque<>();
-    private SelectionKey key;
-    private ByteBuffer kept = EMPTY;
+    private final boolean accepted;
+    private final String faultPrefix;
+    private final UnreadInput input;
+    private final OutputQueue output = new OutputQueue();
+    private final RetryTimer readRetry;
+    private final RetryTimer writeRetry;
+    private final long bornSince;
+    private final long bornTurn;
+    private final long bornBehind;
+    private ConnectionHandler handler;
+    private State state;
+    private Registration registration;
     private TimerHeap.Timer connectTimer;
-    private long pending,
-            written,
-            lastMove,
-            offeredSince,
-            keptSince,
-            bornSince,
-            bornTurn,
-            bornBehind;
-    private boolean closed, closeWhenSent, endOutput, offering, connecting, ended, paused, accepted;
-
-    private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
-
-    private Connection(Loop loop, SocketChannel channel, int keep, Handler handler) {
+    private long lastMove = Loop.now();
+    private boolean outputEnds;
+    private boolean paused;
+
+    private Connection(Loop loop, SocketChannel channel, int keep, State state) {
         this.loop = loop;
         this.channel = channel;
-        this.keep = keep;
-        this.handler = handler;
-        this.lastMove = Loop.now();
+        this.input = new UnreadInput(keep, in -> handler.received(in), this::isOpen);
+        this.state = state;
+        this.accepted = state == State.OPEN;
+        this.faultPrefix = state == State.OPEN ? "client." : "server.";
+        this.readRetry = new RetryTimer(loop, faultPrefix + "read", this::resumeReading);
+        this.writeRetry = new RetryTimer(loop, faultPrefix + "write", this::resumeWriting);
         this.bornSince = loop.turnBefore();
         this.bornTurn = loop.turnAt();
         this.bornBehind = loop.behind();
     }
 
-    /** Takes over an accepted channel; the handler is made knowing its connection. */
+    // ---- Opening. ----
+
+    /**
+     * Takes over an accepted channel; the handler is made knowing its connection.
+     *
+     * @throws IOException when the channel cannot be registered; it is closed then, and no handler
+     *     was made
+     */
     public static Connection accepted(
-            Loop loop, SocketChannel channel, int keep, Function<Connection, Handler> maker)
+            Loop loop,
+            SocketChannel channel,
+            int keep,
+            Function<Connection, ConnectionHandler> maker)
             throws IOException {
-        Late late = new Late();
-        Connection made = new Connection(loop, channel, keep, late);
-        late.handler = maker.apply(made);
-        made.accepted = true;
-        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-        made.key = loop.register(channel, SelectionKey.OP_READ, made::ready);
+        Connection made = new Connection(loop, channel, keep, State.OPEN);
+        made.sendWithoutDelay();
+        try {
+            made.registration = loop.register(channel, SelectionKey.OP_READ, made::ready);
+        } catch (IOException e) {
+            made.close();
+            throw e;
+        }
+        made.handler = maker.apply(made);
         return made;
     }
 
@@ -104,116 +109,94 @@
      * given.
      */
     public static Connection open(
-            Loop loop, InetSocketAddress to, int keep, long connectMicros, Handler handler) {
-        SocketChannel channel = null;
+            Loop loop,
+            InetSocketAddress to,
+            int keep,
+            long connectMicros,
+            ConnectionHandler handler) {
+        SocketChannel channel;
         try {
             channel = SocketChannel.open();
-            Connection made = new Connection(loop, channel, keep, handler);
-            made.connecting = true;
+        } catch (IOException | RuntimeException e) {
+            Connection none = new Connection(loop, null, keep, State.CONNECTING);
+            none.handler = handler;
+            none.failSoon(new NoSocketException(e));
+            return none;
+        }
+        Connection made = new Connection(loop, channel, keep, State.CONNECTING);
+        made.handler = handler;
+        made.connect(to, connectMicros);
+        return made;
+    }
+
+    private void connect(InetSocketAddress to, long connectMicros) {
+        connectTimer =
+                loop.after(connectMicros, () -> fail(new SocketTimeoutException("no connection")));
+        sendWithoutDelay();
+        try {
             channel.configureBlocking(false);
-            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-            made.connectTimer =
-                    loop.after(
-                            connectMicros,
-                            () -> made.fail(new SocketTimeoutException("no connection in time")));
             boolean done = channel.connect(to);
-            made.key = loop.register(channel, done ? 0 : SelectionKey.OP_CONNECT, made::ready);
+            registration = loop.register(channel, done ? 0 : SelectionKey.OP_CONNECT, this::ready);
             if (done) {
-                loop.after(0, made::established);
+                loop.after(0, this::established);
             }
-            return made;
-        } catch (IOException | RuntimeException e) {
-            Connection made = new Connection(loop, channel, keep, handler);
-            IOException why =
-                    channel == null
-                            ? new NoSocket(e)
-                            : e instanceof IOException io ? io : new IOException(e);
-            loop.after(0, () -> made.fail(why));
-            return made;
+        } catch (IOException e) {
+            failSoon(e);
+        } catch (RuntimeException e) {
+            failSoon(new IOException(e));
         }
     }
 
-    private static final class Late implements Handler {
-        private Handler handler;
-
-        @Override
-        public void received(ByteBuffer in) {
-            handler.received(in);
-        }
-
-        @Override
-        public void drained() {
-            handler.drained();
-        }
-
-        @Override
-        public void crammed() {
-            handler.crammed();
-        }
-
-        @Override
-        public void closed(IOException why) {
-            handler.closed(why);
+    /** An option that cannot be set is no reason to give a good connection up. */
+    private void sendWithoutDelay() {
+        try {
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        } catch (IOException e) {
+            countFault("set_option", "ignored", e);
         }
     }
 
-    public boolean isOpen() {
-        return !closed;
-    }
-
-    /** What an idle connection is found to be, before the loop has come to it. */
-    public enum Idle {
-        FIT,
-        SPOKE,
-        ENDED
-    }
-
-    /**
-     * Asks the kernel whether anything has come on an idle connection, or its other side has ended
-     * it.
-     */
-    public Idle idle() {
+    private void finishConnect() {
         try {
-            int n = channel.read(loop.oneByte());
-            return n == 0 ? Idle.FIT : n > 0 ? Idle.SPOKE : Idle.ENDED;
+            if (!channel.finishConnect()) {
+                return;
+            }
         } catch (IOException e) {
-            return Idle.ENDED;
+            fail(e);
+            return;
         }
+        established();
     }
 
-    /**
-     * Takes in what the kernel holds, ahead of the loop: for whoever is about to act on this side's
-     * idleness, or for a client that may have gone. What has come is handed to the handler as ever;
-     * an end is told to it.
-     */
-    public void poll() {
-        int room = keep - kept.remaining();
-        if (closed || connecting || paused || offering || room <= 0) {
+    private void established() {
+        if (state != State.CONNECTING) {
             return;
         }
-        try {
-            ByteBuffer in = ByteBuffer.allocate(room); // the loop's own buffer may be in use
-            take(channel.read(in), in);
-        } catch (IOException e) {
-            fail(e);
+        state = State.OPEN;
+        connectTimer.cancel();
+        lastMove = Loop.now();
+        updateInterest();
+        handler.connected();
+        if (isOpen() && !output.isEmpty()) {
+            flush();
         }
     }
 
-    /** The same, where the loop has been busy elsewhere for so long that it matters. */
-    public void pollIfBehind() {
-        if (loop.behind() > BEHIND) {
-            poll();
-        }
+    // ---- What is known of it. ----
+
+    /** Whether it has not been closed from either side. */
+    public boolean isOpen() {
+        return state != State.CLOSED;
     }
 
     /** Bytes queued and not yet taken by the kernel. */
     public long pending() {
-        return pending;
+        return output.pending();
     }
 
     /** Bytes that the kernel has taken since the connection began. */
     public long written() {
-        return written;
+        return output.written();
     }
 
     /** Monotonic micros of the last byte in either direction. */
@@ -223,23 +206,10 @@
 
     /** The earliest time at which the input now offered can have come. */
     public long offeredSince() {
-        return offeredSince;
-    }
-
-    public int kept() {
-        return kept.remaining();
-    }
-
-    public InetAddress address() {
-        try {
-            return channel.getRemoteAddress() instanceof InetSocketAddress at
-                    ? at.getAddress()
-                    : null;
-        } catch (IOException e) {
-            return null;
-        }
+        return input.offeredSince();
     }
 
+    /** The peer's address and port for the log. */
     public String peer() {
         try {
             return String.valueOf(channel.getRemoteAddress());
@@ -248,85 +218,111 @@
         }
     }
 
-    private void ready(SelectionKey ignored) {
-        try {
-            if (key.isConnectable()) {
-                channel.finishConnect();
-                established();
-                return;
-            }
-            if (key.isReadable()) {
-                read();
-            }
-            if (!closed && key.isValid() && key.isWritable()) {
-                flush();
-            }
-        } catch (IOException e) {
-            fail(e);
+    private void countFault(String operation, String reaction, Exception error) {
+        loop.faults().count(faultPrefix + operation, reaction, error);
+    }
+
+    // ---- Reading. ----
+
+    /**
+     * Asks the kernel whether anything has come on an idle connection, or its other side has ended
+     * it.
+     */
+    public IdleState idle() {
+        Transfer look = SocketTransfers.read(channel, loop.oneByte());
+        return switch (look.status()) {
+            case WOULD_BLOCK -> IdleState.FIT;
+            case PROGRESS -> IdleState.SPOKE;
+            case ENDED, BROKEN -> IdleState.ENDED;
+            case FAILED -> IdleState.UNKNOWN;
+        };
+    }
+
+    /**
+     * Takes in what the kernel holds, ahead of the loop: for whoever is about to act on this side's
+     * idleness, or for a client that may have gone. What has come is handed to the handler as ever;
+     * an end is told to it.
+     */
+    public void poll() {
+        int room = Math.min(MAX_POLLED_BYTES, input.room());
+        if (!isOpen() || state == State.CONNECTING || paused || input.isOffering() || room <= 0) {
+            return;
         }
+        ByteBuffer in = ByteBuffer.allocate(room); // the loop's own buffer may be in use
+        take(SocketTransfers.read(channel, in), in);
     }
 
-    private void established() {
-        if (closed || !connecting) {
+    /** The same, where the loop has been busy elsewhere for so long that it matters. */
+    public void pollIfBehind() {
+        if (loop.behind() > BEHIND_MICROS) {
+            poll();
+        }
+    }
+
+    private void ready(int operations) {
+        if (state == State.CONNECTING) {
+            if ((operations & SelectionKey.OP_CONNECT) != 0) {
+                finishConnect();
+            }
             return;
         }
-        connecting = false;
-        connectTimer.cancel();
-        lastMove = Loop.now();
-        interest();
-        handler.connected();
-        if (!closed && !out.isEmpty()) {
-            send();
+        if (isOpen() && (operations & SelectionKey.OP_READ) != 0) {
+            read();
+        }
+        if (isOpen() && (operations & SelectionKey.OP_WRITE) != 0) {
+            flush();
         }
     }
 
-    private void read() throws IOException {
+    private void read() {
         ByteBuffer in = loop.readBuffer();
-        in.limit(Math.max(1, Math.min(in.capacity(), keep - kept.remaining())));
-        int n = channel.read(in);
+        in.limit(Math.max(1, Math.min(in.capacity(), input.room())));
+        Transfer transfer = SocketTransfers.read(channel, in);
         long behind = loop.behind() + (loop.turnBefore() == bornTurn ? bornBehind : 0);
-        if (accepted && n > 0 && in.hasRemaining() && behind > BEHIND) {
-            n =
-                    channel.read(in) < 0
-                            ? -1
-                            : in.position(); // who sent this may have gone since: nobody waits
-            // for it
+        if (accepted && transfer.hasProgressed() && in.hasRemaining() && behind > BEHIND_MICROS) {
+            // Who sent this may have gone since: nobody waits for it.
+            Transfer next = SocketTransfers.read(channel, in);
+            if (next.status() == Transfer.Status.ENDED || next.status() == Transfer.Status.BROKEN) {
+                transfer = next;
+            }
         }
-        take(n, in);
+        take(transfer, in);
     }
 
-    private void take(int n, ByteBuffer in) throws IOException {
-        if (n < 0) {
-            ended = true;
-            fail(null);
-            return;
+    private void take(Transfer transfer, ByteBuffer in) {
+        switch (transfer.status()) {
+            case PROGRESS -> {
+                readRetry.succeeded();
+                takeInput(in);
+            }
+            case WOULD_BLOCK -> readRetry.succeeded();
+            case FAILED -> readFailed(transfer.error());
+            case ENDED -> fail(null);
+            case BROKEN -> fail(transfer.error());
         }
-        if (n == 0) {
-            return;
+    }
+
+    private void readFailed(IOException error) {
+        if (readRetry.failed(error)) {
+            updateInterest();
+        } else {
+            fail(error);
         }
+    }
+
+    private void resumeReading() {
+        poll();
+        updateInterest();
+    }
+
+    private void takeInput(ByteBuffer in) {
         lastMove = Loop.now();
         in.flip();
-        if (kept.hasRemaining()) {
-            ByteBuffer joined = ByteBuffer.allocate(kept.remaining() + in.remaining());
-            kept = joined.put(kept).put(in).flip();
-            offer();
-        } else {
-            offering = true;
-            // What came with the connection, or right behind it, may have waited for as long as the
-            // connection itself.
-            offeredSince = loop.turnBefore() == bornTurn ? bornSince : loop.turnBefore();
-            try {
-                handler.received(in);
-            } finally {
-                offering = false;
-            }
-            if (in.hasRemaining() && !closed) {
-                keptSince = offeredSince;
-                kept = ByteBuffer.allocate(in.remaining()).put(in).flip();
-            }
-        }
-        interest();
-        if (!closed && kept.remaining() >= keep) {
+        // What came with the connection, or right behind it, may have waited for as long as the
+        // connection itself.
+        input.add(in, loop.turnBefore() == bornTurn ? bornSince : loop.turnBefore());
+        updateInterest();
+        if (isOpen() && input.room() <= 0) {
             handler.crammed();
         }
     }
@@ -334,132 +330,122 @@
     /**
      * Stops reading, so that the peer's sending stops too; {@link #offer} after resuming goes on.
      */
-    public void pause(boolean on) {
-        paused = on;
-        interest();
+    public void pause(boolean stopsReading) {
+        paused = stopsReading;
+        updateInterest();
     }
 
     /** Offers kept input again, after the handler became able to take more. */
     public void offer() {
-        if (offering || closed) {
-            return;
-        }
-        offering = true;
-        offeredSince = keptSince;
-        try {
-            int before = -1;
-            while (!closed && kept.hasRemaining() && kept.remaining() != before) {
-                before = kept.remaining();
-                handler.received(kept);
-            }
-        } finally {
-            offering = false;
+        if (!input.isOffering() && isOpen()) {
+            input.offer();
+            updateInterest();
         }
-        if (!kept.hasRemaining()) {
-            kept = EMPTY;
-        }
-        interest();
     }
 
+    // ---- Writing. ----
+
     /** Queues buffers, which must not be touched after, and writes what the kernel takes now. */
     public void send(ByteBuffer... buffers) {
-        if (closed) {
+        if (!isOpen()) {
             return;
         }
         for (ByteBuffer buffer : buffers) {
-            pending += buffer.remaining();
-            while (buffer.remaining() > SLICE) {
-                out.add(buffer.slice(buffer.position(), SLICE));
-                buffer.position(buffer.position() + SLICE);
-            }
-            if (buffer.hasRemaining()) {
-                out.add(buffer);
-            }
+            output.add(buffer);
         }
-        if (!connecting) {
-            try {
-                flush();
-            } catch (IOException e) {
-                loop.after(0, () -> fail(e)); // not within the caller's own step
-            }
+        if (state != State.CONNECTING && !writeRetry.isPending()) {
+            flush();
         }
     }
 
-    private void flush() throws IOException {
-        boolean had = pending > 0;
-        long turn = 0;
-        while (!out.isEmpty()) {
-            ByteBuffer[] some = new ByteBuffer[Math.min(GATHER, out.size())];
-            int i = 0;
-            for (ByteBuffer buffer : out) {
-                if (i == some.length) {
-                    break;
-                }
-                some[i++] = buffer;
-            }
-            long n = channel.write(some);
-            written += n;
-            pending -= n;
-            if (n > 0) {
-                lastMove = Loop.now();
-            }
-            while (!out.isEmpty() && !out.peek().hasRemaining()) {
-                out.poll();
-            }
-            turn += n;
-            if (n == 0 || turn >= TURN) {
+    private void flush() {
+        boolean hadOutput = output.pending() > 0;
+        long turnBytes = 0;
+        while (!output.isEmpty() && turnBytes < MAX_BYTES_PER_TURN) {
+            Transfer transfer = SocketTransfers.write(channel, output.next());
+            if (!transfer.hasProgressed()) {
+                writeStopped(transfer);
                 break;
             }
+            writeRetry.succeeded();
+            output.taken(transfer.bytes());
+            lastMove = Loop.now();
+            turnBytes += transfer.bytes();
         }
-        interest();
-        if (had && pending == 0) {
-            if (closeWhenSent) {
-                close();
-                handler.closed(null);
-            } else {
-                if (endOutput) {
-                    shutOutput();
+        updateInterest();
+        if (hadOutput && output.pending() == 0) {
+            outputDrained();
+        }
+    }
+
+    private void writeStopped(Transfer transfer) {
+        switch (transfer.status()) {
+            case FAILED -> {
+                if (!writeRetry.failed(transfer.error())) {
+                    failSoon(transfer.error());
                 }
-                handler.drained();
             }
+            case BROKEN -> failSoon(transfer.error());
+            default -> writeRetry.succeeded();
+        }
+    }
+
+    /** A broken connection says so when it is read; any other is written to again. */
+    private void resumeWriting() {
+        poll();
+        if (isOpen()) {
+            flush();
         }
     }
 
-    private void interest() {
-        if (closed || connecting || key == null || !key.isValid()) {
+    private void outputDrained() {
+        if (state == State.CLOSING) {
+            close();
+            handler.closed(null);
             return;
         }
-        int ops =
-                (kept.remaining() < keep && !paused ? SelectionKey.OP_READ : 0)
-                        | (out.isEmpty() ? 0 : SelectionKey.OP_WRITE);
-        if (key.interestOps() != ops) {
-            key.interestOps(ops);
+        if (outputEnds) {
+            shutOutput();
         }
+        handler.drained();
     }
 
+    private void updateInterest() {
+        if (!isOpen() || state == State.CONNECTING || registration == null) {
+            return;
+        }
+        boolean reads = input.room() > 0 && !paused && !readRetry.isPending();
+        boolean writes = !output.isEmpty() && !writeRetry.isPending();
+        registration.setOperations(
+                (reads ? SelectionKey.OP_READ : 0) | (writes ? SelectionKey.OP_WRITE : 0));
+    }
+
+    // ---- Ending. ----
+
     /** Ends this side once all queued output has gone; the other may go on sending. */
     public void endOutput() {
-        endOutput = true;
-        if (pending == 0) {
+        outputEnds = true;
+        if (output.pending() == 0) {
             shutOutput();
         }
     }
 
     private void shutOutput() {
         try {
-            if (!closed) {
+            if (isOpen()) {
                 channel.shutdownOutput();
             }
-        } catch (IOException ignored) {
-            // it broke, which the next read tells
+        } catch (IOException e) {
+            countFault("shutdown", "ignored", e); // a broken connection says so when it is read
         }
     }
 
     /** Closes once all queued output has gone. */
     public void closeWhenSent() {
-        closeWhenSent = true;
-        if (pending == 0) {
+        if (output.pending() == 0) {
             close();
+        } else if (state == State.OPEN) {
+            state = State.CLOSING;
         }
     }
 
@@ -468,22 +454,21 @@
      * a cancel.
      */
     public void close() {
-        if (closed) {
+        if (!isOpen()) {
             return;
         }
-        closed = true;
+        state = State.CLOSED;
         if (connectTimer != null) {
             connectTimer.cancel();
         }
-        out.clear();
-        pending = 0;
-        kept = EMPTY;
+        output.clear();
+        input.clear();
         try {
             if (channel != null) {
                 channel.close();
             }
-        } catch (IOException ignored) {
-            // the descriptor is gone either way
+        } catch (IOException e) {
+            countFault("close", "ignored", e); // the descriptor is gone either way
         }
     }
 
@@ -493,16 +478,21 @@
             if (channel != null && channel.isOpen()) {
                 channel.setOption(StandardSocketOptions.SO_LINGER, 0);
             }
-        } catch (IOException ignored) {
-            // an ordinary close then
+        } catch (IOException e) {
+            countFault("set_option", "closed_instead_of_reset", e);
         }
         close();
     }
 
+    /** Fails it after the caller's own step. */
+    private void failSoon(IOException why) {
+        loop.after(0, () -> fail(why));
+    }
+
     private void fail(IOException why) {
-        if (!closed) {
+        if (isOpen()) {
             close();
-            handler.closed(ended ? null : why);
+            handler.closed(why);
         }
     }
 }
--- a/src/main/java/waytrestle/net/Listener.java
+++ b/src/main/java/waytrestle/net/Listener.java
@@ -10,11 +10,25 @@
 
 /** Accepts connections on a loop; what to do with each is the acceptor's. */
 public final class Listener {
-    private static final int BATCH = 64; // accepts a turn: a flood must not starve what is open
-    private static final long PAUSE =
-            50_000; // micros after a failed accept: the connection that waits stays ready, so
+    /** Accepts a turn: a flood must not starve the connections that are open. */
+    private static final int MAX_ACCEPTS_PER_TURN = 64;
 
-    // without a pause the loop would spin until a descriptor is free
+    /**
+     * Pause after an accept that failed, most likely for want of a descriptor. The connection that
+     * waits stays ready, so without a pause the loop would spin until a descriptor is free.
+     */
+    private static final long FAILED_ACCEPT_PAUSE_MICROS = 50_000;
+
+    /**
+     * How long a listener that is being closed goes on where accepting fails: what it leaves in the
+     * kernel is reset, though its request may have come complete.
+     */
+    private static final long CLOSE_PATIENCE_MICROS = 500_000;
+
+    private static final long CLOSE_RETRY_MICROS = 5_000;
+
+    /** Accepts without a connection that end a close: an interrupted one looks the same. */
+    private static final int EMPTY_ACCEPTS_AT_CLOSE = 3;
 
     /** Takes the next connection that the kernel has made, or null. */
     interface Source {
@@ -24,86 +38,122 @@
     private final Loop loop;
     private final Source source;
     private final ServerSocketChannel server;
-    private final SelectionKey key;
+    private final Registration registration;
     private final Consumer<SocketChannel> acceptor;
+    private long closingSince;
+    private boolean closing;
 
-    public Listener(Loop loop, InetSocketAddress at, int backlog, Consumer<SocketChannel> acceptor)
+    /**
+     * Listens at an address.
+     *
+     * @throws IOException naming the address, when it cannot be bound
+     */
+    public Listener(
+            Loop loop, InetSocketAddress address, int backlog, Consumer<SocketChannel> acceptor)
             throws IOException {
-        this(loop, at, backlog, ServerSocketChannel::accept, acceptor);
+        this(loop, address, backlog, ServerSocketChannel::accept, acceptor);
     }
 
     Listener(
             Loop loop,
-            InetSocketAddress at,
+            InetSocketAddress address,
             int backlog,
             Source source,
             Consumer<SocketChannel> acceptor)
             throws IOException {
         this.loop = loop;
         this.source = source;
-        server = ServerSocketChannel.open();
+        this.acceptor = acceptor;
+        server = bind(address, backlog);
+        registration = loop.register(server, SelectionKey.OP_ACCEPT, ready -> acceptSome());
+    }
+
+    private static ServerSocketChannel bind(InetSocketAddress address, int backlog)
+            throws IOException {
+        ServerSocketChannel server = ServerSocketChannel.open();
         try {
             server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-            server.bind(at, backlog);
+            server.bind(address, backlog);
+            return server;
         } catch (IOException e) {
             server.close();
-            throw new IOException(
-                    "cannot listen on "
-                            + at.getAddress().getHostAddress()
-                            + ":"
-                            + at.getPort()
-                            + ": "
-                            + e.getMessage(),
-                    e);
+            String where = address.getAddress().getHostAddress() + ":" + address.getPort();
+            throw new IOException("cannot listen on " + where + ": " + e.getMessage(), e);
         }
-        this.acceptor = acceptor;
-        key = loop.register(server, SelectionKey.OP_ACCEPT, k -> take(BATCH));
     }
 
-    private void take(int most) {
-        for (int i = 0; i < most && server.isOpen(); i++) {
-            SocketChannel channel;
-            try {
-                channel = source.next(server);
-            } catch (
-                    IOException
-                            e) { // most likely no descriptor is free; the connection waits in the
-                // backlog
-                pause();
-                return;
-            }
-            if (channel == null) {
-                return;
+    private void acceptSome() {
+        try {
+            for (int i = 0; i < MAX_ACCEPTS_PER_TURN && acceptOne(); i++) {
+                // the acceptor has it
             }
+        } catch (IOException e) {
+            loop.faults().count("listener.accept", "paused", e);
+            pause();
+        }
+    }
+
+    /** Accepts a connection; false where none waits. */
+    private boolean acceptOne() throws IOException {
+        SocketChannel channel = server.isOpen() ? source.next(server) : null;
+        if (channel != null) {
             acceptor.accept(channel);
         }
+        return channel != null;
     }
 
     private void pause() {
-        if (key.isValid()) {
-            key.interestOps(0);
-            loop.after(
-                    PAUSE,
-                    () -> {
-                        if (key.isValid()) {
-                            key.interestOps(SelectionKey.OP_ACCEPT);
-                        }
-                    });
-        }
+        registration.setOperations(0);
+        loop.after(
+                FAILED_ACCEPT_PAUSE_MICROS,
+                () -> registration.setOperations(SelectionKey.OP_ACCEPT));
     }
 
-    /** Takes what the kernel has accepted already, which a close would reset, then closes. */
+    /**
+     * Takes what the kernel has accepted already, which a close would reset, then closes: at once,
+     * unless accepting fails.
+     */
     public void takeAndClose() {
-        take(Integer.MAX_VALUE);
+        if (!closing) {
+            closing = true;
+            closingSince = Loop.now();
+            acceptRest();
+        }
+    }
+
+    private void acceptRest() {
+        if (!server.isOpen()) {
+            return;
+        }
+        try {
+            int empty = 0;
+            while (empty < EMPTY_ACCEPTS_AT_CLOSE) {
+                empty = acceptOne() ? 0 : empty + 1;
+            }
+        } catch (IOException e) {
+            if (Loop.now() - closingSince < CLOSE_PATIENCE_MICROS) {
+                loop.faults().count("listener.accept", "retried_at_close", e);
+                loop.after(CLOSE_RETRY_MICROS, this::acceptRest);
+                return;
+            }
+            loop.faults().count("listener.accept", "given_up_at_close", e);
+        }
         close();
     }
 
+    /** Whether it still takes connections. */
+    public boolean isOpen() {
+        return server.isOpen();
+    }
+
+    /** The port it listens at. */
     public int port() {
         return server.socket().getLocalPort();
     }
 
+    /** Closes at once; connections that wait in the kernel are reset. */
     public void close() {
-        key.cancel();
+        registration.cancel();
         try {
             server.close();
         } catch (IOException ignored) {
--- a/src/main/java/waytrestle/net/Loop.java
+++ b/src/main/java/waytrestle/net/Loop.java
@@ -1,8 +1,8 @@
 package waytrestle.net;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
@@ -10,6 +10,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
 /**
@@ -18,15 +19,19 @@
  * called from elsewhere.
  */
 public final class Loop implements Runnable {
-    /** What a channel's readiness calls. */
-    public interface Ready {
-        void ready(SelectionKey key) throws IOException;
+    /** A task of the loop's own that may fail on a channel. */
+    interface Task {
+        void run() throws IOException;
     }
 
     private static final int READ_BUFFER =
             64 * 1024; // bytes: one read takes what a socket usually holds
     private static final long LONG_TURN =
             10_000; // micros: what came during a shorter one counts as just come
+    private static final long MAX_WAIT =
+            1_000_000; // micros: a wake-up that the kernel refused is made up for then
+    private static final long FAILED_SELECTION_PAUSE =
+            5_000_000; // nanos between looks at all channels while the selector fails
 
     private final String name;
     private final Selector selector;
@@ -35,11 +40,15 @@
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER);
     private final ByteBuffer oneByte = ByteBuffer.allocateDirect(1);
     private final Consumer<Throwable> broken;
+    private final SystemFaults faults = new SystemFaults();
     private final List<Runnable> atEnd = new ArrayList<>();
     private boolean precise;
-    private volatile boolean running = true, ended, failed;
+    private volatile boolean running = true;
+    private volatile boolean ended;
+    private volatile boolean failed;
     private Thread thread;
-    private long turnAt = now(), turnBefore = turnAt;
+    private long turnAt = now();
+    private long turnBefore = turnAt;
     private boolean waited; // in this turn's selection, so what it found had only just come
 
     /** What a handler throws is given to {@code broken}; the loop itself goes on. */
@@ -63,12 +72,14 @@
         return this;
     }
 
+    /** Starts the thread. */
     public Loop start() {
         thread = new Thread(this, name);
         thread.start();
         return this;
     }
 
+    /** Waits for the thread to end, at most so long (0: without limit). */
     public void join(long millis) throws InterruptedException {
         thread.join(millis);
     }
@@ -100,11 +111,24 @@
         return now() - (waited ? turnAt : turnBefore);
     }
 
+    /** Counts of the system calls that failed on this loop. */
+    public SystemFaults faults() {
+        return faults;
+    }
+
     /** Runs a task on the loop soon, from any thread. */
     public void execute(Runnable task) {
         handed.add(task);
         if (!ended) {
+            wakeUp();
+        }
+    }
+
+    private void wakeUp() {
+        try {
             selector.wakeup();
+        } catch (InternalError e) {
+            // The kernel refused it; the loop looks for itself within MAX_WAIT.
         }
     }
 
@@ -113,6 +137,7 @@
         return timers.add(now() + Math.max(0, micros), task);
     }
 
+    /** Number of timers that are not due yet. */
     public int timers() {
         return timers.size();
     }
@@ -122,14 +147,32 @@
         atEnd.add(task);
     }
 
-    public SelectionKey register(SelectableChannel channel, int ops, Ready ready)
+    /**
+     * Registers a channel, whose readiness its handler hears of from now on. May be called from any
+     * thread.
+     *
+     * @throws IOException when the channel cannot be made non-blocking or is closed
+     */
+    public Registration register(
+            SelectableChannel channel, int operations, Registration.Handler handler)
             throws IOException {
-        channel.configureBlocking(false);
-        SelectionKey key = channel.register(selector, ops, ready);
-        if (Thread.currentThread() != thread) {
-            selector.wakeup(); // a selection under way would not see the new key
+        configureNonBlocking(channel);
+        Registration registration = new Registration(this, operations, handler);
+        SelectionKey key = channel.register(selector, operations, registration);
+        registration.attach(key, Thread.currentThread() == thread);
+        return registration;
+    }
+
+    /** What fails for a moment is tried once more: an open channel must not be lost by it. */
+    private void configureNonBlocking(SelectableChannel channel) throws IOException {
+        try {
+            channel.configureBlocking(false);
+        } catch (ClosedChannelException e) {
+            throw e;
+        } catch (IOException e) {
+            faults.count("channel.configure", "retried", e);
+            channel.configureBlocking(false);
         }
-        return key;
     }
 
     /**
@@ -147,10 +190,11 @@
         return readBuffer.clear();
     }
 
+    /** Ends the loop after its present turn. May be called from any thread. */
     public void stop() {
         running = false;
         if (!ended) {
-            selector.wakeup();
+            wakeUp();
         }
     }
 
@@ -161,12 +205,12 @@
             while (running) {
                 turn();
             }
-        } catch (IOException | Error e) {
+        } catch (Error e) {
             failed = true;
             broken.accept(e);
         } finally {
             ended = true;
-            atEnd.forEach(this::guarded);
+            atEnd.forEach(task -> guarded(task::run));
             for (SelectionKey key : selector.keys()) {
                 try {
                     key.channel().close();
@@ -182,8 +226,44 @@
         }
     }
 
-    private void turn() throws IOException {
-        long wait = timers.untilNext(now());
+    private void turn() {
+        boolean selected = selectOrPause();
+        turnBefore = turnAt;
+        turnAt = now();
+        if (selected) {
+            handleSelected();
+        } else {
+            assumeAllReady();
+        }
+        for (Runnable task = handed.poll(); task != null; task = handed.poll()) {
+            guarded(task::run);
+        }
+        long now = now();
+        for (Runnable due = timers.due(now); due != null; due = timers.due(now)) {
+            guarded(due::run);
+        }
+    }
+
+    /**
+     * Waits until something is ready or due. A selector that fails ends nothing: whether it fails
+     * for a moment or for good, all channels are looked at instead, after a pause.
+     *
+     * @return whether the selection worked
+     */
+    private boolean selectOrPause() {
+        try {
+            select();
+            return true;
+        } catch (IOException e) {
+            faults.count("selector.select", "looked_at_all", e);
+            waited = false;
+            LockSupport.parkNanos(FAILED_SELECTION_PAUSE);
+            return false;
+        }
+    }
+
+    private void select() throws IOException {
+        long wait = Math.min(MAX_WAIT, timers.untilNext(now()));
         if (!handed.isEmpty()) {
             wait = 0;
         }
@@ -192,37 +272,32 @@
         int found = atOnce || now() - turnAt > LONG_TURN ? selector.selectNow() : 0;
         waited = !atOnce && found == 0;
         if (waited) {
-            selector.select(wait == Long.MAX_VALUE ? 0 : Math.max(1, (wait + 999) / 1_000));
+            selector.select(Math.max(1, (wait + 999) / 1_000));
         }
-        turnBefore = turnAt;
-        turnAt = now();
+    }
+
+    private void handleSelected() {
         for (Iterator<SelectionKey> keys = selector.selectedKeys().iterator(); keys.hasNext(); ) {
             SelectionKey key = keys.next();
             keys.remove();
             if (key.isValid()) {
-                guarded(
-                        () -> {
-                            try {
-                                ((Ready) key.attachment()).ready(key);
-                            } catch (IOException e) {
-                                throw new UncheckedIOException(e);
-                            }
-                        });
+                int ready = key.readyOps();
+                guarded(() -> ((Registration) key.attachment()).reported(ready));
             }
         }
-        for (Runnable task = handed.poll(); task != null; task = handed.poll()) {
-            guarded(task);
-        }
-        long now = now();
-        for (Runnable due = timers.due(now); due != null; due = timers.due(now)) {
-            guarded(due);
+    }
+
+    private void assumeAllReady() {
+        for (SelectionKey key : List.copyOf(selector.keys())) {
+            guarded(((Registration) key.attachment())::assumeReady);
         }
     }
 
-    private void guarded(Runnable task) {
+    /** Runs a task; what it throws ends nothing but the task. */
+    void guarded(Task task) {
         try {
             task.run();
-        } catch (RuntimeException | StackOverflowError e) {
+        } catch (IOException | RuntimeException | StackOverflowError e) {
             broken.accept(e);
         }
     }
--- /dev/null
+++ b/src/main/java/waytrestle/net/RetryTimer.java
@@ -0,0 +1,53 @@
+package waytrestle.net;
+
+import java.io.IOException;
+
+/** Tries one direction of a connection again after failures, as {@link TransferRetry} says. */
+final class RetryTimer {
+    private final Loop loop;
+    private final String operation;
+    private final Runnable resume;
+    private final TransferRetry retry = new TransferRetry();
+    private boolean pending;
+
+    /**
+     * Creates it without a failure.
+     *
+     * @param operation as faults are counted by
+     * @param resume tries the transfer again
+     */
+    RetryTimer(Loop loop, String operation, Runnable resume) {
+        this.loop = loop;
+        this.operation = operation;
+        this.resume = resume;
+    }
+
+    /** Whether a further try is waited for: until then nothing is to be transferred. */
+    boolean isPending() {
+        return pending;
+    }
+
+    void succeeded() {
+        retry.succeeded();
+    }
+
+    /** Notes a failure; false where it has gone on for too long to try again. */
+    boolean failed(IOException error) {
+        long backoff = retry.failed(Loop.now());
+        if (backoff == TransferRetry.GIVE_UP) {
+            loop.faults().count(operation, "given_up", error);
+            return false;
+        }
+        loop.faults().count(operation, "retried", error);
+        if (!pending) {
+            pending = true;
+            loop.after(backoff, this::tryAgain);
+        }
+        return true;
+    }
+
+    private void tryAgain() {
+        pending = false;
+        resume.run();
+    }
+}
--- a/src/main/java/waytrestle/net/TimerHeap.java
+++ b/src/main/java/waytrestle/net/TimerHeap.java
@@ -10,7 +10,8 @@
 public final class TimerHeap {
     /** One timer; cancelling a second time, or after it ran, does nothing. */
     public static final class Timer implements Comparable<Timer> {
-        private final long dueAt, order;
+        private final long dueAt;
+        private final long order;
         private final TimerHeap heap;
         private Runnable task;
 
@@ -21,6 +22,7 @@
             this.task = task;
         }
 
+        /** Cancels it; the task will not run. */
         public void cancel() {
             if (task != null) {
                 task = null;
@@ -42,6 +44,7 @@
     private long orders;
     private int cancelled;
 
+    /** Adds a task that is due at a time. */
     public Timer add(long dueAt, Runnable task) {
         Timer timer = new Timer(this, dueAt, orders++, task);
         heap.add(timer);
--- a/src/main/java/waytrestle/platform/ControllerBootstrap.java
+++ b/src/main/java/waytrestle/platform/ControllerBootstrap.java
@@ -84,6 +84,7 @@
         this.wallMillis = wallMillis;
         this.log = log;
         this.loop = new Loop("controller-" + settings.controllerIndex(), log::handlerFailed);
+        loop.faults().reportTo(log::message);
         int connections = Math.max(MIN_CONNECTIONS, config.sockets() - RESERVED_DESCRIPTORS);
         this.maxClientConnections = (int) Math.max(1, CLIENT_CONNECTION_SHARE * connections);
         this.maxInvokerConnections = connections - maxClientConnections;
--- a/src/test/java/waytrestle/net/ListenerTest.java
+++ b/src/test/java/waytrestle/net/ListenerTest.java
@@ -24,7 +24,8 @@
         List<Throwable> broken = Collections.synchronizedList(new ArrayList<>());
         Loop loop = new Loop("test", broken::add);
         AtomicInteger tries = new AtomicInteger();
-        CountDownLatch some = new CountDownLatch(3), taken = new CountDownLatch(1);
+        CountDownLatch some = new CountDownLatch(3);
+        CountDownLatch taken = new CountDownLatch(1);
         Listener listener =
                 new Listener(
                         loop,
