--- a/src/test/c/system_call_faults.c
+++ b/src/test/c/system_call_faults.c
@@ -39,7 +39,7 @@
     int32_t left;       /* failures left; negative: without limit */
     int32_t lasts_ms;   /* once failed, a descriptor goes on failing so long; negative: until closed */
     int32_t performs;   /* bytes of a short transfer; else: make the call before it is said to fail */
-    int32_t port;       /* remote port of a connected socket, 0 for any */
+    int32_t port;       /* remote port of a connected socket, 0 for any; negative: any other */
     int32_t hits;       /* written by this library */
 };
 
@@ -108,7 +108,8 @@
 static int matches(const struct fault_rule *rule, enum call call, int fd) {
     if (rule->permille == 0 || rule->call != (int) call) return 0;
     if (rule->side != ANY && rule->side != side(fd)) return 0;
-    return rule->port == 0 || (known(fd) && port_of[fd] == rule->port);
+    if (rule->port == 0) return 1;
+    return known(fd) && (rule->port > 0 ? port_of[fd] == rule->port : port_of[fd] != -rule->port);
 }
 
 /* The rule by which this call fails now, or null. */
--- a/src/test/java/waytrestle/faults/FaultRule.java
+++ b/src/test/java/waytrestle/faults/FaultRule.java
@@ -9,7 +9,8 @@
  * @param lastsMillis for how long a descriptor goes on failing once it has; {@link #UNTIL_CLOSED}
  *     for good
  * @param performs bytes of a short transfer; for other calls not 0 if the call is made all the same
- * @param port remote port of a connection that the process has opened, 0 for any
+ * @param port remote port of a connection that the process has opened, 0 for any, negative for any
+ *     other than that
  */
 public record FaultRule(
         SystemCall call,
@@ -62,7 +63,7 @@
         return new FaultRule(call, kind, error, permille, skip, count, lastsMillis, bytes, port);
     }
 
-    /** The same, on connections to this port alone. */
+    /** The same, on connections to this port alone; to any other where it is negative. */
     public FaultRule to(int remotePort) {
         return new FaultRule(
                 call, kind, error, permille, skip, count, lastsMillis, performs, remotePort);
--- /dev/null
+++ b/src/test/java/waytrestle/platform/FaultMatrixTest.java
@@ -0,0 +1,181 @@
+package waytrestle.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import waytrestle.faults.DescriptorKind;
+import waytrestle.faults.SystemCall;
+import waytrestle.platform.FaultCells.Cell;
+import waytrestle.platform.RepeatingClient.SentRequest;
+
+/**
+ * Each system call on sockets fails with each documented error, towards clients and invokers, on
+ * new and on kept connections: no unsafe request runs twice, each gets a response, and a connection
+ * that is still good is not closed under its request.
+ */
+class FaultMatrixTest {
+    /** Requests of a cell on each of a kept and a new connection. */
+    private static final int REQUESTS = 4;
+
+    private static final int INVOKERS = 4;
+    private static final int OK = 200;
+
+    @Test
+    void readsFromClients() throws Exception {
+        assertCells(FaultCells.transfers(SystemCall.READ, DescriptorKind.ACCEPTED, 0));
+    }
+
+    @Test
+    void writesToClients() throws Exception {
+        assertCells(FaultCells.transfers(SystemCall.WRITE, DescriptorKind.ACCEPTED, 0));
+    }
+
+    @Test
+    void acceptingClients() throws Exception {
+        assertCells(FaultCells.accepts());
+    }
+
+    @Test
+    void optionsRegistrationAndEndsOfClientsConnections() throws Exception {
+        assertCells(FaultCells.upkeep(DescriptorKind.ACCEPTED, 0));
+    }
+
+    @Test
+    void readsFromInvokers() throws Exception {
+        try (MatrixRun run = new MatrixRun()) {
+            run.play(
+                    FaultCells.transfers(
+                            SystemCall.READ, DescriptorKind.CONNECTED, run.invokerPorts()));
+        }
+    }
+
+    @Test
+    void writesToInvokers() throws Exception {
+        try (MatrixRun run = new MatrixRun()) {
+            run.play(
+                    FaultCells.transfers(
+                            SystemCall.WRITE, DescriptorKind.CONNECTED, run.invokerPorts()));
+        }
+    }
+
+    @Test
+    void connectingToInvokers() throws Exception {
+        try (MatrixRun run = new MatrixRun()) {
+            run.play(FaultCells.connects(run.invokerPorts()));
+        }
+    }
+
+    @Test
+    void optionsRegistrationAndEndsOfInvokerConnections() throws Exception {
+        try (MatrixRun run = new MatrixRun()) {
+            run.play(FaultCells.upkeep(DescriptorKind.CONNECTED, run.invokerPorts()));
+        }
+    }
+
+    @Test
+    void waits() throws Exception {
+        assertCells(FaultCells.waits());
+    }
+
+    private static void assertCells(List<Cell> cells) throws Exception {
+        try (MatrixRun run = new MatrixRun()) {
+            run.play(cells);
+        }
+    }
+
+    /** One controller with its invoker, and the cells played on it one after another. */
+    private static final class MatrixRun implements AutoCloseable {
+        private final PlatformFixture fixture = new PlatformFixture();
+        private final List<ScriptedInvoker> invokers = FaultedFleet.invokers(INVOKERS);
+        private final RunRecorder recorder =
+                new RunRecorder(invokers.toArray(ScriptedInvoker[]::new));
+        private final FaultedController controller = new FaultedController(1);
+        private final List<String> violations = new ArrayList<>();
+        private int lastId;
+        private int cellsHit;
+        private int served;
+        private int undeliverable;
+
+        MatrixRun() throws Exception {
+            String configuration = FaultedFleet.configuration(fixture, invokers);
+            controller.start(configuration).awaitReady();
+        }
+
+        /**
+         * Rules for this port hold for connections to invokers, not for that to the watch server.
+         */
+        int invokerPorts() {
+            return -fixture.watchServer.port();
+        }
+
+        void play(List<Cell> cells) throws Exception {
+            for (Cell cell : cells) {
+                playCell(cell);
+            }
+            assertTrue(controller.isAlive(), controller.log());
+            assertEquals("", String.join("\n", violations));
+            assertTrue(2 * cellsHit > cells.size(), cellsHit + " of " + cells.size() + " hit");
+            System.out.println(
+                    "fault matrix: "
+                            + cells.size()
+                            + " cells, "
+                            + cellsHit
+                            + " hit, "
+                            + lastId
+                            + " requests, "
+                            + served
+                            + " served, "
+                            + undeliverable
+                            + " undeliverable");
+        }
+
+        private void playCell(Cell cell) throws Exception {
+            try (RepeatingClient keeping = new RepeatingClient(controller.port(), true);
+                    RepeatingClient anew = new RepeatingClient(controller.port(), false)) {
+                check(cell, keeping.send("read", nextId())); // so that it has a connection to keep
+                controller.plan().set(cell.rule());
+                for (int i = 0; i < REQUESTS; i++) {
+                    String requestClass = i % 4 == 3 ? "read" : "book";
+                    check(cell, keeping.send(requestClass, nextId()));
+                    check(cell, anew.send(requestClass, nextId()));
+                }
+            }
+            cellsHit += controller.plan().hits() > 0 ? 1 : 0;
+            controller.plan().set();
+        }
+
+        private void check(Cell cell, SentRequest request) {
+            served += request.lastResult() == OK ? 1 : 0;
+            List<String> found =
+                    new ArrayList<>(
+                            RequestInvariants.violations(request, recorder.runs(request.id())));
+            if (cell.mayCutEveryTry() && RequestInvariants.wasCutEachTime(request)) {
+                undeliverable++;
+                found.removeIf(violation -> violation.startsWith(RequestInvariants.LOST));
+            }
+            if (cell.passes() && RequestInvariants.wasCut(request)) {
+                found.add("cut: a good connection was closed under it (" + request + ")");
+            }
+            for (String violation : found) {
+                violations.add(violation + " with " + cell.rule());
+            }
+        }
+
+        private String nextId() {
+            lastId++;
+            return PlatformFixture.correlationId(lastId);
+        }
+
+        @Override
+        public void close() throws Exception {
+            controller.close();
+            for (ScriptedInvoker invoker : invokers) {
+                invoker.close();
+            }
+            fixture.close();
+        }
+    }
+}
--- a/src/test/java/waytrestle/platform/RequestInvariants.java
+++ b/src/test/java/waytrestle/platform/RequestInvariants.java
@@ -7,6 +7,9 @@
 
 /** The platform's rules on one request, checked on what its client and the invokers have seen. */
 final class RequestInvariants {
+    /** What the violation begins with of a request that got no response. */
+    static final String LOST = "lost";
+
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int SERVICE_UNAVAILABLE = 503;
 
@@ -22,7 +25,7 @@
             violations.add("duplicate: rejected as harmless to retry after it ran");
         }
         if (request.lastResult() < 0) {
-            violations.add("lost: it never got a response");
+            violations.add(LOST + ": it never got a response");
         }
         violations.replaceAll(text -> text + " (" + request + ")");
         return violations;
@@ -33,6 +36,11 @@
         return request.results().stream().anyMatch(r -> Objects.equals(r, RepeatingClient.CLOSED));
     }
 
+    /** Whether no connection lasted until its response, the one it was sent again on included. */
+    static boolean wasCutEachTime(SentRequest request) {
+        return request.results().stream().allMatch(r -> Objects.equals(r, RepeatingClient.CLOSED));
+    }
+
     private static boolean isRejected(int status) {
         return status == TOO_MANY_REQUESTS || status == SERVICE_UNAVAILABLE;
     }
--- a/src/test/java/waytrestle/platform/RunRecorder.java
+++ b/src/test/java/waytrestle/platform/RunRecorder.java
@@ -7,20 +7,21 @@
 import waytrestle.http.HttpServer;
 
 /**
- * An invoker's script that counts how often each request has come to it complete, which is how
- * often it has run, and answers after a while.
+ * The script of some invokers: counts how often each request has come to them complete, which is
+ * how often it has run, and answers after a while.
  */
-final class RunRecorder implements InvokerScript {
+final class RunRecorder {
     private static final long MICROS_PER_MILLI = 1_000;
 
-    private final ScriptedInvoker invoker;
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     private volatile long minWorkMillis = 1;
     private volatile long maxWorkMillis = 2;
 
-    RunRecorder(ScriptedInvoker invoker) {
-        this.invoker = invoker;
-        invoker.setScript(this);
+    /** Becomes the script of these invokers. */
+    RunRecorder(ScriptedInvoker... invokers) {
+        for (ScriptedInvoker invoker : invokers) {
+            invoker.setScript(exchange -> handle(invoker, exchange));
+        }
     }
 
     /** Each request takes a time drawn from this range. */
@@ -29,8 +30,7 @@
         maxWorkMillis = most;
     }
 
-    @Override
-    public void handle(HttpServer.Exchange exchange) {
+    private void handle(ScriptedInvoker invoker, HttpServer.Exchange exchange) {
         String id = exchange.message().header("x-txn");
         if (id == null) {
             ScriptedInvoker.respond(exchange, 200, "", "X-Units", "1");
@@ -41,8 +41,14 @@
         invoker.schedule(millis * MICROS_PER_MILLI, () -> answer(exchange, id));
     }
 
+    /** Some connections are kept, so that there are kept and new ones to invokers all the time. */
     private static void answer(HttpServer.Exchange exchange, String id) {
-        if (exchange.open()) {
+        if (!exchange.open()) {
+            return;
+        }
+        if (ThreadLocalRandom.current().nextBoolean()) {
+            ScriptedInvoker.respond(exchange, 200, id, "Connection", "close");
+        } else {
             ScriptedInvoker.respond(exchange, 200, id);
         }
     }
