Repeats by id: joined in flight, answered alike after, never run twice; invoker writes fail soon

Cause: PlatformFrontEnd forgot an id with its request, so a client whose connection had broken, or whose response could not be written, was run anew when it sent the id again. And a write to an invoker that failed for good was waited for two seconds, which the scheduler learned as that function's run time. Change: the platform controller keeps ids with the idempotency store that the gateway has, for the longest deadline of the settings (16,384 ids, 6 MiB); its keys have no signing time, so the wall clock has no part in it. Patience by the peer's role.

--- a/src/main/java/waytrestle/front/platform/InvalidRequestException.java
+++ b/src/main/java/waytrestle/front/platform/InvalidRequestException.java
@@ -7,7 +7,6 @@
 final class InvalidRequestException extends Exception {
     private static final long serialVersionUID = 1L;
     private static final int BAD_REQUEST = 400;
-    private static final int CONFLICT = 409;
 
     private final int status;
 
@@ -22,11 +21,6 @@
         return new InvalidRequestException(BAD_REQUEST, description);
     }
 
-    /** A request of the same correlation id is in flight. */
-    static InvalidRequestException alreadyInFlight() {
-        return new InvalidRequestException(CONFLICT, "a call of this id is open");
-    }
-
     /** The HTTP status to reject it by. */
     int status() {
         return status;
--- a/src/main/java/waytrestle/front/platform/PlatformFrontEnd.java
+++ b/src/main/java/waytrestle/front/platform/PlatformFrontEnd.java
@@ -1,10 +1,8 @@
 package waytrestle.front.platform;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import waytrestle.front.Front;
 import waytrestle.http.HttpError;
 import waytrestle.http.HttpMessage;
@@ -35,16 +33,18 @@
     private static final int NO_JSON_PART = -1;
     private static final long MICROS_PER_MILLI = 1_000;
 
+    private final List<RequestClass> classes;
     private final PlatformRequestReader reader;
     private final RequestHandler handler;
-    private final Set<String> idsInFlight = new HashSet<>();
     private final Map<String, Long> rejectedMessages = new HashMap<>();
+    private int requestsInFlight;
     private boolean ready;
     private boolean shuttingDown;
 
     /** Requests of the given classes are handed to the handler. */
     public PlatformFrontEnd(
             List<RequestClass> classes, Preloading preloading, RequestHandler handler) {
+        this.classes = classes;
         this.reader = new PlatformRequestReader(classes, preloading);
         this.handler = handler;
     }
@@ -62,9 +62,9 @@
         shuttingDown = true;
     }
 
-    /** Number of requests in flight. */
+    /** Number of clients that wait for the response to a request. */
     public int requestsInFlight() {
-        return idsInFlight.size();
+        return requestsInFlight;
     }
 
     @Override
@@ -104,7 +104,6 @@
         }
         try {
             PlatformRequest request = reader.read(message);
-            reserveId(request.correlationId());
             handle(exchange, request);
         } catch (InvalidRequestException e) {
             countRejected(e.getMessage());
@@ -123,36 +122,29 @@
         rejectedMessages.merge(label, 1L, Long::sum);
     }
 
-    private void reserveId(String correlationId) throws InvalidRequestException {
-        boolean reserved = idsInFlight.add(correlationId);
-        if (!reserved) {
-            throw InvalidRequestException.alreadyInFlight();
-        }
-    }
-
     private void handle(HttpServer.Exchange exchange, PlatformRequest request) {
-        String correlationId = request.correlationId();
+        requestsInFlight++;
         PendingResponse pending =
                 handler.accept(
-                        toIncomingRequest(exchange, request),
-                        new ExchangeListener(exchange, correlationId));
+                        toIncomingRequest(exchange, request), new ExchangeListener(exchange));
         if (exchange.open()) {
             exchange.whenGone(
                     () -> {
-                        idsInFlight.remove(correlationId);
+                        requestsInFlight--;
                         pending.clientDisconnected();
                     });
         }
     }
 
-    private static IncomingRequest toIncomingRequest(
+    private IncomingRequest toIncomingRequest(
             HttpServer.Exchange exchange, PlatformRequest request) {
         long waitedMicros = Loop.now() - exchange.since();
         return new IncomingRequest(
                 request.requestClass(),
                 NO_TENANT,
                 request.function(),
-                null,
+                RequestIdentity.of(
+                        request, classes.get(request.requestClass()), exchange.message().content()),
                 0,
                 request.deadlineMillis() * MICROS_PER_MILLI - waitedMicros,
                 "",
@@ -165,16 +157,14 @@
     /** Answers one exchange with the outcome of its request. */
     private final class ExchangeListener implements RequestHandler.ResponseListener {
         private final HttpServer.Exchange exchange;
-        private final String correlationId;
 
-        private ExchangeListener(HttpServer.Exchange exchange, String correlationId) {
+        private ExchangeListener(HttpServer.Exchange exchange) {
             this.exchange = exchange;
-            this.correlationId = correlationId;
         }
 
         @Override
         public void completed(RequestOutcome outcome) {
-            idsInFlight.remove(correlationId);
+            requestsInFlight--;
             PlatformResponseWriter.writeOutcome(exchange, outcome);
         }
 
--- a/src/main/java/waytrestle/front/platform/PlatformResponseWriter.java
+++ b/src/main/java/waytrestle/front/platform/PlatformResponseWriter.java
@@ -14,6 +14,7 @@
 
     private static final String RETRY_AFTER_MILLIS_HEADER = "X-Pushback-Ms";
     private static final int OK = 200;
+    private static final int CONFLICT = 409;
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final long MICROS_PER_MILLI = 1_000;
@@ -45,10 +46,15 @@
         } else if (outcome instanceof RequestOutcome.Rejected rejected) {
             writeRejected(exchange, rejected);
         } else {
-            exchange.answer(Fronts.status(outcome), CONTENT_TYPE, body(Fronts.kind(outcome)));
+            exchange.answer(failureStatus(outcome), CONTENT_TYPE, body(Fronts.kind(outcome)));
         }
     }
 
+    private static int failureStatus(RequestOutcome outcome) {
+        boolean otherRequest = Fronts.why(outcome) == RequestOutcome.Reason.PAYLOAD_MISMATCH;
+        return otherRequest ? CONFLICT : Fronts.status(outcome);
+    }
+
     private static void writeRejected(
             HttpServer.Exchange exchange, RequestOutcome.Rejected rejected) {
         boolean overLimit = rejected.reason() == RequestOutcome.Reason.TOO_MANY_IN_FLIGHT;
--- a/src/main/java/waytrestle/net/Connection.java
+++ b/src/main/java/waytrestle/net/Connection.java
@@ -16,8 +16,8 @@
  * when to stop producing.
  *
  * <p>A read or write that fails is tried again after a pause: a connection ends only when the peer
- * has ended it, when a read says that it is broken, or when it has failed for longer than {@link
- * TransferRetry#PATIENCE_MICROS}.
+ * has ended it, when a read says that it is broken, or when it has failed for longer than its
+ * patience.
  *
  * <table>
  * <caption>States</caption>
@@ -47,8 +47,7 @@
 
     private final Loop loop;
     private final SocketChannel channel;
-    private final boolean accepted;
-    private final String faultPrefix;
+    private final PeerRole role;
     private final UnreadInput input;
     private final OutputQueue output = new OutputQueue();
     private final RetryTimer readRetry;
@@ -69,10 +68,9 @@
         this.channel = channel;
         this.input = new UnreadInput(keep, in -> handler.received(in), this::isOpen);
         this.state = state;
-        this.accepted = state == State.OPEN;
-        this.faultPrefix = state == State.OPEN ? "client." : "server.";
-        this.readRetry = new RetryTimer(loop, faultPrefix + "read", this::resumeReading);
-        this.writeRetry = new RetryTimer(loop, faultPrefix + "write", this::resumeWriting);
+        this.role = state == State.OPEN ? PeerRole.CLIENT : PeerRole.SERVER;
+        this.readRetry = role.readRetry(loop, this::resumeReading);
+        this.writeRetry = role.writeRetry(loop, this::resumeWriting);
         this.bornSince = loop.turnBefore();
         this.bornTurn = loop.turnAt();
         this.bornBehind = loop.behind();
@@ -219,7 +217,7 @@
     }
 
     private void countFault(String operation, String reaction, Exception error) {
-        loop.faults().count(faultPrefix + operation, reaction, error);
+        loop.faults().count(role.operation(operation), reaction, error);
     }
 
     // ---- Reading. ----
@@ -279,7 +277,10 @@
         in.limit(Math.max(1, Math.min(in.capacity(), input.room())));
         Transfer transfer = SocketTransfers.read(channel, in);
         long behind = loop.behind() + (loop.turnBefore() == bornTurn ? bornBehind : 0);
-        if (accepted && transfer.hasProgressed() && in.hasRemaining() && behind > BEHIND_MICROS) {
+        if (role == PeerRole.CLIENT
+                && transfer.hasProgressed()
+                && in.hasRemaining()
+                && behind > BEHIND_MICROS) {
             // Who sent this may have gone since: nobody waits for it.
             Transfer next = SocketTransfers.read(channel, in);
             if (next.status() == Transfer.Status.ENDED || next.status() == Transfer.Status.BROKEN) {
--- a/src/main/java/waytrestle/net/RetryTimer.java
+++ b/src/main/java/waytrestle/net/RetryTimer.java
@@ -7,16 +7,18 @@
     private final Loop loop;
     private final String operation;
     private final Runnable resume;
-    private final TransferRetry retry = new TransferRetry();
+    private final TransferRetry retry;
     private boolean pending;
 
     /**
      * Creates it without a failure.
      *
      * @param operation as faults are counted by
+     * @param patienceMicros how long the transfer may go on failing
      * @param resume tries the transfer again
      */
-    RetryTimer(Loop loop, String operation, Runnable resume) {
+    RetryTimer(Loop loop, String operation, long patienceMicros, Runnable resume) {
+        this.retry = new TransferRetry(patienceMicros);
         this.loop = loop;
         this.operation = operation;
         this.resume = resume;
--- a/src/main/java/waytrestle/net/TransferRetry.java
+++ b/src/main/java/waytrestle/net/TransferRetry.java
@@ -3,8 +3,7 @@
 /**
  * When a failed transfer is tried again, for one direction of one connection. A connection that is
  * still good makes up for the failure at one of the next tries; one that is broken says so at the
- * next read. A failure that goes on for longer than {@link #PATIENCE_MICROS} counts as a broken
- * connection.
+ * next read. A failure that goes on for longer than the patience counts as a broken connection.
  *
  * <p>Free of I/O and clock.
  */
@@ -12,19 +11,19 @@
     /** In place of a time to wait: the connection counts as broken. */
     static final long GIVE_UP = -1;
 
-    /**
-     * How long a transfer may go on failing: below the least time between SIGTERM and SIGKILL with
-     * the usual deadlines, far above a moment's lack of memory or buffers.
-     */
-    static final long PATIENCE_MICROS = 2_000_000;
-
     private static final long FIRST_BACKOFF_MICROS = 1_000;
     private static final long MAX_BACKOFF_MICROS = 50_000;
     private static final long NOT_FAILING = Long.MIN_VALUE;
 
+    private final long patienceMicros;
     private long failingSince = NOT_FAILING;
     private long backoffMicros;
 
+    /** Creates it for transfers that may go on failing for so long. */
+    TransferRetry(long patienceMicros) {
+        this.patienceMicros = patienceMicros;
+    }
+
     boolean isFailing() {
         return failingSince != NOT_FAILING;
     }
@@ -36,7 +35,7 @@
             backoffMicros = FIRST_BACKOFF_MICROS;
             return backoffMicros;
         }
-        if (nowMicros - failingSince > PATIENCE_MICROS) {
+        if (nowMicros - failingSince > patienceMicros) {
             return GIVE_UP;
         }
         backoffMicros = Math.min(MAX_BACKOFF_MICROS, 2 * backoffMicros);
--- a/src/main/java/waytrestle/platform/ControllerBootstrap.java
+++ b/src/main/java/waytrestle/platform/ControllerBootstrap.java
@@ -22,6 +22,7 @@
 import waytrestle.requests.RequestHandler.FunctionHints;
 import waytrestle.scheduler.FinishTimeScheduler;
 import waytrestle.scheduler.SchedulerSettings;
+import waytrestle.scheduler.SchedulerSettings.RequestClass;
 
 /**
  * Builds the parts of a controller, connects them and starts its event loop.
@@ -65,9 +66,16 @@
      */
     private static final int UNANSWERED_WATCH_GRACE_DIVISOR = 2;
 
-    /** The platform wants no deduplication beyond the end of a request. */
-    private static final IdempotencyStore.Bounds NO_IDEMPOTENCY =
-            new IdempotencyStore.Bounds(0, 0, 0);
+    /**
+     * Correlation ids that are remembered: several seconds of more requests than one core serves.
+     * When all of them are of unsafe requests, new requests are rejected.
+     */
+    private static final int MAX_REMEMBERED_IDS = 16_384;
+
+    /** Memory of these with the responses of some, beside a heap of 64 MB. */
+    private static final long MAX_REMEMBERED_BYTES = 6 << 20;
+
+    private static final long MICROS_PER_SECOND = 1_000_000;
 
     private final PlatformConfig config;
     private final SchedulerSettings settings;
@@ -136,11 +144,25 @@
                 settings.classes(),
                 settings.limits().maxInFlight(),
                 settings.tickMicros(),
-                new IdempotencyStore(NO_IDEMPOTENCY, 0),
+                new IdempotencyStore(rememberedIds(), 0),
                 AdmissionControl.ADMIT_ALL,
                 settings.limits().mayCancel());
     }
 
+    /**
+     * A client repeats an id only while it still waits for the response, so an id is remembered for
+     * the longest deadline. Guards against a request that runs again because its response could not
+     * be delivered.
+     */
+    private IdempotencyStore.Bounds rememberedIds() {
+        long longestMicros = 0;
+        for (RequestClass requestClass : settings.classes()) {
+            longestMicros = Math.max(longestMicros, requestClass.deadlineMicros());
+        }
+        long seconds = Math.max(1, (longestMicros + MICROS_PER_SECOND - 1) / MICROS_PER_SECOND);
+        return new IdempotencyStore.Bounds(MAX_REMEMBERED_IDS, MAX_REMEMBERED_BYTES, seconds);
+    }
+
     private WatchClient createWatchClient(EndpointUpdater endpoints, StartupGate startup) {
         WatchState state = new WatchState(config.lastNotice(), settings.rules().drainGraceMicros());
         return new WatchClient(
--- a/src/main/java/waytrestle/requests/IdempotencyStore.java
+++ b/src/main/java/waytrestle/requests/IdempotencyStore.java
@@ -46,14 +46,23 @@
      * A request with an idempotency key, as it arrives.
      *
      * @param deduplicationWindowMicros how long invokers drop duplicates of the key
-     * @param signedAtSeconds wall-clock time at which the client signed it
+     * @param signedAtSeconds wall-clock time at which the client signed it, {@link #UNSIGNED} where
+     *     the protocol has no signatures: then a key is new whenever it is not known, and is
+     *     forgotten by the monotonic clock alone
      */
     public record KeyedRequest(
             String key,
             Idempotency idempotency,
             long deduplicationWindowMicros,
             long signedAtSeconds,
-            long payloadDigest) {}
+            long payloadDigest) {
+        /** In place of a signing time. */
+        public static final long UNSIGNED = Long.MIN_VALUE;
+
+        boolean isSigned() {
+            return signedAtSeconds != UNSIGNED;
+        }
+    }
 
     /** What the store knows of a request that arrives. */
     public sealed interface LookupResult {
@@ -125,7 +134,8 @@
     }
 
     private LookupResult lookUpUnknown(KeyedRequest request) {
-        boolean mayBeForgotten = request.signedAtSeconds() <= forgottenUntilSeconds;
+        boolean mayBeForgotten =
+                request.isSigned() && request.signedAtSeconds() <= forgottenUntilSeconds;
         if (mayBeForgotten && request.idempotency() != Idempotency.IDEMPOTENT) {
             // Guards against a replay after a restart, or after the wall clock stepped back over
             // what was evicted.
@@ -261,12 +271,14 @@
             IdempotencyEntry entry = completed.iterator().next();
             long signedAtSeconds = entry.request.signedAtSeconds();
             boolean agedOut = nowMicros - entry.completedAt() > bounds.toleranceMicros();
-            boolean signatureExpired = wallSeconds - signedAtSeconds > bounds.toleranceSeconds();
+            boolean signatureExpired =
+                    !entry.request.isSigned()
+                            || wallSeconds - signedAtSeconds > bounds.toleranceSeconds();
             if (!agedOut || !signatureExpired) {
                 return;
             }
             remove(entry);
-            if (!entry.isIdempotent()) {
+            if (!entry.isIdempotent() && entry.request.isSigned()) {
                 forgottenUntilSeconds = Math.max(forgottenUntilSeconds, signedAtSeconds);
             }
         }
--- a/src/test/java/waytrestle/requests/IdempotencyStoreTest.java
+++ b/src/test/java/waytrestle/requests/IdempotencyStoreTest.java
@@ -235,4 +235,18 @@
         assertEquals(Reason.RESPONSE_EVICTED, reasonOf(lookUp(oldest)));
         assertInstanceOf(Served.class, ((Completed) lookUp(newest)).outcome());
     }
+
+    @Test
+    void anUnsignedKeyIsNewUntilSeenAndIsForgottenByTheMonotonicClockAlone() {
+        KeyedRequest unsigned = signedAt("u", Idempotency.NON_IDEMPOTENT, KeyedRequest.UNSIGNED);
+        store.requestCompleted(now, start(unsigned), EMPTY_RESPONSE, now);
+        wallSeconds += 3_600;
+        assertInstanceOf(Completed.class, lookUp(unsigned), "the wall clock stepped forward");
+        wallSeconds -= 7_200;
+        now += TOLERANCE_SECONDS * MICROS_PER_SECOND;
+        assertInstanceOf(Completed.class, lookUp(unsigned));
+        now++;
+        assertInstanceOf(NewRequest.class, lookUp(unsigned), "the wall clock stepped back");
+        assertEquals(0, store.size());
+    }
 }
