Send guard: one place that every attempt and rejection passes; logs that follow a request by id

Cause: whether something may be sent was known in four places, none of which saw what had really been sent; the logs of the reproduction did not say why an attempt, a repeat or a connection ended. Change: SendGuard is asked right before the first byte of each attempt, on whatever connection, and before each rejection; it keeps its own record beside the scheduler's and counts what it refuses, effects as violations. A rejection after an effect becomes a failure. ArchitectureTest shuts the other ways out. Logged by id: attempts that failed, refused sends, repeats; a summary of attempts, repeats, refused sends and failed system calls at the end of the process.

--- a/src/main/java/waytrestle/controller/AttemptCompletionHandler.java
+++ b/src/main/java/waytrestle/controller/AttemptCompletionHandler.java
@@ -1,16 +1,20 @@
 package waytrestle.controller;
 
+import java.util.List;
 import waytrestle.invoker.LoadMetrics;
 import waytrestle.requests.AdmissionControl;
 import waytrestle.requests.PendingRequests;
 import waytrestle.requests.RequestOutcome;
+import waytrestle.requests.SendGuard;
 import waytrestle.responses.Classification;
 import waytrestle.responses.ClassifierCommand;
 import waytrestle.responses.ClassifierEvent;
 import waytrestle.responses.ExchangeResult;
 import waytrestle.responses.InvokerLoadReport;
+import waytrestle.scheduler.InvokerEndpoint;
 import waytrestle.scheduler.ResponseCode;
 import waytrestle.scheduler.SchedulerEvent;
+import waytrestle.scheduler.SchedulerSettings.RequestClass;
 import waytrestle.scheduler.StartKind;
 
 /**
@@ -20,25 +24,33 @@
  * <p>Not thread-safe: used by the controller's event loop.
  */
 final class AttemptCompletionHandler {
+    /** In place of a zone or cell; it is that of no listed invoker. */
+    private static final int NOT_LISTED = -1;
+
     private final Transport transport;
     private final EventDispatcher dispatcher;
     private final OpenRequests openRequests;
     private final InvokerConnections connections;
     private final AdmissionControl admission;
     private final ControllerListener listener;
+    private final SendGuard sendGuard;
+    private final List<RequestClass> requestClasses;
 
     AttemptCompletionHandler(
             Transport transport,
             EventDispatcher dispatcher,
             OpenRequests openRequests,
             InvokerConnections connections,
-            AdmissionControl admission,
-            ControllerListener listener) {
+            ControllerDependencies dependencies,
+            ControllerListener listener,
+            SendGuard sendGuard) {
         this.transport = transport;
         this.dispatcher = dispatcher;
         this.openRequests = openRequests;
         this.connections = connections;
-        this.admission = admission;
+        this.admission = dependencies.admission();
+        this.sendGuard = sendGuard;
+        this.requestClasses = dependencies.settings().classes();
         this.listener = listener;
     }
 
@@ -67,10 +79,27 @@
     ExchangeResult.Kind withdrawal(Attempt attempt) {
         OpenRequest request = attempt.request();
         request.firstClient().checkConnected();
-        if (request.isCompleted()) {
-            return ExchangeResult.Kind.CANCELLED;
+        SendGuard.Refusal refusal = sendGuard.refusal(request.sendHistory(), intent(attempt));
+        if (refusal == null) {
+            return null;
         }
-        return connections.withdrawal(attempt.invoker(), attempt.plan().invokerWasReady());
+        listener.sendRefused(request.incoming(), attempt.number(), attempt.invoker(), refusal);
+        return refusal == SendGuard.Refusal.CLIENT_GONE
+                ? ExchangeResult.Kind.CANCELLED
+                : ExchangeResult.Kind.NO_CAPACITY;
+    }
+
+    private SendGuard.SendIntent intent(Attempt attempt) {
+        InvokerEndpoint endpoint = connections.endpoint(attempt.invoker());
+        int requestClass = attempt.request().incoming().requestClass();
+        return new SendGuard.SendIntent(
+                requestClasses.get(requestClass),
+                attempt.number(),
+                endpoint == null ? NOT_LISTED : endpoint.zone(),
+                endpoint == null ? NOT_LISTED : endpoint.cell(),
+                !attempt.request().isCompleted(),
+                connections.mayStillGet(attempt.invoker(), attempt.plan().invokerWasReady()),
+                transport.now());
     }
 
     /** The classifier has classified an end: the pending requests hear it before the scheduler. */
@@ -80,7 +109,10 @@
         Classification classification = command.classification();
         request.attemptEnded();
         attempt.setCode(classification.code());
+        request.sendHistory().ended(attempt.number(), classification.code());
         recordWarmResponse(attempt, command.loadReport().start());
+        listener.attemptEnded(
+                request.incoming(), attempt.number(), attempt.invoker(), attempt.code());
         listener.attemptCompleted(
                 attempt.code(),
                 attempt.invoker(),
--- a/src/main/java/waytrestle/controller/Controller.java
+++ b/src/main/java/waytrestle/controller/Controller.java
@@ -1,10 +1,12 @@
 package waytrestle.controller;
 
+import java.util.Map;
 import java.util.function.LongSupplier;
 import waytrestle.access.AccessLog;
 import waytrestle.overload.StartupPreloadLimit;
 import waytrestle.requests.PendingRequests;
 import waytrestle.requests.RequestHandler;
+import waytrestle.requests.SendGuard;
 import waytrestle.responses.ClassifierEvent;
 import waytrestle.responses.ResponseClassifier;
 import waytrestle.scheduler.RequestScheduler;
@@ -31,6 +33,7 @@
         RequestScheduler create(SchedulerSettings settings, long seed);
     }
 
+    private final SendGuard sendGuard = new SendGuard();
     private final WallClock wallClock;
     private final PendingRequests pendingRequests;
     private final ResponseClassifier classifier;
@@ -59,10 +62,16 @@
         this.connections = new InvokerConnections(transport, dispatcher, listener);
         RequestAccessLogger accessLogger =
                 new RequestAccessLogger(transport, wallClock, dependencies.settings(), accessLog);
-        this.waitingClients = new WaitingClients(transport, dispatcher, listener, accessLogger);
+        this.waitingClients =
+                new WaitingClients(
+                        transport, dispatcher, listener, accessLogger, responseGuard(dependencies));
         connectHandlers(transport, dependencies, listener, environment);
     }
 
+    private ResponseGuard responseGuard(ControllerDependencies dependencies) {
+        return new ResponseGuard(sendGuard, dependencies.settings().classes());
+    }
+
     private void connectHandlers(
             Transport transport,
             ControllerDependencies dependencies,
@@ -75,8 +84,9 @@
                         dispatcher,
                         openRequests,
                         connections,
-                        dependencies.admission(),
-                        listener);
+                        dependencies,
+                        listener,
+                        sendGuard);
         AttemptSender attemptSender =
                 new AttemptSender(
                         transport,
@@ -197,6 +207,11 @@
         return openRequests.size() + waitingClients.size() + classifier.retainedEntries();
     }
 
+    /** What the guard of all sends has held back, by reason. */
+    public Map<SendGuard.Refusal, Long> refusedSends() {
+        return sendGuard.counts();
+    }
+
     /** Requests in flight, each counted once however many clients wait for it. */
     public int inFlight() {
         return pendingRequests.inFlight();
--- a/src/main/java/waytrestle/controller/ControllerListener.java
+++ b/src/main/java/waytrestle/controller/ControllerListener.java
@@ -1,7 +1,9 @@
 package waytrestle.controller;
 
 import java.util.Collection;
+import waytrestle.requests.PendingRequests;
 import waytrestle.requests.RequestHandler.IncomingRequest;
+import waytrestle.requests.SendGuard;
 import waytrestle.responses.ClassifierCommand;
 import waytrestle.responses.ExchangeResult;
 import waytrestle.scheduler.ResponseCode;
@@ -26,6 +28,25 @@
     default void attemptCompleted(
             ResponseCode code, String invoker, ExchangeResult result, long micros) {}
 
+    /** A request came again with the identity of an earlier one, and is not run again. */
+    default void requestRepeated(IncomingRequest request, PendingRequests.RepeatKind kind) {}
+
+    /**
+     * An attempt has ended, also one that was never sent; with what it takes to follow its request.
+     *
+     * @param attempt its number within the request
+     */
+    default void attemptEnded(
+            IncomingRequest request, int attempt, String invoker, ResponseCode code) {}
+
+    /**
+     * The guard has held an attempt back.
+     *
+     * @param attempt its number within the request
+     */
+    default void sendRefused(
+            IncomingRequest request, int attempt, String invoker, SendGuard.Refusal reason) {}
+
     /** A preload request has passed the limit that holds after a start. */
     default void preloadSent() {}
 
--- a/src/main/java/waytrestle/controller/InvokerConnections.java
+++ b/src/main/java/waytrestle/controller/InvokerConnections.java
@@ -20,6 +20,7 @@
     private final EventDispatcher dispatcher;
     private final ControllerListener listener;
     private final Map<String, InvokerClient> clients = new HashMap<>();
+    private final Map<String, InvokerEndpoint> endpoints = new HashMap<>();
     private final Set<String> readyInvokers = new HashSet<>();
 
     InvokerConnections(
@@ -54,17 +55,29 @@
         return clients.values().stream().mapToInt(InvokerClient::connections).sum();
     }
 
+    /** The last entry of the endpoint list for an invoker, or null where it is not listed. */
+    InvokerEndpoint endpoint(String invoker) {
+        return endpoints.get(invoker);
+    }
+
     /**
-     * How something that has not been sent yet ends instead, or null to send it: an invoker that
-     * stopped being ready since the decision gets nothing more, so nothing ran.
+     * Whether an invoker may still get what was decided for it: not where it stopped being ready
+     * since.
+     *
+     * @param wasReady whether the invoker was ready at the decision
+     */
+    boolean mayStillGet(String invoker, boolean wasReady) {
+        return !wasReady || isReady(invoker);
+    }
+
+    /**
+     * How an operation that has not been sent yet ends instead, or null to send it: at an invoker
+     * that stopped being ready since the decision nothing runs.
      *
      * @param wasReady whether the invoker was ready at the decision
      */
     ExchangeResult.Kind withdrawal(String invoker, boolean wasReady) {
-        if (wasReady && !isReady(invoker)) {
-            return ExchangeResult.Kind.NO_CAPACITY;
-        }
-        return null;
+        return mayStillGet(invoker, wasReady) ? null : ExchangeResult.Kind.NO_CAPACITY;
     }
 
     /** Opens and closes clients as an endpoint list demands. */
@@ -83,6 +96,7 @@
         Set<String> listed = new HashSet<>();
         snapshot.entries().forEach(endpoint -> listed.add(endpoint.id()));
         clients.entrySet().removeIf(entry -> closeUnlisted(entry, listed));
+        endpoints.keySet().retainAll(listed);
     }
 
     private boolean closeUnlisted(Map.Entry<String, InvokerClient> entry, Set<String> listed) {
@@ -97,8 +111,10 @@
     private void updateClient(InvokerEndpoint endpoint) {
         if (endpoint.state() == EndpointState.GONE) {
             disconnect(endpoint.id());
+            endpoints.remove(endpoint.id());
             listener.invokerRemoved(endpoint.id());
         } else {
+            endpoints.put(endpoint.id(), endpoint);
             clients.computeIfAbsent(endpoint.id(), this::connect);
         }
         if (endpoint.state() != EndpointState.READY) {
--- a/src/main/java/waytrestle/controller/OpenRequest.java
+++ b/src/main/java/waytrestle/controller/OpenRequest.java
@@ -5,6 +5,7 @@
 import waytrestle.requests.RequestHandler.FunctionHints;
 import waytrestle.requests.RequestHandler.IncomingRequest;
 import waytrestle.requests.RequestHandler.ResponseListener;
+import waytrestle.requests.SendHistory;
 
 /**
  * A request that the scheduler knows or that still has attempts outstanding.
@@ -20,6 +21,7 @@
     private final IncomingRequest incoming;
     private final ResponseListener firstClient;
     private final FunctionHints functionHints;
+    private final SendHistory sendHistory = new SendHistory();
     private final List<Attempt> attempts = new ArrayList<>(USUAL_ATTEMPTS);
     private int outstandingAttempts;
     private boolean completed;
@@ -59,6 +61,11 @@
         return functionHints;
     }
 
+    /** What has been sent of it, for the guard. */
+    SendHistory sendHistory() {
+        return sendHistory;
+    }
+
     List<Attempt> attempts() {
         return attempts;
     }
--- a/src/main/java/waytrestle/controller/PendingRequestsCommandHandler.java
+++ b/src/main/java/waytrestle/controller/PendingRequestsCommandHandler.java
@@ -48,6 +48,8 @@
                     new SchedulerEvent.RequestAbandoned(abandon.requestId()));
         } else if (command instanceof PendingRequests.SetDeadlineTimer timer) {
             waitingClients.setDeadlineTimer(timer);
+        } else if (command instanceof PendingRequests.ReportRepeat repeat) {
+            waitingClients.reportRepeat(repeat);
         }
     }
 
--- /dev/null
+++ b/src/main/java/waytrestle/controller/ResponseGuard.java
@@ -0,0 +1,40 @@
+package waytrestle.controller;
+
+import java.util.List;
+import waytrestle.requests.RequestOutcome;
+import waytrestle.requests.RequestOutcome.Failed;
+import waytrestle.requests.RequestOutcome.Rejected;
+import waytrestle.requests.SendGuard;
+import waytrestle.scheduler.SchedulerSettings.RequestClass;
+
+/**
+ * Holds each response against what was sent of its request: a rejection of a request that may have
+ * run becomes a failure.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
+ */
+final class ResponseGuard {
+    private final SendGuard sendGuard;
+    private final List<RequestClass> requestClasses;
+
+    ResponseGuard(SendGuard sendGuard, List<RequestClass> requestClasses) {
+        this.sendGuard = sendGuard;
+        this.requestClasses = requestClasses;
+    }
+
+    /**
+     * The outcome that the client may be given.
+     *
+     * @param request null where the client has started none
+     */
+    RequestOutcome checked(RequestOutcome outcome, OpenRequest request) {
+        if (request == null || !(outcome instanceof Rejected rejected)) {
+            return outcome;
+        }
+        RequestClass requestClass = requestClasses.get(request.incoming().requestClass());
+        if (sendGuard.mayReject(request.sendHistory(), requestClass)) {
+            return outcome;
+        }
+        return new Failed(rejected.reason(), true, rejected.attempts());
+    }
+}
--- a/src/main/java/waytrestle/controller/WaitingClients.java
+++ b/src/main/java/waytrestle/controller/WaitingClients.java
@@ -19,6 +19,7 @@
     private final EventDispatcher dispatcher;
     private final ControllerListener listener;
     private final RequestAccessLogger accessLogger;
+    private final ResponseGuard responseGuard;
     private final Map<Long, WaitingClient> clients = new HashMap<>();
     private long lastClientId;
 
@@ -26,11 +27,13 @@
             Transport transport,
             EventDispatcher dispatcher,
             ControllerListener listener,
-            RequestAccessLogger accessLogger) {
+            RequestAccessLogger accessLogger,
+            ResponseGuard responseGuard) {
         this.transport = transport;
         this.dispatcher = dispatcher;
         this.listener = listener;
         this.accessLogger = accessLogger;
+        this.responseGuard = responseGuard;
     }
 
     int size() {
@@ -78,7 +81,7 @@
         if (client == null) {
             return;
         }
-        RequestOutcome outcome = command.outcome();
+        RequestOutcome outcome = responseGuard.checked(command.outcome(), client.startedRequest());
         listener.requestCompleted(
                 client.incoming(),
                 CompletionKind.of(outcome).label(),
@@ -88,6 +91,14 @@
         client.listener().completed(outcome);
     }
 
+    /** Tells the listener that a request came again. */
+    void reportRepeat(PendingRequests.ReportRepeat command) {
+        WaitingClient client = clients.get(command.clientId());
+        if (client != null) {
+            listener.requestRepeated(client.incoming(), command.kind());
+        }
+    }
+
     /** Lets the pending requests hear of a client's deadline, if it still waits then. */
     void setDeadlineTimer(PendingRequests.SetDeadlineTimer command) {
         transport.schedule(command.afterMicros(), () -> deadlineExpired(command.clientId()));
--- a/src/main/java/waytrestle/gateway/HttpInvokerClient.java
+++ b/src/main/java/waytrestle/gateway/HttpInvokerClient.java
@@ -16,18 +16,9 @@
         this.client = client;
     }
 
-    /** One request and its one end: a whole message, or how it broke. */
-    protected final HttpClient.Call exchange(
-            long within,
-            Consumer<HttpMessage> answered,
-            Consumer<Kind> broken,
-            ByteBuffer... request) {
-        return exchange(within, () -> null, answered, broken, request);
-    }
-
     /**
-     * The same; before its first byte it may still be withdrawn, for its caller's sake or the
-     * invoker's.
+     * One request and its one end: a whole message, or how it broke. Before its first byte it may
+     * still be withdrawn, for its caller's sake or the invoker's.
      */
     protected final HttpClient.Call exchange(
             long within,
--- a/src/main/java/waytrestle/net/Connection.java
+++ b/src/main/java/waytrestle/net/Connection.java
@@ -250,9 +250,9 @@
         take(SocketTransfers.read(channel, in), in);
     }
 
-    /** The same, where the loop has been busy elsewhere for so long that it matters. */
+    /** The same, where the loop has been busy elsewhere for long, or the last read has failed. */
     public void pollIfBehind() {
-        if (loop.behind() > BEHIND_MICROS) {
+        if (loop.behind() > BEHIND_MICROS || readRetry.isPending()) {
             poll();
         }
     }
--- a/src/main/java/waytrestle/platform/ControllerBootstrap.java
+++ b/src/main/java/waytrestle/platform/ControllerBootstrap.java
@@ -113,6 +113,7 @@
         environment.attachGossip(gossip);
         HttpServer server = openServer(frontEnd);
         loop.execute(() -> startWatching(watchClient, startup));
+        loop.atEnd(() -> log.summary(controller.refusedSends(), loop.faults().counts()));
         PlatformComponents components =
                 new PlatformComponents(
                         controller, frontEnd, server, watchClient, gossip, addresses, startTimes);
--- a/src/main/java/waytrestle/platform/PlatformLog.java
+++ b/src/main/java/waytrestle/platform/PlatformLog.java
@@ -2,8 +2,16 @@
 
 import java.io.PrintStream;
 import java.util.Collection;
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.Map;
+import java.util.Set;
 import waytrestle.controller.ControllerListener;
 import waytrestle.net.Loop;
+import waytrestle.requests.PendingRequests;
+import waytrestle.requests.RequestHandler.IncomingRequest;
+import waytrestle.requests.SendGuard;
+import waytrestle.scheduler.ResponseCode;
 import waytrestle.scheduler.SchedulerEvent;
 
 /**
@@ -20,7 +28,18 @@
 
     private static final long MICROS_PER_SECOND = 1_000_000;
 
+    /** Ends of attempts that say something of a fault; the others are counted alone. */
+    private static final Set<ResponseCode> LOGGED_CODES =
+            EnumSet.of(
+                    ResponseCode.ERROR,
+                    ResponseCode.TIMEOUT,
+                    ResponseCode.RESET,
+                    ResponseCode.CONNECT_FAILED);
+
     private final PrintStream out;
+    private final Map<ResponseCode, Long> attemptsByCode = new EnumMap<>(ResponseCode.class);
+    private final Map<PendingRequests.RepeatKind, Long> repeats =
+            new EnumMap<>(PendingRequests.RepeatKind.class);
     private long currentSecond;
     private int linesInSecond;
 
@@ -51,6 +70,57 @@
         }
     }
 
+    @Override
+    public void attemptEnded(
+            IncomingRequest request, int attempt, String invoker, ResponseCode code) {
+        attemptsByCode.merge(code, 1L, Long::sum);
+        if (LOGGED_CODES.contains(code)) {
+            message(attemptLine("attempt.failed", request, attempt, invoker, code));
+        }
+    }
+
+    @Override
+    public void sendRefused(
+            IncomingRequest request, int attempt, String invoker, SendGuard.Refusal reason) {
+        String event = reason.isViolation() ? "send.violation_prevented" : "send.refused";
+        message(attemptLine(event, request, attempt, invoker, reason));
+    }
+
+    private static String attemptLine(
+            String event, IncomingRequest request, int attempt, String invoker, Enum<?> reason) {
+        return new LogLine(event)
+                .with("id", request.forwardedId())
+                .with("class", request.requestClass())
+                .with("attempt", attempt)
+                .with("invoker", invoker)
+                .with("reason", reason)
+                .toString();
+    }
+
+    @Override
+    public void requestRepeated(IncomingRequest request, PendingRequests.RepeatKind kind) {
+        repeats.merge(kind, 1L, Long::sum);
+        message(
+                new LogLine("request.repeated")
+                        .with("id", request.forwardedId())
+                        .with("class", request.requestClass())
+                        .with("kind", kind)
+                        .toString());
+    }
+
+    /**
+     * Logs what was counted since the start: attempts, repeats, refused sends and failed system
+     * calls. Not subject to the limit on lines.
+     */
+    void summary(Map<SendGuard.Refusal, Long> refusedSends, Map<String, Long> systemFaults) {
+        out.println(
+                new LogLine("controller.summary")
+                        .with("attempts", attemptsByCode)
+                        .with("repeats", repeats)
+                        .with("refused_sends", refusedSends)
+                        .with("system_faults", systemFaults));
+    }
+
     @Override
     public void message(String line) {
         long second = Loop.now() / MICROS_PER_SECOND;
--- a/src/main/java/waytrestle/requests/PendingRequests.java
+++ b/src/main/java/waytrestle/requests/PendingRequests.java
@@ -127,6 +127,17 @@
     /** Send the client its one response. */
     public record RespondToClient(long clientId, RequestOutcome outcome) implements Command {}
 
+    /** What a request that came again got; sent before anything else is done about it. */
+    public enum RepeatKind {
+        /** The first is in flight: both get its outcome. */
+        JOINED,
+        /** It gets the outcome of the first, or the reason why it is not run again. */
+        ANSWERED
+    }
+
+    /** A request that came again was recognised; for logs alone. */
+    public record ReportRepeat(long clientId, RepeatKind kind) implements Command {}
+
     /** Give a new request to the scheduler. */
     public record StartRequest(long requestId, long clientId, long timeLeftMicros)
             implements Command {}
@@ -253,8 +264,10 @@
     private void requestArrived(RequestArrived event, long wallSeconds) {
         LookupResult known = lookUp(event, wallSeconds);
         if (known instanceof LookupResult.Completed completed) {
+            commands.add(new ReportRepeat(event.clientId(), RepeatKind.ANSWERED));
             respond(event.clientId(), completed.outcome());
         } else if (known instanceof LookupResult.InFlight duplicate) {
+            commands.add(new ReportRepeat(event.clientId(), RepeatKind.JOINED));
             joinInFlight(event, inFlight.get(duplicate.requestId()));
         } else if (known instanceof LookupResult.NewRequest newRequest) {
             startIfAdmitted(event, newRequest);
--- a/src/test/java/waytrestle/ArchitectureTest.java
+++ b/src/test/java/waytrestle/ArchitectureTest.java
@@ -1,5 +1,9 @@
 package waytrestle;
 
+import static com.tngtech.archunit.core.domain.JavaAccess.Predicates.target;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.assignableTo;
+import static com.tngtech.archunit.core.domain.properties.HasName.Predicates.name;
+import static com.tngtech.archunit.core.domain.properties.HasOwner.Predicates.With.owner;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -11,6 +15,8 @@
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.lang.ArchRule;
 import org.junit.jupiter.api.Test;
+import waytrestle.http.HttpClient;
+import waytrestle.requests.RequestOutcome;
 
 /**
  * The layers: decisions know no I/O and no clock, front ends no invokers, and only test tools know
@@ -202,4 +208,23 @@
                 .resideInAPackage("..config..")
                 .check(ALL);
     }
+
+    @Test
+    void everySendToAnInvokerMayBeWithdrawnAndEveryRejectionIsMadeBesideTheRules() {
+        noClasses()
+                .that()
+                .resideInAnyPackage("..platform..", "..gateway..", "..controller..")
+                .and()
+                .haveNameNotMatching("waytrestle\\.gateway\\.HttpInvokerClient(\\$.*)?")
+                .should()
+                .callMethodWhere(
+                        target(owner(assignableTo(HttpClient.class))).and(target(name("call"))))
+                .check(ALL);
+        noClasses()
+                .that()
+                .resideOutsideOfPackage("waytrestle.requests")
+                .should()
+                .callConstructorWhere(target(owner(assignableTo(RequestOutcome.Rejected.class))))
+                .check(ALL);
+    }
 }
