Shutdown under faults, soak of many processes, and no close that a client takes for a crossing one

Cause: a connection that breaks under a request was closed at once; a client that sees that within 50 ms sends the request to any controller, and another one knows nothing of the first run. Change: such a connection is closed no sooner than 60 ms after the break (16 at a time at most); a test with two faults at once.

--- a/src/main/java/waytrestle/http/HttpServer.java
+++ b/src/main/java/waytrestle/http/HttpServer.java
@@ -68,6 +68,7 @@
     private final Map<String, Long> turnedAway = new HashMap<>();
     private boolean stopping, stoppedTaking, yields, oneAtATime;
     private long freshMicros = Long.MAX_VALUE;
+    private long brokenCloseDelayMicros;
 
     public HttpServer(
             Loop loop, InetSocketAddress at, HttpLimits limits, int maxConnections, Handler handler)
@@ -109,6 +110,15 @@
         return this;
     }
 
+    /**
+     * A connection that breaks under a request is closed no sooner than so long after the break,
+     * for clients that would take a sooner close for one that crossed their request.
+     */
+    public HttpServer delayingBrokenCloses(long micros) {
+        brokenCloseDelayMicros = micros;
+        return this;
+    }
+
     public int port() {
         return listener.port();
     }
@@ -507,6 +517,7 @@
                 }
                 Exchange e = new Exchange(this, message, messageSince);
                 exchange = e;
+                connection.delayCloseIfBroken(brokenCloseDelayMicros);
                 handler.request(e);
             } catch (HttpError e) {
                 count("status_" + e.status());
@@ -567,6 +578,14 @@
         @Override
         public void drained() {
             release();
+            responseMayBeOut();
+        }
+
+        /** Once the kernel has all of the response, a close cannot cross its request any more. */
+        private void responseMayBeOut() {
+            if (exchange == null && connection.pending() == 0) {
+                connection.delayCloseIfBroken(0);
+            }
         }
 
         @Override
@@ -615,6 +634,7 @@
             }
             exchange = null;
             since = Loop.now();
+            responseMayBeOut();
             release();
             if (connection.pending() > 0) {
                 door.add(id, connection.pending());
--- a/src/main/java/waytrestle/net/Connection.java
+++ b/src/main/java/waytrestle/net/Connection.java
@@ -60,6 +60,7 @@
     private Registration registration;
     private TimerHeap.Timer connectTimer;
     private long lastMove = Loop.now();
+    private long brokenCloseDelayMicros;
     private boolean outputEnds;
     private boolean paused;
 
@@ -76,8 +77,6 @@
         this.bornBehind = loop.behind();
     }
 
-    // ---- Opening. ----
-
     /**
      * Takes over an accepted channel; the handler is made knowing its connection.
      *
@@ -180,8 +179,6 @@
         }
     }
 
-    // ---- What is known of it. ----
-
     /** Whether it has not been closed from either side. */
     public boolean isOpen() {
         return state != State.CLOSED;
@@ -209,31 +206,19 @@
 
     /** The peer's address and port for the log. */
     public String peer() {
-        try {
-            return String.valueOf(channel.getRemoteAddress());
-        } catch (IOException e) {
-            return "unknown";
-        }
+        return SocketAddresses.remote(channel);
     }
 
     private void countFault(String operation, String reaction, Exception error) {
         loop.faults().count(role.operation(operation), reaction, error);
     }
 
-    // ---- Reading. ----
-
     /**
      * Asks the kernel whether anything has come on an idle connection, or its other side has ended
      * it.
      */
     public IdleState idle() {
-        Transfer look = SocketTransfers.read(channel, loop.oneByte());
-        return switch (look.status()) {
-            case WOULD_BLOCK -> IdleState.FIT;
-            case PROGRESS -> IdleState.SPOKE;
-            case ENDED, BROKEN -> IdleState.ENDED;
-            case FAILED -> IdleState.UNKNOWN;
-        };
+        return IdleState.of(SocketTransfers.read(channel, loop.oneByte()));
     }
 
     /**
@@ -344,8 +329,6 @@
         }
     }
 
-    // ---- Writing. ----
-
     /** Queues buffers, which must not be touched after, and writes what the kernel takes now. */
     public void send(ByteBuffer... buffers) {
         if (!isOpen()) {
@@ -421,8 +404,6 @@
                 (reads ? SelectionKey.OP_READ : 0) | (writes ? SelectionKey.OP_WRITE : 0));
     }
 
-    // ---- Ending. ----
-
     /** Ends this side once all queued output has gone; the other may go on sending. */
     public void endOutput() {
         outputEnds = true;
@@ -491,9 +472,26 @@
     }
 
     private void fail(IOException why) {
-        if (isOpen()) {
+        if (!isOpen()) {
+            return;
+        }
+        boolean broken = why != null;
+        if (broken && brokenCloseDelayMicros > 0 && loop.mayDelayClose()) {
+            state = State.CLOSED;
+            registration.setOperations(0);
+            loop.closeAfter(brokenCloseDelayMicros, channel);
+        } else {
             close();
-            handler.closed(why);
         }
+        handler.closed(why);
+    }
+
+    /**
+     * From now on, if the connection is found to be broken, the peer is to see its end so much
+     * later; 0 for at once. What a peer sees soon after it has sent a request, it may take for a
+     * close that crossed the request, and send the request elsewhere.
+     */
+    public void delayCloseIfBroken(long micros) {
+        brokenCloseDelayMicros = micros;
     }
 }
--- a/src/main/java/waytrestle/net/IdleState.java
+++ b/src/main/java/waytrestle/net/IdleState.java
@@ -9,5 +9,15 @@
     /** The other side has ended it. */
     ENDED,
     /** The look failed; the connection may still be good. */
-    UNKNOWN
+    UNKNOWN;
+
+    /** What a read of an idle connection says of it. */
+    static IdleState of(Transfer look) {
+        return switch (look.status()) {
+            case WOULD_BLOCK -> FIT;
+            case PROGRESS -> SPOKE;
+            case ENDED, BROKEN -> ENDED;
+            case FAILED -> UNKNOWN;
+        };
+    }
 }
--- a/src/main/java/waytrestle/net/Loop.java
+++ b/src/main/java/waytrestle/net/Loop.java
@@ -28,6 +28,8 @@
             64 * 1024; // bytes: one read takes what a socket usually holds
     private static final long LONG_TURN =
             10_000; // micros: what came during a shorter one counts as just come
+    private static final int MAX_DELAYED_CLOSES =
+            16; // descriptors: a crowd of broken connections must not use them up
     private static final long MAX_WAIT =
             1_000_000; // micros: a wake-up that the kernel refused is made up for then
     private static final long FAILED_SELECTION_PAUSE =
@@ -43,6 +45,7 @@
     private final SystemFaults faults = new SystemFaults();
     private final List<Runnable> atEnd = new ArrayList<>();
     private boolean precise;
+    private int delayedCloses;
     private volatile boolean running = true;
     private volatile boolean ended;
     private volatile boolean failed;
@@ -142,6 +145,22 @@
         return timers.size();
     }
 
+    /** Whether a further channel may be kept open beyond its use: there is a bound on them. */
+    boolean mayDelayClose() {
+        return delayedCloses < MAX_DELAYED_CLOSES;
+    }
+
+    /** Closes a channel after the delay. */
+    void closeAfter(long micros, SelectableChannel channel) {
+        delayedCloses++;
+        after(
+                micros,
+                () -> {
+                    delayedCloses--;
+                    guarded(channel::close);
+                });
+    }
+
     /** Runs when the loop stops, on its thread. */
     public void atEnd(Runnable task) {
         atEnd.add(task);
--- a/src/main/java/waytrestle/net/SocketAddresses.java
+++ b/src/main/java/waytrestle/net/SocketAddresses.java
@@ -1,8 +1,10 @@
 package waytrestle.net;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.nio.channels.SocketChannel;
 import java.util.Optional;
 import java.util.regex.Pattern;
 
@@ -45,6 +47,15 @@
         return host + ":" + port;
     }
 
+    /** The address of a channel's peer, for the log. */
+    static String remote(SocketChannel channel) {
+        try {
+            return String.valueOf(channel.getRemoteAddress());
+        } catch (IOException e) {
+            return "unknown";
+        }
+    }
+
     private static boolean isIpAddress(String host) {
         return IPV4_HOST.matcher(host).matches() || BRACKETED_IPV6_HOST.matcher(host).matches();
     }
--- a/src/main/java/waytrestle/platform/ControllerBootstrap.java
+++ b/src/main/java/waytrestle/platform/ControllerBootstrap.java
@@ -54,6 +54,13 @@
      */
     private static final long FIRST_REQUEST_MICROS = 2_000_000;
 
+    /**
+     * A client that sees its connection end within 50 ms of its request sends the request once
+     * more, perhaps at another controller, which knows nothing of the first. Guards against a
+     * second run there of a request whose connection broke here while it may have been running.
+     */
+    private static final long CROSSING_CLOSE_MICROS = 60_000;
+
     /** Failed decisions within the window after which the scheduler counts as broken. */
     private static final int MAX_SCHEDULER_FAILURES = 10;
 
@@ -193,6 +200,7 @@
         Doorkeeper connectionLimit = Doorkeeper.upTo(maxClientConnections);
         return new HttpServer(loop, config.listen(), HTTP_LIMITS, connectionLimit, frontEnd)
                 .freshWithin(FIRST_REQUEST_MICROS)
+                .delayingBrokenCloses(CROSSING_CLOSE_MICROS)
                 .yielding()
                 .oneAtATime();
     }
--- a/src/test/java/waytrestle/platform/RunRecorder.java
+++ b/src/test/java/waytrestle/platform/RunRecorder.java
@@ -12,8 +12,10 @@
  */
 final class RunRecorder {
     private static final long MICROS_PER_MILLI = 1_000;
+    private static final int PERCENT = 100;
 
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+    private volatile int unrunPercent;
     private volatile long minWorkMillis = 1;
     private volatile long maxWorkMillis = 2;
 
@@ -30,17 +32,34 @@
         maxWorkMillis = most;
     }
 
+    /** So many requests in a hundred are answered as not run, by each answer that says so. */
+    void leaveUnrun(int percent) {
+        unrunPercent = percent;
+    }
+
     private void handle(ScriptedInvoker invoker, HttpServer.Exchange exchange) {
         String id = exchange.message().header("x-txn");
         if (id == null) {
             ScriptedInvoker.respond(exchange, 200, "", "X-Units", "1");
             return;
         }
+        if (ThreadLocalRandom.current().nextInt(PERCENT) < unrunPercent) {
+            answerUnrun(exchange);
+            return;
+        }
         runs.computeIfAbsent(id, unused -> new AtomicInteger()).incrementAndGet();
         long millis = ThreadLocalRandom.current().nextLong(minWorkMillis, maxWorkMillis + 1);
         invoker.schedule(millis * MICROS_PER_MILLI, () -> answer(exchange, id));
     }
 
+    private static void answerUnrun(HttpServer.Exchange exchange) {
+        if (ThreadLocalRandom.current().nextBoolean()) {
+            ScriptedInvoker.respond(exchange, 404, "");
+        } else {
+            ScriptedInvoker.respond(exchange, 503, "", "X-Unrun", "1");
+        }
+    }
+
     /** Some connections are kept, so that there are kept and new ones to invokers all the time. */
     private static void answer(HttpServer.Exchange exchange, String id) {
         if (!exchange.open()) {
--- /dev/null
+++ b/src/test/java/waytrestle/platform/SystemFaultSoak.java
@@ -0,0 +1,231 @@
+package waytrestle.platform;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import waytrestle.faults.FaultRule;
+import waytrestle.platform.FaultCells.Cell;
+import waytrestle.platform.RepeatingClient.SentRequest;
+
+/**
+ * Many controller processes under random, overlapping faults of their system calls, steps of the
+ * wall clock, failing log files, and signals in series; judged by the platform's rules on each
+ * request. By hand: {@code SystemFaultSoak CONTROLLERS FIRST_SEED SEEDS}.
+ */
+final class SystemFaultSoak {
+    private static final int INVOKERS = 6;
+    private static final int CLIENTS_EACH = 3;
+    private static final int UNRUN_PERCENT = 10;
+    private static final long PLAY_MILLIS = 6_000;
+
+    /** Clients of a controller that is shut down go on for so long. */
+    private static final long SENDS_AFTER_TERM_MILLIS = 500;
+
+    /** SIGKILL comes no sooner: the longest deadline and 0.7 s. */
+    private static final long KILL_AFTER_TERM_MILLIS = 3_700;
+
+    /** A connection broken for good may be waited for so long after its fault was drawn. */
+    private static final long BROKEN_MILLIS = 3_000;
+
+    /** What one seed came to. */
+    record Result(
+            long seed,
+            int requests,
+            int served,
+            int cut,
+            int undeliverable,
+            int faults,
+            List<String> violations) {}
+
+    private final long seed;
+    private final int controllers;
+    private final AtomicInteger lastId = new AtomicInteger();
+    private final AtomicInteger requests = new AtomicInteger();
+    private final AtomicInteger served = new AtomicInteger();
+    private final AtomicInteger cut = new AtomicInteger();
+    private final AtomicInteger undeliverable = new AtomicInteger();
+    private final AtomicInteger faults = new AtomicInteger();
+    private final List<String> violations = Collections.synchronizedList(new ArrayList<>());
+
+    SystemFaultSoak(long seed, int controllers) {
+        this.seed = seed;
+        this.controllers = controllers;
+    }
+
+    /** Plays seeds one after another and prints a line for each. */
+    public static void main(String[] args) throws Exception {
+        int controllers = Integer.parseInt(args[0]);
+        long first = Long.parseLong(args[1]);
+        int violated = 0;
+        for (long seed = first; seed < first + Long.parseLong(args[2]); seed++) {
+            Result result = new SystemFaultSoak(seed, controllers).play();
+            violated += result.violations().isEmpty() ? 0 : 1;
+            System.out.println(result);
+        }
+        System.out.println(violated + " seeds with violations");
+        System.exit(violated == 0 ? 0 : 1);
+    }
+
+    Result play() throws Exception {
+        List<ScriptedInvoker> invokers = FaultedFleet.invokers(INVOKERS);
+        RunRecorder recorder = new RunRecorder(invokers.toArray(ScriptedInvoker[]::new));
+        recorder.workMillis(1, 60);
+        recorder.leaveUnrun(UNRUN_PERCENT);
+        ExecutorService threads = Executors.newCachedThreadPool();
+        List<Node> nodes = new ArrayList<>();
+        try (PlatformFixture fixture = new PlatformFixture()) {
+            String configuration = FaultedFleet.configuration(fixture, invokers);
+            for (int i = 0; i < controllers; i++) {
+                int nodeSeed = (int) (seed * 1_000 + i);
+                nodes.add(new Node(nodeSeed, fixture.watchServer.port(), configuration, recorder));
+            }
+            List<Callable<Void>> plays = new ArrayList<>();
+            nodes.forEach(node -> plays.add(() -> node.play(threads)));
+            for (Future<Void> play : threads.invokeAll(plays)) {
+                play.get();
+            }
+        } finally {
+            threads.shutdownNow();
+            for (Node node : nodes) {
+                node.controller.close();
+            }
+            for (ScriptedInvoker invoker : invokers) {
+                invoker.close();
+            }
+        }
+        return new Result(
+                seed,
+                requests.get(),
+                served.get(),
+                cut.get(),
+                undeliverable.get(),
+                faults.get(),
+                List.copyOf(violations));
+    }
+
+    private static long nowMillis() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    /** One controller, its clients and its faults. */
+    private final class Node {
+        private final FaultedController controller;
+        private final FaultDraw draw;
+        private final RunRecorder recorder;
+        private volatile boolean sending = true;
+        private volatile long brokenUntil;
+
+        private Node(int nodeSeed, int watchPort, String configuration, RunRecorder recorder)
+                throws Exception {
+            this.controller = new FaultedController(nodeSeed);
+            this.draw = new FaultDraw(nodeSeed, watchPort);
+            this.recorder = recorder;
+            controller.start(configuration);
+        }
+
+        private Void play(ExecutorService threads) throws Exception {
+            controller.awaitReady();
+            List<Future<?>> clients = new ArrayList<>();
+            for (int i = 0; i < CLIENTS_EACH; i++) {
+                boolean keeps = i % CLIENTS_EACH != 0;
+                clients.add(threads.submit(() -> playClient(keeps)));
+            }
+            long end = nowMillis() + PLAY_MILLIS;
+            while (nowMillis() < end) {
+                injectFaults(draw.nextMillis(50, 400));
+                Thread.sleep(draw.nextMillis(0, 300));
+            }
+            if (draw.nextBoolean()) {
+                shutDownUnderFaults();
+            }
+            sending = false;
+            for (Future<?> client : clients) {
+                client.get();
+            }
+            checkLog();
+            return null;
+        }
+
+        private void injectFaults(long millis) throws InterruptedException {
+            List<Cell> cells = draw.next();
+            if (cells.stream().anyMatch(cell -> !cell.passes())) {
+                brokenUntil = nowMillis() + millis + BROKEN_MILLIS;
+            }
+            controller.plan().stepWallClock(draw.nextClockOffsetMillis());
+            controller.plan().set(cells.stream().map(Cell::rule).toArray(FaultRule[]::new));
+            Thread.sleep(millis);
+            faults.addAndGet(controller.plan().hits());
+            controller.plan().set();
+        }
+
+        /**
+         * Signals in series, faults meanwhile, clients that go on, and the kill at its earliest.
+         */
+        private void shutDownUnderFaults() throws Exception {
+            long begin = nowMillis();
+            controller.terminate();
+            while (nowMillis() < begin + SENDS_AFTER_TERM_MILLIS) {
+                injectFaults(draw.nextMillis(20, 100));
+                controller.terminate();
+            }
+            sending = false;
+            while (nowMillis() < begin + KILL_AFTER_TERM_MILLIS && controller.isAlive()) {
+                injectFaults(draw.nextMillis(20, 200));
+            }
+            if (controller.isAlive()) {
+                controller.kill();
+            } else if (controller.exitCode() != 0) {
+                violations.add("crashed: exit code " + controller.exitCode() + controller.log());
+            }
+        }
+
+        private Void playClient(boolean keepsConnection) throws Exception {
+            try (RepeatingClient client = new RepeatingClient(controller.port(), keepsConnection)) {
+                while (sending) {
+                    String id = PlatformFixture.correlationId(lastId.incrementAndGet());
+                    boolean unsafe = ThreadLocalRandom.current().nextInt(3) > 0;
+                    judge(client.send(unsafe ? "book" : "read", id));
+                }
+            }
+            return null;
+        }
+
+        private void judge(SentRequest request) {
+            if (request.results().get(0) == RepeatingClient.REFUSED) {
+                return; // no connection was made: it was never taken
+            }
+            requests.incrementAndGet();
+            served.addAndGet(request.lastResult() == 200 ? 1 : 0);
+            List<String> found = RequestInvariants.violations(request, recorder.runs(request.id()));
+            boolean maybeBroken = nowMillis() < brokenUntil;
+            if (RequestInvariants.wasCut(request)) {
+                cut.incrementAndGet();
+                if (!maybeBroken) {
+                    found.add("cut: with no fault that breaks a connection (" + request + ")");
+                }
+            }
+            if (request.lastResult() < 0 && maybeBroken) {
+                undeliverable.incrementAndGet();
+                found.removeIf(violation -> violation.startsWith(RequestInvariants.LOST));
+            }
+            found.forEach(
+                    violation -> violations.add("port " + controller.port() + " " + violation));
+        }
+
+        private void checkLog() {
+            String log = controller.log();
+            if (log.contains("send.violation_prevented")) {
+                violations.add("the guard had to prevent a send: " + log);
+            }
+            if (log.contains("handler.failed") || log.contains("scheduler.decision_failed")) {
+                violations.add("a handler failed: " + log);
+            }
+        }
+    }
+}
