--- a/src/test/java/waytrestle/platform/ProcessStartTimesTest.java
+++ b/src/test/java/waytrestle/platform/ProcessStartTimesTest.java
@@ -2,15 +2,20 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
+import waytrestle.net.Loop;
 
 /** The conversion of reported process starts. */
 class ProcessStartTimesTest {
     private static final long WALL_MILLIS = 1_800_000_000_000L;
 
+    private static final long HOUR_MILLIS = 3_600_000;
+    private static final long MINUTE_MICROS = 60_000_000;
+
     private final AtomicLong wallMillis = new AtomicLong(WALL_MILLIS);
     private final ProcessStartTimes startTimes = new ProcessStartTimes(wallMillis::get);
 
@@ -41,4 +46,18 @@
         startTimes.retainOnly(Set.of("s-2"));
         assertEquals(1, startTimes.size());
     }
+
+    @Test
+    void aStepForwardOfTheWallClockMakesNoInvokerOlder() {
+        wallMillis.addAndGet(HOUR_MILLIS);
+        long start = startTimes.startedAtMicros("s-1", WALL_MILLIS);
+        assertTrue(start > Loop.now() - MINUTE_MICROS, "it has just started");
+    }
+
+    @Test
+    void aStepBackOfTheWallClockPutsNoStartInTheFuture() {
+        wallMillis.addAndGet(-HOUR_MILLIS);
+        long start = startTimes.startedAtMicros("s-1", WALL_MILLIS);
+        assertTrue(start <= Loop.now(), "it has started");
+    }
 }
