Process starts: a step of the wall clock makes no invoker warm and puts no start in the future

Cause: ProcessStartTimes.toLoopMicros took the wall clock of the moment for the clock that the start was written by. Change: converted by the wall clock with and without its steps since this process began, the later start counts, none lies in the future. Reads from servers may fail for 250 ms, not 500: a watch that cannot be read is given up sooner.

--- a/src/main/java/waytrestle/net/PeerRole.java
+++ b/src/main/java/waytrestle/net/PeerRole.java
@@ -14,7 +14,7 @@
      * nothing but the request's time; while a request cannot be written, it is better sent on
      * another connection, after half a dozen tries.
      */
-    SERVER("server", 500_000, 60_000);
+    SERVER("server", 250_000, 60_000);
 
     private final String label;
     private final long readPatienceMicros;
--- a/src/main/java/waytrestle/platform/ProcessStartTimes.java
+++ b/src/main/java/waytrestle/platform/ProcessStartTimes.java
@@ -10,7 +10,10 @@
  * When each invoker's present process started, on the event loop's monotonic clock.
  *
  * <p>A reported start is converted once and then remembered. Guards against a start that moves with
- * every event while the wall clock drifts or is stepped.
+ * every event while the wall clock drifts or is stepped. It is converted by the wall clock as it is
+ * and as it would be without the steps since this process began, and the later start counts: a step
+ * forward must not pass a cold invoker off as warm. No start lies in the future: a step back must
+ * not keep an invoker cold for as long as the step.
  *
  * <p>Not thread-safe: used by the controller's event loop.
  */
@@ -29,8 +32,24 @@
     private final LongSupplier wallMillis;
     private final Map<String, ProcessStart> byInvoker = new HashMap<>();
 
+    private final LongSupplier loopMicros;
+    private final long firstWallMillis;
+    private final long firstLoopMicros;
+
     ProcessStartTimes(LongSupplier wallMillis) {
+        this(wallMillis, Loop::now);
+    }
+
+    /**
+     * Creates it empty.
+     *
+     * @param loopMicros the event loop's monotonic clock
+     */
+    ProcessStartTimes(LongSupplier wallMillis, LongSupplier loopMicros) {
         this.wallMillis = wallMillis;
+        this.loopMicros = loopMicros;
+        this.firstWallMillis = wallMillis.getAsLong();
+        this.firstLoopMicros = loopMicros.getAsLong();
     }
 
     /** Converts a start as reported in Unix milliseconds; 0 or less is not reported and gives 0. */
@@ -47,8 +66,11 @@
     }
 
     private long toLoopMicros(long unixMillis) {
-        long ageMicros = (wallMillis.getAsLong() - unixMillis) * MICROS_PER_MILLI;
-        return Math.max(MIN_START_MICROS, Loop.now() - ageMicros);
+        long now = loopMicros.getAsLong();
+        long byWallClock = now - (wallMillis.getAsLong() - unixMillis) * MICROS_PER_MILLI;
+        long withoutSteps = firstLoopMicros + (unixMillis - firstWallMillis) * MICROS_PER_MILLI;
+        long start = Math.min(now, Math.max(byWallClock, withoutSteps));
+        return Math.max(MIN_START_MICROS, start);
     }
 
     /** Forgets an invoker. */
