Start times: one translation from Unix time for platform and health API

Cause: StartTimes of the health API had the same mistake with a stepped wall clock as ProcessStartTimes, in the same lines. Change: StartTimeTranslation stands once and is used by both; a test of both steps beside the one of the platform.

--- a/src/main/java/waytrestle/discovery/StartTimes.java
+++ b/src/main/java/waytrestle/discovery/StartTimes.java
@@ -14,23 +14,16 @@
 final class StartTimes {
     static final long NOT_REPORTED = 0;
 
-    private static final long MICROS_PER_MILLI = 1_000;
-
-    /** The scheduler reads 0 as "not reported", so that no start may be translated to it. */
-    private static final long EARLIEST_MICROS = 1;
-
     /** Bounds the memory where endpoints come and go for months; five times the largest list. */
     private static final int MAX_CACHED = 100_000;
 
     private record StartTime(long unixMillis, long micros) {}
 
-    private final LongSupplier monotonicMicros;
-    private final LongSupplier unixMillis;
+    private final StartTimeTranslation translation;
     private final Map<String, StartTime> cachedById = new HashMap<>();
 
     StartTimes(LongSupplier monotonicMicros, LongSupplier unixMillis) {
-        this.monotonicMicros = monotonicMicros;
-        this.unixMillis = unixMillis;
+        this.translation = new StartTimeTranslation(monotonicMicros, unixMillis);
     }
 
     /** The monotonic time of an endpoint's start; {@link #NOT_REPORTED} stays as it is. */
@@ -46,13 +39,8 @@
         if (cachedById.size() > MAX_CACHED) {
             cachedById.clear();
         }
-        long micros = translate(startedAtUnixMillis);
+        long micros = translation.toMonotonicMicros(startedAtUnixMillis);
         cachedById.put(id, new StartTime(startedAtUnixMillis, micros));
         return micros;
     }
-
-    private long translate(long startedAtUnixMillis) {
-        long ageMicros = (unixMillis.getAsLong() - startedAtUnixMillis) * MICROS_PER_MILLI;
-        return Math.max(EARLIEST_MICROS, monotonicMicros.getAsLong() - ageMicros);
-    }
 }
--- a/src/test/java/waytrestle/discovery/StartTimesTest.java
+++ b/src/test/java/waytrestle/discovery/StartTimesTest.java
@@ -40,4 +40,13 @@
         startTimes.toMonotonicMicros("a", nowUnixMillis - 3_000);
         assertEquals(StartTimes.NOT_REPORTED, startTimes.toMonotonicMicros("a", 0));
     }
+
+    @Test
+    void aStepOfTheWallClockMakesNoInvokerOlderAndPutsNoStartInTheFuture() {
+        long startedAtUnixMillis = nowUnixMillis;
+        nowUnixMillis += 3_600_000;
+        assertEquals(10_000_000, startTimes.toMonotonicMicros("a", startedAtUnixMillis));
+        nowUnixMillis -= 7_200_000;
+        assertEquals(10_000_000, startTimes.toMonotonicMicros("b", startedAtUnixMillis));
+    }
 }
