Registration: what was added to one counts as known to the kernel only once that is reported

Cause: readiness for reading confirmed a registration to which writing had been added since, though epoll_ctl may have refused that part: pending output would have waited for ever. Change: each operation is confirmed by its own readiness.

--- a/src/main/java/waytrestle/net/Registration.java
+++ b/src/main/java/waytrestle/net/Registration.java
@@ -8,7 +8,7 @@
  * A channel's registration with a loop. The JDK does not report that the kernel has refused a
  * registration or a change of it (epoll_ctl fails with ENOMEM or ENOSPC): nothing would ever be
  * heard of the channel again. So after each change the channel is looked at as if it were ready, at
- * growing intervals, and is registered anew, until its readiness has been reported once.
+ * growing intervals, and is registered anew, until what was added has been reported once.
  */
 public final class Registration {
     /** First look after a change: readiness of what is in use is reported sooner. */
@@ -33,13 +33,17 @@
     private final Handler handler;
     private SelectionKey key;
     private int operations;
-    private boolean confirmed;
+
+    /** What the kernel may not know of: nothing of it has been reported since it was asked for. */
+    private int unconfirmed;
+
     private boolean checkPending;
     private long checkMicros = FIRST_CHECK_MICROS;
 
     Registration(Loop loop, int operations, Handler handler) {
         this.loop = loop;
         this.operations = operations;
+        this.unconfirmed = operations;
         this.handler = handler;
     }
 
@@ -67,9 +71,11 @@
         if (wanted == operations || !key.isValid()) {
             return;
         }
+        unconfirmed = wanted & (unconfirmed | ~operations);
         operations = wanted;
         apply(wanted);
-        awaitConfirmation();
+        checkMicros = FIRST_CHECK_MICROS;
+        scheduleCheck();
     }
 
     private void apply(int wanted) {
@@ -85,9 +91,9 @@
         key.cancel();
     }
 
-    /** The selector has reported readiness, so the kernel knows of the registration. */
+    /** The selector has reported readiness, so the kernel knows of that part. */
     void reported(int ready) throws IOException {
-        confirmed = true;
+        unconfirmed &= ~ready;
         handler.ready(ready);
     }
 
@@ -98,14 +104,8 @@
         }
     }
 
-    private void awaitConfirmation() {
-        confirmed = false;
-        checkMicros = FIRST_CHECK_MICROS;
-        scheduleCheck();
-    }
-
     private void scheduleCheck() {
-        if (!checkPending && operations != 0) {
+        if (!checkPending && unconfirmed != 0) {
             checkPending = true;
             loop.after(checkMicros, this::check);
         }
@@ -113,7 +113,7 @@
 
     private void check() {
         checkPending = false;
-        if (confirmed || !key.isValid() || operations == 0) {
+        if (unconfirmed == 0 || !key.isValid()) {
             return;
         }
         checkMicros = Math.min(MAX_CHECK_MICROS, 2 * checkMicros);
