Start: what cannot be opened for a moment is opened again for three seconds

Cause: ControllerBootstrap opened selector, gossip socket and listener once; a moment without sockets or descriptors ended the process with code 2. Change: StartRetry opens each again every 20 ms, logged; a gossip socket or listener that fails half way is closed.

--- a/src/main/java/waytrestle/gateway/GossipSocket.java
+++ b/src/main/java/waytrestle/gateway/GossipSocket.java
@@ -71,10 +71,16 @@
         this.peers = peers;
         this.all = all;
         this.framed = framed;
-        this.channel = DatagramChannel.open().bind(listen);
         this.said = said;
         this.loop = loop;
-        this.registration = loop.register(channel, SelectionKey.OP_READ, ready -> receiveSome());
+        this.channel = DatagramChannel.open();
+        try {
+            channel.bind(listen);
+            registration = loop.register(channel, SelectionKey.OP_READ, ready -> receiveSome());
+        } catch (IOException e) {
+            channel.close();
+            throw e;
+        }
     }
 
     private void receiveSome() {
--- a/src/main/java/waytrestle/net/Listener.java
+++ b/src/main/java/waytrestle/net/Listener.java
@@ -65,7 +65,12 @@
         this.source = source;
         this.acceptor = acceptor;
         server = bind(address, backlog);
-        registration = loop.register(server, SelectionKey.OP_ACCEPT, ready -> acceptSome());
+        try {
+            registration = loop.register(server, SelectionKey.OP_ACCEPT, ready -> acceptSome());
+        } catch (IOException e) {
+            server.close();
+            throw e;
+        }
     }
 
     private static ServerSocketChannel bind(InetSocketAddress address, int backlog)
--- a/src/main/java/waytrestle/platform/ControllerBootstrap.java
+++ b/src/main/java/waytrestle/platform/ControllerBootstrap.java
@@ -88,6 +88,7 @@
     private final SchedulerSettings settings;
     private final LongSupplier wallMillis;
     private final PlatformLog log;
+    private final StartRetry startRetry;
     private final Loop loop;
     private final int maxClientConnections;
     private final int maxInvokerConnections;
@@ -98,13 +99,18 @@
         this.settings = config.settings();
         this.wallMillis = wallMillis;
         this.log = log;
-        this.loop = new Loop("controller-" + settings.controllerIndex(), log::handlerFailed);
+        this.startRetry = new StartRetry(log);
+        this.loop = startRetry.open("loop", this::createLoop);
         loop.faults().reportTo(log::message);
         int connections = Math.max(MIN_CONNECTIONS, config.sockets() - RESERVED_DESCRIPTORS);
         this.maxClientConnections = (int) Math.max(1, CLIENT_CONNECTION_SHARE * connections);
         this.maxInvokerConnections = connections - maxClientConnections;
     }
 
+    private Loop createLoop() throws IOException {
+        return new Loop("controller-" + settings.controllerIndex(), log::handlerFailed);
+    }
+
     /** Builds the controller and starts its event loop. */
     PlatformController start() throws IOException {
         InvokerAddresses addresses = new InvokerAddresses();
@@ -116,9 +122,9 @@
         EndpointUpdater endpoints = new EndpointUpdater(controller, addresses, startTimes);
         StartupGate startup = new StartupGate(config.known(), endpoints, frontEnd);
         WatchClient watchClient = createWatchClient(endpoints, startup);
-        GossipSocket gossip = openGossip(controller);
+        GossipSocket gossip = startRetry.open("gossip", () -> openGossip(controller));
         environment.attachGossip(gossip);
-        HttpServer server = openServer(frontEnd);
+        HttpServer server = startRetry.open("listener", () -> openServer(frontEnd));
         loop.execute(() -> startWatching(watchClient, startup));
         loop.atEnd(() -> log.summary(controller.refusedSends(), loop.faults().counts()));
         PlatformComponents components =
