--- a/src/test/java/waytrestle/platform/FaultMatrixTest.java
+++ b/src/test/java/waytrestle/platform/FaultMatrixTest.java
@@ -5,6 +5,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.IntFunction;
 import org.junit.jupiter.api.Test;
 import waytrestle.faults.DescriptorKind;
 import waytrestle.faults.SystemCall;
@@ -23,67 +27,89 @@
     private static final int INVOKERS = 4;
     private static final int OK = 200;
 
+    /** Controllers that share the cells of a test, since most of a cell is waiting. */
+    private static final int CONTROLLERS = 3;
+
     @Test
     void readsFromClients() throws Exception {
-        assertCells(FaultCells.transfers(SystemCall.READ, DescriptorKind.ACCEPTED, 0));
+        play(watchPort -> FaultCells.transfers(SystemCall.READ, DescriptorKind.ACCEPTED, 0));
     }
 
     @Test
     void writesToClients() throws Exception {
-        assertCells(FaultCells.transfers(SystemCall.WRITE, DescriptorKind.ACCEPTED, 0));
+        play(watchPort -> FaultCells.transfers(SystemCall.WRITE, DescriptorKind.ACCEPTED, 0));
     }
 
     @Test
     void acceptingClients() throws Exception {
-        assertCells(FaultCells.accepts());
+        play(watchPort -> FaultCells.accepts());
     }
 
     @Test
     void optionsRegistrationAndEndsOfClientsConnections() throws Exception {
-        assertCells(FaultCells.upkeep(DescriptorKind.ACCEPTED, 0));
+        play(watchPort -> FaultCells.upkeep(DescriptorKind.ACCEPTED, 0));
     }
 
     @Test
     void readsFromInvokers() throws Exception {
-        try (MatrixRun run = new MatrixRun()) {
-            run.play(
-                    FaultCells.transfers(
-                            SystemCall.READ, DescriptorKind.CONNECTED, run.invokerPorts()));
-        }
+        play(
+                watchPort ->
+                        FaultCells.transfers(
+                                SystemCall.READ, DescriptorKind.CONNECTED, -watchPort));
     }
 
     @Test
     void writesToInvokers() throws Exception {
-        try (MatrixRun run = new MatrixRun()) {
-            run.play(
-                    FaultCells.transfers(
-                            SystemCall.WRITE, DescriptorKind.CONNECTED, run.invokerPorts()));
-        }
+        play(
+                watchPort ->
+                        FaultCells.transfers(
+                                SystemCall.WRITE, DescriptorKind.CONNECTED, -watchPort));
     }
 
     @Test
     void connectingToInvokers() throws Exception {
-        try (MatrixRun run = new MatrixRun()) {
-            run.play(FaultCells.connects(run.invokerPorts()));
-        }
+        play(watchPort -> FaultCells.connects(-watchPort));
     }
 
     @Test
     void optionsRegistrationAndEndsOfInvokerConnections() throws Exception {
-        try (MatrixRun run = new MatrixRun()) {
-            run.play(FaultCells.upkeep(DescriptorKind.CONNECTED, run.invokerPorts()));
-        }
+        play(watchPort -> FaultCells.upkeep(DescriptorKind.CONNECTED, -watchPort));
     }
 
     @Test
     void waits() throws Exception {
-        assertCells(FaultCells.waits());
+        play(watchPort -> FaultCells.waits());
     }
 
-    private static void assertCells(List<Cell> cells) throws Exception {
+    /**
+     * Plays cells, each on one of several controllers.
+     *
+     * @param cells made for the port of the watch server, to which rules for a negative port do not
+     *     hold
+     */
+    private static void play(IntFunction<List<Cell>> cells) throws Exception {
+        ExecutorService threads = Executors.newFixedThreadPool(CONTROLLERS);
+        List<Future<?>> runs = new ArrayList<>();
+        for (int i = 0; i < CONTROLLERS; i++) {
+            int share = i;
+            runs.add(threads.submit(() -> playShare(cells, share)));
+        }
+        threads.shutdown();
+        for (Future<?> run : runs) {
+            run.get();
+        }
+    }
+
+    private static Void playShare(IntFunction<List<Cell>> cells, int share) throws Exception {
         try (MatrixRun run = new MatrixRun()) {
-            run.play(cells);
+            List<Cell> all = cells.apply(run.watchPort());
+            List<Cell> own = new ArrayList<>();
+            for (int i = share; i < all.size(); i += CONTROLLERS) {
+                own.add(all.get(i));
+            }
+            run.play(own);
         }
+        return null;
     }
 
     /** One controller with its invoker, and the cells played on it one after another. */
@@ -104,11 +130,8 @@
             controller.start(configuration).awaitReady();
         }
 
-        /**
-         * Rules for this port hold for connections to invokers, not for that to the watch server.
-         */
-        int invokerPorts() {
-            return -fixture.watchServer.port();
+        int watchPort() {
+            return fixture.watchServer.port();
         }
 
         void play(List<Cell> cells) throws Exception {
