--- a/src/test/java/waytrestle/platform/FaultedController.java
+++ b/src/test/java/waytrestle/platform/FaultedController.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -9,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import waytrestle.faults.FaultPlan;
 import waytrestle.faults.SystemCallShim;
 
@@ -19,6 +21,11 @@
     private static final String READINESS_CHECK =
             "GET /check HTTP/1.1\r\nHost: api\r\nConnection: close\r\n\r\n";
 
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 12_000;
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() % PORTS));
+
     private final FaultPlan plan = new FaultPlan();
     private final Path configuration = Files.createTempFile("platform", ".json");
     private final Path log = Files.createTempFile("platform", ".log");
@@ -113,10 +120,22 @@
         }
     }
 
+    /**
+     * A port that nobody listens at and no other controller was given. It lies below the range from
+     * which the kernel gives outgoing connections theirs: one of these could take it before the
+     * controller listens.
+     */
     private static int freePort() throws IOException {
-        try (ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return unused.getLocalPort();
+        for (int i = 0; i < PORTS; i++) {
+            int candidate = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
+            try (ServerSocket unused =
+                    new ServerSocket(candidate, 1, InetAddress.getLoopbackAddress())) {
+                return unused.getLocalPort();
+            } catch (BindException e) {
+                // somebody else's: the next one is tried
+            }
         }
+        throw new IOException("no port is free");
     }
 
     @Override
