Soak: proxies that disturb one in ten connections to invokers

Change: FaultProxy before each invoker resets connections when new, under a request or in a response, ends responses short, holds bytes back or swallows responses.

--- a/src/test/java/waytrestle/platform/FaultedFleet.java
+++ b/src/test/java/waytrestle/platform/FaultedFleet.java
@@ -19,9 +19,14 @@
 
     /** The fixture's configuration with these invokers in place of its own. */
     static String configuration(PlatformFixture fixture, List<ScriptedInvoker> invokers) {
-        String[] endpoints = new String[invokers.size()];
+        return configuration(fixture, invokers.stream().mapToInt(ScriptedInvoker::port).toArray());
+    }
+
+    /** The same with invokers at these ports. */
+    static String configuration(PlatformFixture fixture, int... ports) {
+        String[] endpoints = new String[ports.length];
         for (int i = 0; i < endpoints.length; i++) {
-            endpoints[i] = PlatformFixture.endpointJson("s-" + i, "Ready", invokers.get(i).port());
+            endpoints[i] = PlatformFixture.endpointJson("s-" + i, "Ready", ports[i]);
         }
         return fixture.configurationJson(fixture.watchServer)
                 .replace(
--- a/src/test/java/waytrestle/platform/SystemFaultSoak.java
+++ b/src/test/java/waytrestle/platform/SystemFaultSoak.java
@@ -14,14 +14,19 @@
 import waytrestle.platform.RepeatingClient.SentRequest;
 
 /**
- * Many controller processes under random, overlapping faults of their system calls, steps of the
- * wall clock, failing log files, and signals in series; judged by the platform's rules on each
- * request. By hand: {@code SystemFaultSoak CONTROLLERS FIRST_SEED SEEDS}.
+ * Many controller processes under random, overlapping faults of their system calls, proxies that
+ * disturb their connections to invokers, steps of the wall clock, failing log files, and signals in
+ * series; judged by the platform's rules on each request. By hand: {@code SystemFaultSoak
+ * CONTROLLERS FIRST_SEED SEEDS}.
  */
 final class SystemFaultSoak {
     private static final int INVOKERS = 6;
     private static final int CLIENTS_EACH = 3;
     private static final int UNRUN_PERCENT = 10;
+
+    /** Connections to invokers that the proxies disturb. */
+    private static final int DISTURBED_PERCENT = 10;
+
     private static final long PLAY_MILLIS = 6_000;
 
     /** Clients of a controller that is shut down go on for so long. */
@@ -79,8 +84,13 @@
         recorder.leaveUnrun(UNRUN_PERCENT);
         ExecutorService threads = Executors.newCachedThreadPool();
         List<Node> nodes = new ArrayList<>();
+        List<FaultProxy> proxies = new ArrayList<>();
         try (PlatformFixture fixture = new PlatformFixture()) {
-            String configuration = FaultedFleet.configuration(fixture, invokers);
+            for (ScriptedInvoker invoker : invokers) {
+                proxies.add(new FaultProxy(invoker.port(), DISTURBED_PERCENT, seed));
+            }
+            int[] ports = proxies.stream().mapToInt(FaultProxy::port).toArray();
+            String configuration = FaultedFleet.configuration(fixture, ports);
             for (int i = 0; i < controllers; i++) {
                 int nodeSeed = (int) (seed * 1_000 + i);
                 nodes.add(new Node(nodeSeed, fixture.watchServer.port(), configuration, recorder));
@@ -95,6 +105,9 @@
             for (Node node : nodes) {
                 node.controller.close();
             }
+            for (FaultProxy proxy : proxies) {
+                proxy.close();
+            }
             for (ScriptedInvoker invoker : invokers) {
                 invoker.close();
             }
