Discovery outages in the log: lost and restored, sends on an outdated list, time on each line

Cause: the incident's logs have no time, no word of discovery going out of reach, and no count of what was sent meanwhile.

Change: ListFreshness says for each way of loss from when on all that the watch server holds counts as received here; WatchState publishes it, DiscoveryMonitor logs it. controller.summary counts requests by outcome and reason, preloads and health checks by code, and work sent later than the drain grace after that time. Each line begins with the wall clock's time. A line with a revision and no endpoints is a heartbeat, as on the platform: it passed for an event that changes nothing, and one that ran ahead of its event would have had that event dropped.

--- a/src/main/java/waytrestle/controller/AttemptCompletionHandler.java
+++ b/src/main/java/waytrestle/controller/AttemptCompletionHandler.java
@@ -34,6 +34,7 @@
     private final AdmissionControl admission;
     private final ControllerListener listener;
     private final SendGuard sendGuard;
+    private final ListExpiry listExpiry;
     private final List<RequestClass> requestClasses;
 
     AttemptCompletionHandler(
@@ -43,13 +44,15 @@
             InvokerConnections connections,
             ControllerDependencies dependencies,
             ControllerListener listener,
-            SendGuard sendGuard) {
+            SendGuard sendGuard,
+            ListExpiry listExpiry) {
         this.transport = transport;
         this.dispatcher = dispatcher;
         this.openRequests = openRequests;
         this.connections = connections;
         this.admission = dependencies.admission();
         this.sendGuard = sendGuard;
+        this.listExpiry = listExpiry;
         this.requestClasses = dependencies.settings().classes();
         this.listener = listener;
     }
@@ -81,6 +84,9 @@
         request.firstClient().checkConnected();
         SendGuard.Refusal refusal = sendGuard.refusal(request.sendHistory(), intent(attempt));
         if (refusal == null) {
+            if (listExpiry.isExpired(transport.now())) {
+                listener.sentOnExpiredList(ControllerListener.WorkKind.ATTEMPT);
+            }
             return null;
         }
         listener.sendRefused(request.incoming(), attempt.number(), attempt.invoker(), refusal);
--- a/src/main/java/waytrestle/controller/Controller.java
+++ b/src/main/java/waytrestle/controller/Controller.java
@@ -41,6 +41,7 @@
     private final OpenRequests openRequests;
     private final WaitingClients waitingClients;
     private final InvokerConnections connections;
+    private final ListExpiry listExpiry;
 
     /**
      * Creates a controller without invokers; it gets them by {@link #endpointsUpdated}.
@@ -59,6 +60,7 @@
         this.classifier = dependencies.classifier();
         this.dispatcher = new EventDispatcher(transport, wallClock, dependencies);
         this.openRequests = new OpenRequests(dispatcher);
+        this.listExpiry = new ListExpiry(dependencies.settings().rules().drainGraceMicros());
         this.connections = new InvokerConnections(transport, dispatcher, listener);
         RequestAccessLogger accessLogger =
                 new RequestAccessLogger(transport, wallClock, dependencies.settings(), accessLog);
@@ -86,7 +88,8 @@
                         connections,
                         dependencies,
                         listener,
-                        sendGuard);
+                        sendGuard,
+                        listExpiry);
         AttemptSender attemptSender =
                 new AttemptSender(
                         transport,
@@ -98,7 +101,13 @@
                         listener);
         InvokerOperations operations =
                 new InvokerOperations(
-                        transport, dependencies, dispatcher, connections, preloadLimit, listener);
+                        transport,
+                        dependencies,
+                        dispatcher,
+                        connections,
+                        preloadLimit,
+                        listExpiry,
+                        listener);
         PendingRequestsCommandHandler pendingRequestsCommands =
                 new PendingRequestsCommandHandler(
                         transport,
@@ -184,6 +193,16 @@
         dispatcher.dispatchToClassifier(new ClassifierEvent.EndpointListReceived(update));
     }
 
+    /**
+     * Service discovery went out of reach or came back.
+     *
+     * @param receivedAtMicros from when on all that discovery holds counts as received here; {@link
+     *     Long#MAX_VALUE} while it does
+     */
+    public void listFreshnessChanged(long receivedAtMicros) {
+        listExpiry.receivedAt(receivedAtMicros);
+    }
+
     /** The endpoint list could not be fetched. */
     public void endpointUpdateFailed() {
         dispatcher.dispatchToScheduler(new SchedulerEvent.EndpointUpdateFailed());
--- a/src/main/java/waytrestle/controller/ControllerListener.java
+++ b/src/main/java/waytrestle/controller/ControllerListener.java
@@ -47,6 +47,23 @@
     default void sendRefused(
             IncomingRequest request, int attempt, String invoker, SendGuard.Refusal reason) {}
 
+    /** What is sent to an invoker and begins new work there. */
+    enum WorkKind {
+        ATTEMPT,
+        PRELOAD
+    }
+
+    /**
+     * New work was sent though the endpoint list has been outdated for longer than the drain grace.
+     */
+    default void sentOnExpiredList(WorkKind kind) {}
+
+    /** A preload request, or a question for loaded instances, has ended. */
+    default void preloadCompleted(String invoker, String function, ResponseCode code) {}
+
+    /** A health check has ended. */
+    default void healthCheckCompleted(String invoker, ResponseCode code) {}
+
     /** A preload request has passed the limit that holds after a start. */
     default void preloadSent() {}
 
--- a/src/main/java/waytrestle/controller/InvokerOperations.java
+++ b/src/main/java/waytrestle/controller/InvokerOperations.java
@@ -28,6 +28,7 @@
     private final EventDispatcher dispatcher;
     private final InvokerConnections connections;
     private final StartupPreloadLimit startupPreloadLimit;
+    private final ListExpiry listExpiry;
     private final ControllerListener listener;
 
     InvokerOperations(
@@ -36,6 +37,7 @@
             EventDispatcher dispatcher,
             InvokerConnections connections,
             StartupPreloadLimit startupPreloadLimit,
+            ListExpiry listExpiry,
             ControllerListener listener) {
         this.transport = transport;
         this.settings = dependencies.settings();
@@ -44,6 +46,7 @@
         this.dispatcher = dispatcher;
         this.connections = connections;
         this.startupPreloadLimit = startupPreloadLimit;
+        this.listExpiry = listExpiry;
         this.listener = listener;
     }
 
@@ -95,23 +98,27 @@
 
         @Override
         public ExchangeResult.Kind withdrawal() {
-            return connections.withdrawal(command.invoker(), invokerWasReady);
+            ExchangeResult.Kind withdrawal =
+                    connections.withdrawal(command.invoker(), invokerWasReady);
+            boolean sent = withdrawal == null && loadsInstances(command);
+            if (sent && listExpiry.isExpired(transport.now())) {
+                listener.sentOnExpiredList(ControllerListener.WorkKind.PRELOAD);
+            }
+            return withdrawal;
         }
 
         /** Notifies the classifier of the end, then the scheduler. */
         @Override
         public void completed(ExchangeResult result, int instances, LoadMetrics metrics) {
             long elapsedMicros = transport.now() - sentAtMicros;
+            ResponseCode code = classifier.codeOfPreload(result);
+            listener.preloadCompleted(command.invoker(), command.function(), code);
             if (loadsInstances(command)) {
                 notifyClassifier(result, metrics, elapsedMicros);
             }
             dispatcher.dispatchToScheduler(
                     new SchedulerEvent.PreloadCompleted(
-                            command.invoker(),
-                            command.function(),
-                            classifier.codeOfPreload(result),
-                            elapsedMicros,
-                            instances));
+                            command.invoker(), command.function(), code, elapsedMicros, instances));
         }
 
         private void notifyClassifier(
@@ -147,13 +154,16 @@
         }
         client.checkHealth(
                 settings.limits().connectTimeoutMicros(),
-                (result, instances, metrics) ->
-                        dispatcher.dispatchToScheduler(
-                                new HealthCheckCompleted(
-                                        command.invoker(),
-                                        classifier.codeOfPreload(result),
-                                        transport.now() - sentAtMicros,
-                                        metrics.report())));
+                (result, instances, metrics) -> {
+                    ResponseCode code = classifier.codeOfPreload(result);
+                    listener.healthCheckCompleted(command.invoker(), code);
+                    dispatcher.dispatchToScheduler(
+                            new HealthCheckCompleted(
+                                    command.invoker(),
+                                    code,
+                                    transport.now() - sentAtMicros,
+                                    metrics.report()));
+                });
     }
 
     /** Closes the idle connections to an invoker. */
--- /dev/null
+++ b/src/main/java/waytrestle/discovery/watch/ListFreshness.java
@@ -0,0 +1,84 @@
+package waytrestle.discovery.watch;
+
+/**
+ * From when on all that the watch server holds counts as received here, also while it is out of
+ * reach: rules that begin with a notification, as that on draining invokers, run from then.
+ *
+ * <p>The platform states the times: two seconds after a connection has broken off, four seconds
+ * after the server has fallen silent or its address has changed, and at once when the events are
+ * requested again. The earliest one counts. It is over when the server has shown that nothing is
+ * missing here.
+ *
+ * <p>Free of I/O, clocks and threads. Not thread-safe: used by the controller's event loop.
+ */
+final class ListFreshness {
+    /** In place of a time: the list is current, nothing is outstanding. */
+    static final long CURRENT = Long.MAX_VALUE;
+
+    /** After the end of a connection, by the platform's pages. */
+    private static final long BROKEN_OFF_MICROS = 2_000_000;
+
+    /** After the last line of a server that has fallen silent, by the platform's pages. */
+    private static final long SILENT_MICROS = 4_000_000;
+
+    /** After a new configuration with another address, by the platform's pages. */
+    private static final long MOVED_MICROS = 4_000_000;
+
+    /** A process knows at first what was listed when it was started, which is past. */
+    private static final long BEFORE_START = 0;
+
+    private long receivedAtMicros = BEFORE_START;
+    private long lastLineAtMicros;
+    private long requestedAtMicros;
+
+    /** When all that the server holds counts as received, or {@link #CURRENT}. */
+    long receivedAtMicros() {
+        return receivedAtMicros;
+    }
+
+    boolean isCurrent() {
+        return receivedAtMicros == CURRENT;
+    }
+
+    /** The connection has ended, or events are missing on it. */
+    void brokenOff(long nowMicros) {
+        atLatest(nowMicros + BROKEN_OFF_MICROS);
+    }
+
+    /** The server has sent nothing new for longer than it may. */
+    void fallenSilent() {
+        atLatest(lastLineAtMicros + SILENT_MICROS);
+    }
+
+    /** The server is at another address from now on. */
+    void moved(long nowMicros) {
+        atLatest(nowMicros + MOVED_MICROS);
+    }
+
+    /** The events have been requested again on a new connection. */
+    void requested(long nowMicros) {
+        requestedAtMicros = nowMicros;
+        atLatest(nowMicros);
+    }
+
+    private void atLatest(long micros) {
+        receivedAtMicros = Math.min(receivedAtMicros, micros);
+    }
+
+    /**
+     * The next event has come. While others may be missing, those up to the last request are being
+     * delivered, so that what counts begins with that request.
+     */
+    void eventReceived(long nowMicros) {
+        lastLineAtMicros = nowMicros;
+        if (!isCurrent()) {
+            receivedAtMicros = Math.max(receivedAtMicros, requestedAtMicros);
+        }
+    }
+
+    /** The server has reported that its last event is the last one known here. */
+    void caughtUp(long nowMicros) {
+        lastLineAtMicros = nowMicros;
+        receivedAtMicros = CURRENT;
+    }
+}
--- a/src/main/java/waytrestle/discovery/watch/WatchClient.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchClient.java
@@ -34,6 +34,7 @@
     private final WatchState state;
     private final Consumer<WatchEvent> eventListener;
     private final Runnable synchronizedListener;
+    private final Consumer<WatchState.PublishFreshness> freshnessListener;
     private final Consumer<String> log;
     private InetSocketAddress address;
     private WatchConnection connection;
@@ -44,6 +45,7 @@
      *
      * @param eventListener receives each event once, in the order of revisions
      * @param synchronizedListener runs when the server has answered for the first time
+     * @param freshnessListener hears by when the list counts as outdated, at each change
      * @param log receives a line for each connection dropped because of what it carried
      */
     public WatchClient(
@@ -53,6 +55,7 @@
             WatchState state,
             Consumer<WatchEvent> eventListener,
             Runnable synchronizedListener,
+            Consumer<WatchState.PublishFreshness> freshnessListener,
             Consumer<String> log) {
         this.loop = loop;
         this.address = address;
@@ -60,6 +63,7 @@
         this.state = state;
         this.eventListener = eventListener;
         this.synchronizedListener = synchronizedListener;
+        this.freshnessListener = freshnessListener;
         this.log = log;
     }
 
@@ -89,6 +93,8 @@
             eventListener.accept(publish.event());
         } else if (command instanceof WatchState.PublishSynchronized) {
             synchronizedListener.run();
+        } else if (command instanceof WatchState.PublishFreshness freshness) {
+            freshnessListener.accept(freshness);
         } else if (command instanceof WatchState.Reconnect reconnect) {
             reconnect(reconnect);
         }
@@ -130,6 +136,7 @@
         public void connected() {
             String request = "watch " + afterRevision + "\n";
             transport.send(ByteBuffer.wrap(request.getBytes(StandardCharsets.US_ASCII)));
+            handle(new WatchState.RequestSent());
         }
 
         @Override
--- a/src/main/java/waytrestle/discovery/watch/WatchEventReader.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchEventReader.java
@@ -36,23 +36,30 @@
     }
 
     /**
-     * Reads a line of the stream. The endpoints are null for a line that holds a revision alone.
+     * Reads a line of the stream. The endpoints are null for a line that holds a revision alone, as
+     * a number or as an event without endpoints: a heartbeat.
      *
      * @throws MalformedJsonException if the line is neither an event nor a number
      */
     public WatchEvent readLine(String text) {
         String line = text.trim();
         if (line.startsWith("{")) {
-            return readEvent(JsonObject.parse(line, "a line of the notice board"));
+            JsonObject object = JsonObject.parse(line, "a line of the notice board");
+            boolean heartbeat = !object.has("pool");
+            return heartbeat ? heartbeat(object.requiredWholeNumber("rev")) : readEvent(object);
         }
         try {
-            return new WatchEvent(Long.parseLong(line), false, null);
+            return heartbeat(Long.parseLong(line));
         } catch (NumberFormatException e) {
             throw new MalformedJsonException(
                     "a line of the notice board is neither an event nor a number");
         }
     }
 
+    private static WatchEvent heartbeat(long revision) {
+        return new WatchEvent(revision, false, null);
+    }
+
     /**
      * Reads one event.
      *
--- a/src/main/java/waytrestle/discovery/watch/WatchState.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchState.java
@@ -10,6 +10,7 @@
  * after a gap the client reconnects from the last revision published. When the server ends the
  * connection, the client reconnects at once, and with backoff while that fails. A server whose
  * connection stays open without a line is taken for dead, since it sends a heartbeat each second.
+ * {@link ListFreshness} says meanwhile from when on the list counts as outdated.
  */
 public final class WatchState {
     /** Between lines: one heartbeat may be late, but two may not be missing. */
@@ -39,6 +40,9 @@
     /** The connection ended, could not be made, or carried a line that cannot be read. */
     public record ConnectionFailed() implements Event {}
 
+    /** The events after the last one known were requested on a new connection. */
+    public record RequestSent() implements Event {}
+
     /** The watch server is at another address now, or is to be followed for the first time. */
     public record AddressChanged() implements Event {}
 
@@ -63,11 +67,39 @@
      */
     public record Reconnect(long afterRevision, long delayMicros) implements Command {}
 
+    /** Why the list may have become outdated. */
+    public enum LossCause {
+        /** The server has not answered since the start. */
+        STARTING,
+        /** The connection has ended, or what it carried could not be read. */
+        CLOSED,
+        /** No line came, or none but old revisions. */
+        SILENT,
+        /** An event is missing. */
+        GAP,
+        /** A new configuration names another address. */
+        MOVED
+    }
+
+    /**
+     * Tell the listener by when the list counts as outdated.
+     *
+     * @param receivedAtMicros from when on all that the server holds counts as received here;
+     *     {@link #CURRENT} where nothing is missing
+     * @param cause why; of no meaning where nothing is missing
+     */
+    public record PublishFreshness(long receivedAtMicros, LossCause cause) implements Command {}
+
+    /** In place of a time in {@link PublishFreshness}: nothing is missing. */
+    public static final long CURRENT = ListFreshness.CURRENT;
+
     private final long longestStepMicros;
+    private final ListFreshness freshness = new ListFreshness();
     private long lastRevision;
     private long silentSinceMicros;
     private int consecutiveFailures;
     private boolean synchronizedOnce;
+    private LossCause lossCause = LossCause.STARTING;
 
     /**
      * Starts before the first connection.
@@ -93,16 +125,35 @@
 
     /** Takes in what happened and passes on what to do about it, in order. */
     public void handle(long nowMicros, Event event, Consumer<Command> commands) {
+        long before = freshness.receivedAtMicros();
         if (event instanceof LineReceived line) {
             lineReceived(nowMicros, line.event(), commands);
+        } else if (event instanceof RequestSent) {
+            freshness.requested(nowMicros);
         } else if (event instanceof ConnectionFailed) {
+            lost(LossCause.CLOSED);
+            freshness.brokenOff(nowMicros);
             reconnect(nowMicros, commands);
         } else if (event instanceof AddressChanged) {
+            lost(LossCause.MOVED);
+            freshness.moved(nowMicros);
             consecutiveFailures = 0;
             reconnect(nowMicros, commands);
         } else if (nowMicros - silentSinceMicros > HEARTBEAT_TIMEOUT_MICROS) {
+            lost(LossCause.SILENT);
+            freshness.fallenSilent();
             reconnect(nowMicros, commands);
         }
+        if (freshness.receivedAtMicros() != before) {
+            commands.accept(new PublishFreshness(freshness.receivedAtMicros(), lossCause));
+        }
+    }
+
+    /** Remembers why: the first cause of one loss counts. */
+    private void lost(LossCause cause) {
+        if (freshness.isCurrent()) {
+            lossCause = cause;
+        }
     }
 
     private void lineReceived(long nowMicros, WatchEvent event, Consumer<Command> commands) {
@@ -113,6 +164,8 @@
         }
         silentSinceMicros = nowMicros;
         if (event.revision() > highestExpectedRevision(event)) {
+            lost(LossCause.GAP);
+            freshness.brokenOff(nowMicros);
             reconnect(nowMicros, commands);
             return;
         }
@@ -121,8 +174,11 @@
             synchronizedOnce = true;
             commands.accept(new PublishSynchronized());
         }
-        if (!event.isHeartbeat() && event.revision() == lastRevision + 1) {
+        if (event.isHeartbeat()) {
+            freshness.caughtUp(nowMicros);
+        } else if (event.revision() == lastRevision + 1) {
             lastRevision = event.revision();
+            freshness.eventReceived(nowMicros);
             commands.accept(new PublishEvent(event));
         }
     }
--- a/src/main/java/waytrestle/platform/ControllerBootstrap.java
+++ b/src/main/java/waytrestle/platform/ControllerBootstrap.java
@@ -121,12 +121,18 @@
         ProcessStartTimes startTimes = new ProcessStartTimes(wallMillis);
         EndpointUpdater endpoints = new EndpointUpdater(controller, addresses, startTimes);
         StartupGate startup = new StartupGate(config.known(), endpoints, frontEnd);
-        WatchClient watchClient = createWatchClient(endpoints, startup);
+        DiscoveryMonitor discovery = new DiscoveryMonitor(log, controller::listFreshnessChanged);
+        WatchClient watchClient = createWatchClient(endpoints, startup, discovery);
         GossipSocket gossip = startRetry.open("gossip", () -> openGossip(controller));
         environment.attachGossip(gossip);
         HttpServer server = startRetry.open("listener", () -> openServer(frontEnd));
         loop.execute(() -> startWatching(watchClient, startup));
-        loop.atEnd(() -> log.summary(controller.refusedSends(), loop.faults().counts()));
+        loop.atEnd(
+                () ->
+                        log.summary(
+                                controller.refusedSends(),
+                                loop.faults().counts(),
+                                discovery.summary()));
         PlatformComponents components =
                 new PlatformComponents(
                         controller, frontEnd, server, watchClient, gossip, addresses, startTimes);
@@ -177,7 +183,8 @@
         return new IdempotencyStore.Bounds(MAX_REMEMBERED_IDS, MAX_REMEMBERED_BYTES, seconds);
     }
 
-    private WatchClient createWatchClient(EndpointUpdater endpoints, StartupGate startup) {
+    private WatchClient createWatchClient(
+            EndpointUpdater endpoints, StartupGate startup, DiscoveryMonitor discovery) {
         WatchState state = new WatchState(config.lastNotice(), settings.rules().drainGraceMicros());
         return new WatchClient(
                 loop,
@@ -186,6 +193,7 @@
                 state,
                 endpoints::apply,
                 startup::open,
+                freshness -> discovery.freshnessChanged(freshness, state.lastRevision()),
                 log::message);
     }
 
--- /dev/null
+++ b/src/main/java/waytrestle/platform/DiscoveryMonitor.java
@@ -0,0 +1,79 @@
+package waytrestle.platform;
+
+import java.util.function.LongConsumer;
+import waytrestle.discovery.watch.WatchState;
+import waytrestle.net.Loop;
+
+/**
+ * Logs when service discovery goes out of reach and comes back, and passes on by when the endpoint
+ * list counts as outdated.
+ *
+ * <p>Not thread-safe: used by the controller's event loop.
+ */
+final class DiscoveryMonitor {
+    private static final long MICROS_PER_MILLI = 1_000;
+
+    private final PlatformLog log;
+    private final LongConsumer freshnessListener;
+    private long lostAtMicros;
+    private boolean lost = true; // until the server has answered for the first time
+    private long outages;
+    private long longestOutageMicros;
+
+    /** The listener gets the time from which on all that discovery holds counts as received. */
+    DiscoveryMonitor(PlatformLog log, LongConsumer freshnessListener) {
+        this.log = log;
+        this.freshnessListener = freshnessListener;
+        this.lostAtMicros = Loop.now();
+    }
+
+    /** Takes in that the list is current, or by when it counts as outdated. */
+    void freshnessChanged(WatchState.PublishFreshness freshness, long lastRevision) {
+        boolean current = freshness.receivedAtMicros() == WatchState.CURRENT;
+        long now = Loop.now();
+        if (current && lost) {
+            restored(now, lastRevision);
+        } else if (!current && !lost) {
+            lost(now, freshness, lastRevision);
+        }
+        freshnessListener.accept(freshness.receivedAtMicros());
+    }
+
+    private void lost(long now, WatchState.PublishFreshness freshness, long lastRevision) {
+        lost = true;
+        lostAtMicros = now;
+        outages++;
+        log.message(
+                new LogLine("discovery.lost")
+                        .with("cause", freshness.cause())
+                        .with("revision", lastRevision)
+                        .with("outdated_in_ms", toMillis(freshness.receivedAtMicros() - now))
+                        .toString());
+    }
+
+    private void restored(long now, long lastRevision) {
+        lost = false;
+        long duration = now - lostAtMicros;
+        longestOutageMicros = Math.max(longestOutageMicros, duration);
+        log.message(
+                new LogLine(outages == 0 ? "discovery.synchronized" : "discovery.restored")
+                        .with("revision", lastRevision)
+                        .with("after_ms", toMillis(duration))
+                        .toString());
+    }
+
+    private static long toMillis(long micros) {
+        return micros / MICROS_PER_MILLI;
+    }
+
+    /** How often discovery was lost since the start, and for how long at the most. */
+    String summary() {
+        long longest = lost ? Math.max(longestOutageMicros, Loop.now() - lostAtMicros) : 0;
+        return "outages:"
+                + outages
+                + " longest_ms:"
+                + toMillis(Math.max(longest, longestOutageMicros))
+                + " lost_now:"
+                + lost;
+    }
+}
--- a/src/main/java/waytrestle/platform/PlatformController.java
+++ b/src/main/java/waytrestle/platform/PlatformController.java
@@ -41,7 +41,8 @@
      */
     public static PlatformController start(
             PlatformConfig config, LongSupplier wallMillis, PrintStream log) throws IOException {
-        return new ControllerBootstrap(config, wallMillis, new PlatformLog(log)).start();
+        return new ControllerBootstrap(config, wallMillis, new PlatformLog(log, wallMillis))
+                .start();
     }
 
     /** Runs the controller that the environment describes, until a signal ends it. */
--- a/src/main/java/waytrestle/platform/PlatformLog.java
+++ b/src/main/java/waytrestle/platform/PlatformLog.java
@@ -1,11 +1,14 @@
 package waytrestle.platform;
 
 import java.io.PrintStream;
+import java.time.Instant;
 import java.util.Collection;
 import java.util.EnumMap;
 import java.util.EnumSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
 import waytrestle.controller.ControllerListener;
 import waytrestle.net.Loop;
 import waytrestle.requests.PendingRequests;
@@ -15,7 +18,8 @@
 import waytrestle.scheduler.SchedulerEvent;
 
 /**
- * Writes the controller's log lines, at most so many a second.
+ * Writes the controller's log lines, each with the time of the wall clock, at most so many a
+ * second.
  *
  * <p>Not thread-safe: used by the controller's event loop.
  */
@@ -37,14 +41,23 @@
                     ResponseCode.CONNECT_FAILED);
 
     private final PrintStream out;
+    private final LongSupplier wallMillis;
     private final Map<ResponseCode, Long> attemptsByCode = new EnumMap<>(ResponseCode.class);
     private final Map<PendingRequests.RepeatKind, Long> repeats =
             new EnumMap<>(PendingRequests.RepeatKind.class);
+    private final Map<WorkKind, Long> sentOnExpiredList = new EnumMap<>(WorkKind.class);
+    private final Map<ResponseCode, Long> preloadsByCode = new EnumMap<>(ResponseCode.class);
+    private final Map<ResponseCode, Long> healthChecksByCode = new EnumMap<>(ResponseCode.class);
+
+    /** By outcome and reason, both of which are few. */
+    private final Map<String, Long> requestsByOutcome = new TreeMap<>();
+
     private long currentSecond;
     private int linesInSecond;
 
-    PlatformLog(PrintStream out) {
+    PlatformLog(PrintStream out, LongSupplier wallMillis) {
         this.out = out;
+        this.wallMillis = wallMillis;
     }
 
     @Override
@@ -86,6 +99,27 @@
         message(attemptLine(event, request, attempt, invoker, reason));
     }
 
+    @Override
+    public void requestCompleted(IncomingRequest request, String end, String reason, long micros) {
+        String outcome = reason.isEmpty() ? end : end + "/" + reason;
+        requestsByOutcome.merge(outcome, 1L, Long::sum);
+    }
+
+    @Override
+    public void sentOnExpiredList(WorkKind kind) {
+        sentOnExpiredList.merge(kind, 1L, Long::sum);
+    }
+
+    @Override
+    public void preloadCompleted(String invoker, String function, ResponseCode code) {
+        preloadsByCode.merge(code, 1L, Long::sum);
+    }
+
+    @Override
+    public void healthCheckCompleted(String invoker, ResponseCode code) {
+        healthChecksByCode.merge(code, 1L, Long::sum);
+    }
+
     private static String attemptLine(
             String event, IncomingRequest request, int attempt, String invoker, Enum<?> reason) {
         return new LogLine(event)
@@ -109,16 +143,26 @@
     }
 
     /**
-     * Logs what was counted since the start: attempts, repeats, refused sends and failed system
-     * calls. Not subject to the limit on lines.
+     * Logs what was counted since the start. Not subject to the limit on lines.
+     *
+     * @param discovery how often and for how long service discovery was out of reach
      */
-    void summary(Map<SendGuard.Refusal, Long> refusedSends, Map<String, Long> systemFaults) {
-        out.println(
+    void summary(
+            Map<SendGuard.Refusal, Long> refusedSends,
+            Map<String, Long> systemFaults,
+            String discovery) {
+        print(
                 new LogLine("controller.summary")
+                        .with("requests", requestsByOutcome)
                         .with("attempts", attemptsByCode)
                         .with("repeats", repeats)
                         .with("refused_sends", refusedSends)
-                        .with("system_faults", systemFaults));
+                        .with("preloads", preloadsByCode)
+                        .with("health_checks", healthChecksByCode)
+                        .with("discovery", discovery)
+                        .with("sent_on_expired_list", sentOnExpiredList)
+                        .with("system_faults", systemFaults)
+                        .toString());
     }
 
     @Override
@@ -127,7 +171,11 @@
         linesInSecond = second == currentSecond ? linesInSecond + 1 : 1;
         currentSecond = second;
         if (linesInSecond <= MAX_LINES_PER_SECOND) {
-            out.println(line);
+            print(line);
         }
     }
+
+    private void print(String line) {
+        out.println(Instant.ofEpochMilli(wallMillis.getAsLong()) + " " + line);
+    }
 }
--- a/src/test/java/waytrestle/ArchitectureTest.java
+++ b/src/test/java/waytrestle/ArchitectureTest.java
@@ -33,9 +33,9 @@
     /** What decisions may know beside plain Java. */
     private static final String DECISION_LAYER =
             "(\\[L)?waytrestle\\.(Bytes|(scheduler|stats|requests|overload|responses)\\.[A-Za-z]+"
-                    + "|discovery\\.EndpointDirectory|discovery\\.watch\\.(WatchState|WatchEvent)"
-                    + "|invoker\\.platform\\.PlatformResponseClassifier"
-                    + "|controller\\.FailureThreshold)(\\$.*)?;?";
+                + "|discovery\\.EndpointDirectory|discovery\\.watch\\.(WatchState|WatchEvent|ListFreshness)"
+                + "|invoker\\.platform\\.PlatformResponseClassifier"
+                + "|controller\\.FailureThreshold)(\\$.*)?;?";
 
     private static boolean isPlainJavaOrDecision(JavaClass type) {
         if (type.isArray()) {
@@ -64,7 +64,7 @@
         "stats\\.[A-Za-z]+",
         "requests\\.[A-Za-z]+",
         "discovery\\.EndpointDirectory",
-        "discovery\\.watch\\.WatchState",
+        "discovery\\.watch\\.(WatchState|ListFreshness)",
         "invoker\\.platform\\.PlatformResponseClassifier",
         "controller\\.FailureThreshold",
         "overload\\.[A-Za-z]+",
--- /dev/null
+++ b/src/test/java/waytrestle/discovery/watch/ListFreshnessTest.java
@@ -0,0 +1,121 @@
+package waytrestle.discovery.watch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** By when the endpoint list counts as outdated, for each way in which the server can be lost. */
+class ListFreshnessTest {
+    private static final long START_MICROS = 1_000_000;
+    private static final long SECOND = 1_000_000;
+
+    private final WatchState state = new WatchState(3, SECOND);
+    private long nowMicros = START_MICROS;
+    private WatchState.PublishFreshness published;
+
+    @BeforeEach
+    void connectAndCatchUp() {
+        handle(new WatchState.AddressChanged());
+        handle(new WatchState.RequestSent());
+        assertNull(published, "the list of the start is outdated until the server has answered");
+        receiveHeartbeat(3);
+        assertEquals(WatchState.CURRENT, published.receivedAtMicros());
+        published = null;
+    }
+
+    private void handle(WatchState.Event event) {
+        state.handle(
+                nowMicros,
+                event,
+                command -> {
+                    if (command instanceof WatchState.PublishFreshness freshness) {
+                        published = freshness;
+                    }
+                });
+    }
+
+    private void receiveHeartbeat(long revision) {
+        handle(new WatchState.LineReceived(new WatchEvent(revision, false, null)));
+    }
+
+    private void receiveEvent(long revision) {
+        handle(new WatchState.LineReceived(new WatchEvent(revision, false, List.of())));
+    }
+
+    private void assertOutdatedAfter(long micros, WatchState.LossCause cause) {
+        assertEquals(START_MICROS + micros, published.receivedAtMicros());
+        assertEquals(cause, published.cause());
+    }
+
+    @Test
+    void anEndedConnectionOutdatesTheListAfterTwoSeconds() {
+        handle(new WatchState.ConnectionFailed());
+        assertOutdatedAfter(2 * SECOND, WatchState.LossCause.CLOSED);
+        nowMicros += SECOND;
+        handle(new WatchState.ConnectionFailed());
+        assertOutdatedAfter(2 * SECOND, WatchState.LossCause.CLOSED);
+    }
+
+    @Test
+    void aSilentServerOutdatesTheListFourSecondsAfterItsLastLine() {
+        nowMicros += 2 * SECOND;
+        handle(new WatchState.HeartbeatCheckDue());
+        assertOutdatedAfter(4 * SECOND, WatchState.LossCause.SILENT);
+        nowMicros += SECOND;
+        handle(new WatchState.ConnectionFailed());
+        assertOutdatedAfter(4 * SECOND, WatchState.LossCause.SILENT);
+    }
+
+    @Test
+    void heartbeatsOfAnOldRevisionCountAsSilence() {
+        for (int i = 0; i < 5; i++) {
+            nowMicros += SECOND / 2;
+            receiveHeartbeat(2);
+            handle(new WatchState.HeartbeatCheckDue());
+        }
+        assertOutdatedAfter(4 * SECOND, WatchState.LossCause.SILENT);
+    }
+
+    @Test
+    void anAddressChangeOutdatesTheListAfterFourSeconds() {
+        handle(new WatchState.AddressChanged());
+        assertOutdatedAfter(4 * SECOND, WatchState.LossCause.MOVED);
+    }
+
+    @Test
+    void anUnansweredRequestOutdatesTheListAtOnce() {
+        handle(new WatchState.ConnectionFailed());
+        nowMicros += SECOND / 10;
+        handle(new WatchState.RequestSent());
+        assertOutdatedAfter(SECOND / 10, WatchState.LossCause.CLOSED);
+        nowMicros += 3 * SECOND;
+        handle(new WatchState.RequestSent());
+        assertOutdatedAfter(SECOND / 10, WatchState.LossCause.CLOSED);
+    }
+
+    @Test
+    void aMissingEventOutdatesTheListAndSoDoesAnEventThatMayNotBeTheLast() {
+        receiveHeartbeat(5);
+        assertOutdatedAfter(2 * SECOND, WatchState.LossCause.GAP);
+        nowMicros += SECOND;
+        handle(new WatchState.RequestSent());
+        receiveEvent(4);
+        assertOutdatedAfter(SECOND, WatchState.LossCause.GAP);
+        receiveEvent(5);
+        assertOutdatedAfter(SECOND, WatchState.LossCause.GAP);
+        receiveHeartbeat(5);
+        assertEquals(WatchState.CURRENT, published.receivedAtMicros());
+    }
+
+    @Test
+    void eventsOfAServerThatIsCurrentOutdateNothing() {
+        receiveEvent(4);
+        receiveEvent(5);
+        nowMicros += SECOND;
+        receiveHeartbeat(5);
+        assertNull(published);
+    }
+}
--- a/src/test/java/waytrestle/discovery/watch/WatchStateTest.java
+++ b/src/test/java/waytrestle/discovery/watch/WatchStateTest.java
@@ -16,7 +16,14 @@
 
     private List<String> handle(WatchState.Event event) {
         List<String> commands = new ArrayList<>();
-        state.handle(nowMicros, event, command -> commands.add(describe(command)));
+        state.handle(
+                nowMicros,
+                event,
+                command -> {
+                    if (!(command instanceof WatchState.PublishFreshness)) {
+                        commands.add(describe(command));
+                    }
+                });
         return commands;
     }
 
--- a/src/test/java/waytrestle/platform/PlatformLogTest.java
+++ b/src/test/java/waytrestle/platform/PlatformLogTest.java
@@ -11,18 +11,22 @@
 
 /** What the controller's log writes. */
 class PlatformLogTest {
+    private static final long WALL_MILLIS = 1_700_000_000_500L;
+    private static final String TIME = "2023-11-14T22:13:20.500Z ";
+
     private final ByteArrayOutputStream written = new ByteArrayOutputStream();
     private final PlatformLog log =
-            new PlatformLog(new PrintStream(written, true, StandardCharsets.UTF_8));
+            new PlatformLog(
+                    new PrintStream(written, true, StandardCharsets.UTF_8), () -> WALL_MILLIS);
 
     @Test
     void aFailureIsLoggedWithItsStackTrace() {
         log.handlerFailed(new IllegalStateException("no capacity"));
         List<String> lines = lines();
         assertEquals(
-                "handler.failed error=\"java.lang.IllegalStateException: no capacity\"",
+                TIME + "handler.failed error=\"java.lang.IllegalStateException: no capacity\"",
                 lines.get(0));
-        assertTrue(lines.get(1).startsWith("stack.frame at="), lines.get(1));
+        assertTrue(lines.get(1).startsWith(TIME + "stack.frame at="), lines.get(1));
     }
 
     @Test
