--- a/src/test/java/waytrestle/platform/FaultedController.java
+++ b/src/test/java/waytrestle/platform/FaultedController.java
@@ -1,150 +1,42 @@
 package waytrestle.platform;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.BindException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import waytrestle.faults.FaultPlan;
 import waytrestle.faults.SystemCallShim;
 
 /** A controller in a process of its own, whose system calls fail by a plan. */
-final class FaultedController implements AutoCloseable {
-    private static final long EXIT_SECONDS = 15;
-    private static final int READ_TIMEOUT_MILLIS = 5_000;
-    private static final String READINESS_CHECK =
-            "GET /check HTTP/1.1\r\nHost: api\r\nConnection: close\r\n\r\n";
-
-    private static final int FIRST_PORT = 20_000;
-    private static final int PORTS = 12_000;
-    private static final AtomicInteger NEXT_PORT =
-            new AtomicInteger((int) (ProcessHandle.current().pid() % PORTS));
-
+final class FaultedController extends ControllerProcess {
     private final FaultPlan plan = new FaultPlan();
-    private final Path configuration = Files.createTempFile("platform", ".json");
-    private final Path log = Files.createTempFile("platform", ".log");
     private final int seed;
-    private final int port = freePort();
-    private Process process;
 
     FaultedController(int seed) throws IOException {
         this.seed = seed;
     }
 
-    /** Starts it by a configuration's text, in which the port to listen at is filled in. */
-    FaultedController start(String configurationJson) throws Exception {
-        Files.writeString(
-                configuration,
-                configurationJson.replace(
-                        "\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + port + "\""));
-        ProcessBuilder builder =
-                new ProcessBuilder(
-                                "java",
-                                "-XX:+UseSerialGC",
-                                "-XX:TieredStopAtLevel=1",
-                                "-XX:-UsePerfData",
-                                "-Xss512k",
-                                "-Xmx64m",
-                                "-XX:MaxDirectMemorySize=16m",
-                                "-cp",
-                                System.getProperty("java.class.path"),
-                                "waytrestle.Main",
-                                "platform")
-                        .redirectErrorStream(true)
-                        .redirectOutput(log.toFile());
-        builder.environment().put("BALANCER_CONFIG", configuration.toString());
+    @Override
+    void prepare(ProcessBuilder builder) throws Exception {
         SystemCallShim.preload(builder, plan, seed);
-        process = builder.start();
-        return this;
     }
 
-    /** Waits, as clients do, until it is ready. */
-    FaultedController awaitReady() throws InterruptedException {
-        PlatformFixture.awaitCondition(this::isReady, "it never became ready:\n" + log());
+    @Override
+    FaultedController start(String configurationJson) throws Exception {
+        super.start(configurationJson);
         return this;
     }
 
-    private boolean isReady() {
-        try (Socket connection = new Socket(InetAddress.getLoopbackAddress(), port)) {
-            connection.setSoTimeout(READ_TIMEOUT_MILLIS);
-            PlatformFixture.write(connection, READINESS_CHECK);
-            return PlatformFixture.readResponse(connection).startsWith("HTTP/1.1 200 ");
-        } catch (Exception e) {
-            return false;
-        }
-    }
-
-    int port() {
-        return port;
+    @Override
+    FaultedController awaitReady() throws InterruptedException {
+        super.awaitReady();
+        return this;
     }
 
     FaultPlan plan() {
         return plan;
     }
 
-    boolean isAlive() {
-        return process != null && process.isAlive();
-    }
-
-    /** Sends SIGTERM. */
-    void terminate() {
-        process.destroy();
-    }
-
-    /** Kills it at once, as SIGKILL does. */
-    void kill() throws InterruptedException {
-        process.destroyForcibly().waitFor();
-    }
-
-    /** Waits for its end; whether it came in time. */
-    boolean awaitExit() throws InterruptedException {
-        return process.waitFor(EXIT_SECONDS, TimeUnit.SECONDS);
-    }
-
-    int exitCode() {
-        return process.exitValue();
-    }
-
-    /** What it has logged so far. */
-    String log() {
-        try {
-            return Files.readString(log, StandardCharsets.UTF_8);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
-    /**
-     * A port that nobody listens at and no other controller was given. It lies below the range from
-     * which the kernel gives outgoing connections theirs: one of these could take it before the
-     * controller listens.
-     */
-    private static int freePort() throws IOException {
-        for (int i = 0; i < PORTS; i++) {
-            int candidate = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
-            try (ServerSocket unused =
-                    new ServerSocket(candidate, 1, InetAddress.getLoopbackAddress())) {
-                return unused.getLocalPort();
-            } catch (BindException e) {
-                // somebody else's: the next one is tried
-            }
-        }
-        throw new IOException("no port is free");
-    }
-
     @Override
     public void close() throws Exception {
-        if (process != null) {
-            kill();
-        }
+        super.close();
         plan.close();
-        Files.deleteIfExists(configuration);
-        Files.deleteIfExists(log);
     }
 }
--- a/src/test/java/waytrestle/platform/PlatformFixture.java
+++ b/src/test/java/waytrestle/platform/PlatformFixture.java
@@ -86,6 +86,11 @@
 
     /** The configuration's text before its edit. */
     String configurationJson(WatchServer watched) {
+        return configurationJson(sockets, watched.port(), configuredEventJson());
+    }
+
+    /** A configuration's text with these known events and the watch server at this port. */
+    static String configurationJson(String sockets, int watchPort, String knownEvents) {
         return """
         {"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
          "limits":{"cores":1.0,"memory_mb":192,"sockets":%s},
@@ -104,7 +109,7 @@
            "load_wait_us":4000000,"memory_mb_by_kind":[8000]},
           "prices":{}}}
         """
-                .formatted(sockets, watched.port(), configuredEventJson());
+                .formatted(sockets, watchPort, knownEvents);
     }
 
     /** Writes a configuration that names another watch server. */
--- a/src/test/java/waytrestle/platform/RepeatingClient.java
+++ b/src/test/java/waytrestle/platform/RepeatingClient.java
@@ -58,11 +58,19 @@
 
     /** Sends a request, once more where its connection ended without a response. */
     SentRequest send(String requestClass, String id) throws IOException {
+        return send(requestClass, id, PlatformFixture.FUNCTION);
+    }
+
+    /** The same for a function. */
+    SentRequest send(String requestClass, String id, String function) throws IOException {
+        String message =
+                PlatformFixture.request(requestClass, id, "", "payload of " + id)
+                        .replace(PlatformFixture.FUNCTION, function);
         List<Integer> results = new ArrayList<>();
-        results.add(attempt(requestClass, id));
+        results.add(attempt(message));
         if (results.get(0) == CLOSED) {
             disconnect();
-            results.add(attempt(requestClass, id));
+            results.add(attempt(message));
         }
         if (!keepsConnection || results.get(results.size() - 1) < 0) {
             disconnect();
@@ -70,7 +78,7 @@
         return new SentRequest(id, requestClass, results);
     }
 
-    private int attempt(String requestClass, String id) {
+    private int attempt(String message) {
         try {
             if (connection == null) {
                 connection = new Socket(InetAddress.getLoopbackAddress(), port);
@@ -81,8 +89,7 @@
             return REFUSED;
         }
         try {
-            PlatformFixture.write(
-                    connection, PlatformFixture.request(requestClass, id, "", "payload of " + id));
+            PlatformFixture.write(connection, message);
             return readStatus();
         } catch (SocketTimeoutException e) {
             return SILENT;
--- a/src/test/java/waytrestle/platform/ScriptedInvoker.java
+++ b/src/test/java/waytrestle/platform/ScriptedInvoker.java
@@ -18,6 +18,7 @@
  */
 final class ScriptedInvoker implements AutoCloseable {
     private static final int MAX_CONNECTIONS = 1_000;
+    private static final int ANY_PORT = 0;
     private static final long LOOP_END_MILLIS = 5_000;
 
     private final List<Throwable> failures = Collections.synchronizedList(new ArrayList<>());
@@ -27,13 +28,23 @@
     private volatile InvokerScript script = exchange -> respond(exchange, 200, "done");
 
     ScriptedInvoker() throws IOException {
-        server = openServer(MAX_CONNECTIONS, this::handle);
+        this(ANY_PORT);
+    }
+
+    /** Listens at a port, as an invoker does that has started again. */
+    ScriptedInvoker(int port) throws IOException {
+        server = openServer(port, MAX_CONNECTIONS, this::handle);
     }
 
     /** Another server on the same loop. */
     HttpServer openServer(int maxConnections, HttpServer.Handler handler) throws IOException {
-        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        return new HttpServer(loop, anyPort, HttpLimits.DEFAULT, maxConnections, handler);
+        return openServer(ANY_PORT, maxConnections, handler);
+    }
+
+    private HttpServer openServer(int port, int maxConnections, HttpServer.Handler handler)
+            throws IOException {
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        return new HttpServer(loop, address, HttpLimits.DEFAULT, maxConnections, handler);
     }
 
     /** Responds to an exchange; on the loop. */
