Readiness leases: past the grace, work goes only to invokers whose health was checked

Cause: the scheduler and the send guard knew ready alone, whatever the age of the list it came from; a controller that could not reach discovery went on sending to draining invokers for as long as that lasted. Class: knowledge acted on without an age.

Change: ReadinessLeases. While discovery is out of reach the list is acted on for four fifths of the drain grace after all that discovery holds counts as received; then an invoker gets requests and preload requests for as long after a health check that passed, counted from its sending. Checks go out where a request or preload would, and ahead for invokers in use; one that is slow or fails lets the request go elsewhere. Where settings allow no checks, requests are rejected at once with Retry-After. An invoker that may have started anew unheard counts as just started. SendGuard asks for the lease before the first byte of each attempt and preload (READINESS_EXPIRED). At a start without an answer of the watch the known list counts as outdated.

--- a/src/main/java/waytrestle/bench/EventReader.java
+++ b/src/main/java/waytrestle/bench/EventReader.java
@@ -148,7 +148,8 @@
                 message.requiredText("invoker"),
                 responseCode(message),
                 message.wholeNumber("time_taken_us"),
-                message.object("telemetry").numericMembers());
+                message.object("telemetry").numericMembers(),
+                0);
     }
 
     private static SchedulerEvent preloadCompleted(JsonObject message) {
--- a/src/main/java/waytrestle/controller/AttemptCompletionHandler.java
+++ b/src/main/java/waytrestle/controller/AttemptCompletionHandler.java
@@ -12,6 +12,7 @@
 import waytrestle.responses.ExchangeResult;
 import waytrestle.responses.InvokerLoadReport;
 import waytrestle.scheduler.InvokerEndpoint;
+import waytrestle.scheduler.RequestScheduler;
 import waytrestle.scheduler.ResponseCode;
 import waytrestle.scheduler.SchedulerEvent;
 import waytrestle.scheduler.SchedulerSettings.RequestClass;
@@ -36,6 +37,7 @@
     private final SendGuard sendGuard;
     private final ListExpiry listExpiry;
     private final List<RequestClass> requestClasses;
+    private final RequestScheduler scheduler;
 
     AttemptCompletionHandler(
             Transport transport,
@@ -55,6 +57,7 @@
         this.listExpiry = listExpiry;
         this.requestClasses = dependencies.settings().classes();
         this.listener = listener;
+        this.scheduler = dependencies.scheduler();
     }
 
     /** An attempt has ended: the classifier says what that means. */
@@ -105,6 +108,7 @@
                 endpoint == null ? NOT_LISTED : endpoint.cell(),
                 !attempt.request().isCompleted(),
                 connections.mayStillGet(attempt.invoker(), attempt.plan().invokerWasReady()),
+                scheduler.mayStartWork(attempt.invoker(), transport.now()),
                 transport.now());
     }
 
--- a/src/main/java/waytrestle/controller/Controller.java
+++ b/src/main/java/waytrestle/controller/Controller.java
@@ -107,6 +107,7 @@
                         connections,
                         preloadLimit,
                         listExpiry,
+                        sendGuard,
                         listener);
         PendingRequestsCommandHandler pendingRequestsCommands =
                 new PendingRequestsCommandHandler(
@@ -201,6 +202,7 @@
      */
     public void listFreshnessChanged(long receivedAtMicros) {
         listExpiry.receivedAt(receivedAtMicros);
+        dispatcher.dispatchToScheduler(new SchedulerEvent.ListFreshnessChanged(receivedAtMicros));
     }
 
     /** The endpoint list could not be fetched. */
--- a/src/main/java/waytrestle/controller/InvokerClient.java
+++ b/src/main/java/waytrestle/controller/InvokerClient.java
@@ -45,6 +45,14 @@
     /** Open connections. */
     int connections();
 
+    /**
+     * Since when there has been a connection to the invoker at all times: when the oldest one that
+     * is open came up. {@link Long#MAX_VALUE} without one, 0 where that is not known.
+     */
+    default long connectedSinceMicros() {
+        return 0;
+    }
+
     /** Something that waits for a connection and may be withdrawn before it is sent. */
     interface Withdrawable {
         /**
--- a/src/main/java/waytrestle/controller/InvokerConnections.java
+++ b/src/main/java/waytrestle/controller/InvokerConnections.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Set;
 import waytrestle.responses.ClassifierEvent;
-import waytrestle.responses.ExchangeResult;
 import waytrestle.scheduler.EndpointState;
 import waytrestle.scheduler.InvokerEndpoint;
 import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
@@ -70,16 +69,6 @@
         return !wasReady || isReady(invoker);
     }
 
-    /**
-     * How an operation that has not been sent yet ends instead, or null to send it: at an invoker
-     * that stopped being ready since the decision nothing runs.
-     *
-     * @param wasReady whether the invoker was ready at the decision
-     */
-    ExchangeResult.Kind withdrawal(String invoker, boolean wasReady) {
-        return mayStillGet(invoker, wasReady) ? null : ExchangeResult.Kind.NO_CAPACITY;
-    }
-
     /** Opens and closes clients as an endpoint list demands. */
     void update(EndpointsUpdated update) {
         if (update.snapshot()) {
--- a/src/main/java/waytrestle/controller/InvokerOperations.java
+++ b/src/main/java/waytrestle/controller/InvokerOperations.java
@@ -5,9 +5,11 @@
 import waytrestle.invoker.LoadMetrics;
 import waytrestle.overload.StartupPreloadLimit;
 import waytrestle.requests.RequestHandler.FunctionHints;
+import waytrestle.requests.SendGuard;
 import waytrestle.responses.ClassifierEvent;
 import waytrestle.responses.ExchangeResult;
 import waytrestle.responses.ResponseClassifier;
+import waytrestle.scheduler.RequestScheduler;
 import waytrestle.scheduler.ResponseCode;
 import waytrestle.scheduler.SchedulerCommand;
 import waytrestle.scheduler.SchedulerEvent;
@@ -29,6 +31,8 @@
     private final InvokerConnections connections;
     private final StartupPreloadLimit startupPreloadLimit;
     private final ListExpiry listExpiry;
+    private final SendGuard sendGuard;
+    private final RequestScheduler scheduler;
     private final ControllerListener listener;
 
     InvokerOperations(
@@ -38,6 +42,7 @@
             InvokerConnections connections,
             StartupPreloadLimit startupPreloadLimit,
             ListExpiry listExpiry,
+            SendGuard sendGuard,
             ControllerListener listener) {
         this.transport = transport;
         this.settings = dependencies.settings();
@@ -47,6 +52,8 @@
         this.connections = connections;
         this.startupPreloadLimit = startupPreloadLimit;
         this.listExpiry = listExpiry;
+        this.sendGuard = sendGuard;
+        this.scheduler = dependencies.scheduler();
         this.listener = listener;
     }
 
@@ -98,13 +105,21 @@
 
         @Override
         public ExchangeResult.Kind withdrawal() {
-            ExchangeResult.Kind withdrawal =
-                    connections.withdrawal(command.invoker(), invokerWasReady);
-            boolean sent = withdrawal == null && loadsInstances(command);
-            if (sent && listExpiry.isExpired(transport.now())) {
+            if (!loadsInstances(command)) {
+                return null; // it begins no work
+            }
+            long now = transport.now();
+            SendGuard.Refusal refusal =
+                    sendGuard.preloadRefusal(
+                            connections.mayStillGet(command.invoker(), invokerWasReady),
+                            scheduler.mayStartWork(command.invoker(), now));
+            if (refusal != null) {
+                return ExchangeResult.Kind.NO_CAPACITY;
+            }
+            if (listExpiry.isExpired(now)) {
                 listener.sentOnExpiredList(ControllerListener.WorkKind.PRELOAD);
             }
-            return withdrawal;
+            return null;
         }
 
         /** Notifies the classifier of the end, then the scheduler. */
@@ -149,7 +164,7 @@
         if (client == null) {
             dispatchLater(
                     new HealthCheckCompleted(
-                            command.invoker(), ResponseCode.CONNECT_FAILED, 0, Map.of()));
+                            command.invoker(), ResponseCode.CONNECT_FAILED, 0, Map.of(), 0));
             return;
         }
         client.checkHealth(
@@ -162,7 +177,8 @@
                                     command.invoker(),
                                     code,
                                     transport.now() - sentAtMicros,
-                                    metrics.report()));
+                                    metrics.report(),
+                                    client.connectedSinceMicros()));
                 });
     }
 
--- a/src/main/java/waytrestle/discovery/watch/ListFreshness.java
+++ b/src/main/java/waytrestle/discovery/watch/ListFreshness.java
@@ -25,7 +25,7 @@
     private static final long MOVED_MICROS = 4_000_000;
 
     /** A process knows at first what was listed when it was started, which is past. */
-    private static final long BEFORE_START = 0;
+    static final long BEFORE_START = Long.MIN_VALUE / 2;
 
     private long receivedAtMicros = BEFORE_START;
     private long lastLineAtMicros;
--- a/src/main/java/waytrestle/discovery/watch/WatchState.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchState.java
@@ -82,7 +82,7 @@
     }
 
     /**
-     * Tell the listener by when the list counts as outdated.
+     * Tell the listener by when the list counts as outdated; without this command it is current.
      *
      * @param receivedAtMicros from when on all that the server holds counts as received here;
      *     {@link #CURRENT} where nothing is missing
@@ -100,6 +100,7 @@
     private int consecutiveFailures;
     private boolean synchronizedOnce;
     private LossCause lossCause = LossCause.STARTING;
+    private long publishedReceivedAt = CURRENT; // what listeners assume
 
     /**
      * Starts before the first connection.
@@ -125,7 +126,6 @@
 
     /** Takes in what happened and passes on what to do about it, in order. */
     public void handle(long nowMicros, Event event, Consumer<Command> commands) {
-        long before = freshness.receivedAtMicros();
         if (event instanceof LineReceived line) {
             lineReceived(nowMicros, line.event(), commands);
         } else if (event instanceof RequestSent) {
@@ -144,8 +144,9 @@
             freshness.fallenSilent();
             reconnect(nowMicros, commands);
         }
-        if (freshness.receivedAtMicros() != before) {
-            commands.accept(new PublishFreshness(freshness.receivedAtMicros(), lossCause));
+        if (freshness.receivedAtMicros() != publishedReceivedAt) {
+            publishedReceivedAt = freshness.receivedAtMicros();
+            commands.accept(new PublishFreshness(publishedReceivedAt, lossCause));
         }
     }
 
--- a/src/main/java/waytrestle/gateway/HttpInvokerClient.java
+++ b/src/main/java/waytrestle/gateway/HttpInvokerClient.java
@@ -76,6 +76,11 @@
         client.close();
     }
 
+    @Override
+    public long connectedSinceMicros() {
+        return client.connectedSince();
+    }
+
     @Override
     public int connections() {
         return client.open();
--- a/src/main/java/waytrestle/http/HttpClient.java
+++ b/src/main/java/waytrestle/http/HttpClient.java
@@ -7,6 +7,8 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import waytrestle.net.Connection;
 import waytrestle.net.ConnectionHandler;
 import waytrestle.net.IdleState;
@@ -51,6 +53,10 @@
     private final Held held;
     private final ArrayDeque<Link> idle = new ArrayDeque<>();
     private int open;
+
+    /** Open connections in the order in which they were begun. */
+    private final Set<Link> links = new LinkedHashSet<>();
+
     private static final int ANEW =
             3; // connections begun for one request: so many resets in a row tell of the server
     private static final int INTERIM =
@@ -136,6 +142,16 @@
         return open;
     }
 
+    /** When the oldest open connection came up; {@link Long#MAX_VALUE} without one. */
+    public long connectedSince() {
+        for (Link link : links) {
+            if (link.up) {
+                return link.upSince;
+            }
+        }
+        return Long.MAX_VALUE;
+    }
+
     public int idle() {
         return idle.size();
     }
@@ -267,6 +283,7 @@
         Link link = new Link();
         link.connection = Connection.open(loop, peer, limits.bodyBytes(), connectMicros, link);
         open++;
+        links.add(link);
         call.begun++;
         link.take(call);
     }
@@ -279,6 +296,7 @@
         private boolean up, dropped;
         private int interim;
         private long usedAt;
+        private long upSince;
         private long has; // bytes of an answer that is not whole yet
         private long writtenBefore;
 
@@ -320,6 +338,7 @@
         @Override
         public void connected() {
             up = true;
+            upSince = Loop.now();
             if (stillWanted()) {
                 write();
             }
@@ -454,6 +473,7 @@
                 held.release(has);
                 has = 0;
                 open--;
+                links.remove(this);
                 slots.free();
                 slots.noLongerIdle(this);
                 idle.remove(this);
--- a/src/main/java/waytrestle/requests/SendGuard.java
+++ b/src/main/java/waytrestle/requests/SendGuard.java
@@ -21,6 +21,8 @@
         CLIENT_GONE(false),
         /** The invoker stopped being ready since the decision. */
         INVOKER_NOT_READY(false),
+        /** What is known of the invoker's readiness has become too old. */
+        READINESS_EXPIRED(false),
         /** Another attempt of an unsafe request may have run. */
         MAY_HAVE_RUN(true),
         /** Another attempt may have run, and invokers no longer drop its duplicates. */
@@ -48,6 +50,7 @@
      * @param attempt its number within the request
      * @param zone of its invoker
      * @param cell of its invoker
+     * @param readinessKnown whether the invoker's readiness was confirmed lately enough
      */
     public record SendIntent(
             RequestClass requestClass,
@@ -56,6 +59,7 @@
             int cell,
             boolean clientWaits,
             boolean invokerReady,
+            boolean readinessKnown,
             long nowMicros) {}
 
     /** In place of an attempt's number: all of them are looked at. */
@@ -81,6 +85,9 @@
         if (!intent.invokerReady()) {
             return Refusal.INVOKER_NOT_READY;
         }
+        if (!intent.readinessKnown()) {
+            return Refusal.READINESS_EXPIRED;
+        }
         SendHistory.Sent other = history.firstThatMayHaveRun(intent.attempt());
         if (other == null) {
             return null;
@@ -107,6 +114,21 @@
         return sameGroup ? null : Refusal.OTHER_GROUP;
     }
 
+    /**
+     * Why a preload request may not be written, or null.
+     *
+     * @param invokerReady whether the invoker has not stopped being ready since the decision
+     * @param readinessKnown whether its readiness was confirmed lately enough
+     */
+    public Refusal preloadRefusal(boolean invokerReady, boolean readinessKnown) {
+        if (invokerReady && readinessKnown) {
+            return null;
+        }
+        Refusal refusal = invokerReady ? Refusal.READINESS_EXPIRED : Refusal.INVOKER_NOT_READY;
+        count(refusal);
+        return refusal;
+    }
+
     /** Whether a rejection may be given, which promises that a retry does no harm. */
     public boolean mayReject(SendHistory history, RequestClass requestClass) {
         boolean allDeduplicate =
--- a/src/main/java/waytrestle/scheduler/EndpointTracker.java
+++ b/src/main/java/waytrestle/scheduler/EndpointTracker.java
@@ -10,9 +10,11 @@
 /** Follows the endpoint list: which invokers are ready, and which have started anew. */
 final class EndpointTracker {
     private final SchedulerState state;
+    private final ReadinessLeases leases;
 
-    EndpointTracker(SchedulerState state) {
+    EndpointTracker(SchedulerState state, ReadinessLeases leases) {
         this.state = state;
+        this.leases = leases;
     }
 
     /** Takes over a snapshot or changes. */
@@ -44,6 +46,7 @@
             invoker.warmingSince = Math.max(invoker.warmingSince, endpoint.startedAtMicros());
         }
         invoker.endpoint = endpoint;
+        leases.listed(invoker);
         invoker.ready = endpoint.state() == EndpointState.READY;
     }
 
--- a/src/main/java/waytrestle/scheduler/FinishTimeScheduler.java
+++ b/src/main/java/waytrestle/scheduler/FinishTimeScheduler.java
@@ -5,6 +5,8 @@
 import waytrestle.scheduler.SchedulerEvent.AttemptCompleted;
 import waytrestle.scheduler.SchedulerEvent.EndpointUpdateFailed;
 import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
+import waytrestle.scheduler.SchedulerEvent.HealthCheckCompleted;
+import waytrestle.scheduler.SchedulerEvent.ListFreshnessChanged;
 import waytrestle.scheduler.SchedulerEvent.PreloadCompleted;
 import waytrestle.scheduler.SchedulerEvent.RequestAbandoned;
 import waytrestle.scheduler.SchedulerEvent.RequestReceived;
@@ -23,8 +25,8 @@
  * <p>This class takes the events in, keeps count of requests and attempts, and hands each event to
  * the part that decides. In the order of a request's path these are {@link RequestRouter}, {@link
  * InvokerSelector}, {@link FinishTimeEstimate}, {@link SlowStartBudget}, {@link RetryRules}, {@link
- * ResponseLearner}, {@link InvokerBackoff}, {@link PreloadPlanner} and {@link StateMaintenance}.
- * They share one {@link SchedulerState}.
+ * ResponseLearner}, {@link InvokerBackoff}, {@link ReadinessLeases}, {@link PreloadPlanner} and
+ * {@link StateMaintenance}. They share one {@link SchedulerState}.
  *
  * <p>Not thread-safe: all calls come from the controller's event loop.
  */
@@ -35,6 +37,7 @@
     private final PreloadPlanner preloads;
     private final StateMaintenance maintenance;
     private final EndpointTracker endpoints;
+    private final ReadinessLeases leases;
     private boolean started;
 
     /** A scheduler that knows no invoker yet; equal seeds and events give equal commands. */
@@ -44,13 +47,16 @@
         SlowStartBudget slowStart = new SlowStartBudget(state, estimate);
         RetryRules retryRules = new RetryRules(state);
         InvokerBackoff backoff = new InvokerBackoff(state);
+        leases = new ReadinessLeases(state);
         InvokerSelector selector =
-                new InvokerSelector(state, estimate, backoff, slowStart, retryRules);
+                new InvokerSelector(state, estimate, backoff, leases, slowStart, retryRules);
         learner = new ResponseLearner(state, estimate, backoff);
-        preloads = new PreloadPlanner(state, backoff, learner);
-        router = new RequestRouter(state, estimate, selector, slowStart, preloads, retryRules);
+        preloads = new PreloadPlanner(state, backoff, leases, learner);
+        router =
+                new RequestRouter(
+                        state, estimate, selector, leases, slowStart, preloads, retryRules);
         maintenance = new StateMaintenance(state, backoff, preloads);
-        endpoints = new EndpointTracker(state);
+        endpoints = new EndpointTracker(state, leases);
     }
 
     @Override
@@ -64,6 +70,10 @@
             attemptCompleted(completed);
         } else if (event instanceof PreloadCompleted completed) {
             preloads.completed(completed);
+        } else if (event instanceof HealthCheckCompleted completed) {
+            healthCheckCompleted(completed);
+        } else if (event instanceof ListFreshnessChanged changed) {
+            leases.freshnessChanged(changed);
         } else if (event instanceof TimerExpired expired) {
             timerExpired(expired.timer());
         } else if (event instanceof EndpointsUpdated updated) {
@@ -77,6 +87,12 @@
         }
     }
 
+    @Override
+    public boolean mayStartWork(String invoker, long nowMicros) {
+        InvokerState known = state.invokers.get(invoker);
+        return known == null || leases.mayStartWork(known, nowMicros);
+    }
+
     @Override
     public long estimateMicros() {
         return state.estimateMicros;
@@ -109,6 +125,35 @@
         }
     }
 
+    /**
+     * What waited for the invoker's readiness goes on: preloads where it passed, requests anyway.
+     */
+    private void healthCheckCompleted(HealthCheckCompleted event) {
+        InvokerState invoker = state.invokers.get(event.invoker());
+        if (invoker == null) {
+            return;
+        }
+        leases.checkCompleted(invoker, event);
+        invoker.readiness
+                .takeDeferredPreloads()
+                .forEach((function, instances) -> preloadIfReady(invoker, function, instances));
+        for (long id : invoker.readiness.takeWaitingRequests()) {
+            routeQueued(state.requests.get(id));
+        }
+    }
+
+    private void preloadIfReady(InvokerState invoker, FunctionState function, int instances) {
+        if (leases.mayStartWork(invoker)) {
+            preloads.preload(invoker, function, instances);
+        }
+    }
+
+    private void routeQueued(RequestState request) {
+        if (request != null && request.isUndecided() && request.queued) {
+            router.route(request);
+        }
+    }
+
     private void streamStarted(StreamStarted event) {
         RequestState request = state.requests.get(event.id());
         if (request != null && !request.completed) {
@@ -139,10 +184,7 @@
                 router.finish(request);
             }
         } else if (timer instanceof QueuedRequestRetry retry) {
-            RequestState request = state.requests.get(retry.requestId());
-            if (request != null && request.isUndecided() && request.queued) {
-                router.route(request);
-            }
+            routeQueued(state.requests.get(retry.requestId()));
         }
     }
 }
--- a/src/main/java/waytrestle/scheduler/InvokerSelector.java
+++ b/src/main/java/waytrestle/scheduler/InvokerSelector.java
@@ -9,6 +9,7 @@
     private final SchedulerState state;
     private final FinishTimeEstimate estimate;
     private final InvokerBackoff backoff;
+    private final ReadinessLeases leases;
     private final SlowStartBudget slowStart;
     private final RetryRules retryRules;
 
@@ -16,11 +17,13 @@
             SchedulerState state,
             FinishTimeEstimate estimate,
             InvokerBackoff backoff,
+            ReadinessLeases leases,
             SlowStartBudget slowStart,
             RetryRules retryRules) {
         this.state = state;
         this.estimate = estimate;
         this.backoff = backoff;
+        this.leases = leases;
         this.slowStart = slowStart;
         this.retryRules = retryRules;
     }
@@ -101,12 +104,16 @@
         return (int) (function.placement * (width - request.attempts.size()));
     }
 
-    /** Guards as filters: draining, health, what this request has tried, retries, slow start. */
+    /**
+     * Guards as filters: draining, health, readiness, what this request has tried, retries, slow
+     * start.
+     */
     private boolean isCandidate(RequestState request, InvokerState invoker) {
         boolean loads = state.now >= invoker.noLoadsUntil || isWarm(invoker, request.function);
         return loads
                 && invoker.ready
                 && !backoff.isPaused(invoker)
+                && leases.isCandidate(invoker)
                 && !request.excludedInvokers.contains(invoker)
                 && retryRules.mayRetryAt(request, invoker)
                 && slowStart.admits(invoker, request.function);
--- a/src/main/java/waytrestle/scheduler/InvokerState.java
+++ b/src/main/java/waytrestle/scheduler/InvokerState.java
@@ -16,6 +16,9 @@
     InvokerEndpoint endpoint;
     boolean ready;
 
+    /** What is known of that while the list may be outdated. */
+    final ReadinessLease readiness = new ReadinessLease();
+
     // Own work there.
     int inFlight;
 
--- a/src/main/java/waytrestle/scheduler/PreloadPlanner.java
+++ b/src/main/java/waytrestle/scheduler/PreloadPlanner.java
@@ -10,11 +10,17 @@
 
     private final SchedulerState state;
     private final InvokerBackoff backoff;
+    private final ReadinessLeases leases;
     private final ResponseLearner learner;
 
-    PreloadPlanner(SchedulerState state, InvokerBackoff backoff, ResponseLearner learner) {
+    PreloadPlanner(
+            SchedulerState state,
+            InvokerBackoff backoff,
+            ReadinessLeases leases,
+            ResponseLearner learner) {
         this.state = state;
         this.backoff = backoff;
+        this.leases = leases;
         this.learner = learner;
     }
 
@@ -29,6 +35,10 @@
         if (!accepts || busy || !isWithinRateLimit()) {
             return false;
         }
+        if (!leases.mayStartWork(invoker)) {
+            leases.deferPreload(invoker, function, instances);
+            return false;
+        }
         invoker.startPreload(function, state.now);
         state.preloadTimes.add(state.now);
         state.commands.add(new PreloadFunction(invoker.id, function.id, instances));
--- a/src/main/java/waytrestle/scheduler/RequestRouter.java
+++ b/src/main/java/waytrestle/scheduler/RequestRouter.java
@@ -20,10 +20,12 @@
     private static final double EXPLORATION_SHARE = 0.1; // of what a guess would reject: tried
     private static final int MAX_NOT_LOADED = 2; // responses, after which a request waits for loads
     private static final long RECHECK_MICROS = 40_000; // of queued requests: part of any objective
+    private static final long OUTAGE_RETRY_AFTER_MICROS = 1_000_000; // discovery reports as often
 
     private final SchedulerState state;
     private final FinishTimeEstimate estimate;
     private final InvokerSelector selector;
+    private final ReadinessLeases leases;
     private final SlowStartBudget slowStart;
     private final PreloadPlanner preloads;
     private final RetryRules retryRules;
@@ -32,12 +34,14 @@
             SchedulerState state,
             FinishTimeEstimate estimate,
             InvokerSelector selector,
+            ReadinessLeases leases,
             SlowStartBudget slowStart,
             PreloadPlanner preloads,
             RetryRules retryRules) {
         this.state = state;
         this.estimate = estimate;
         this.selector = selector;
+        this.leases = leases;
         this.slowStart = slowStart;
         this.preloads = preloads;
         this.retryRules = retryRules;
@@ -59,7 +63,9 @@
         double guess = first ? state.firstGuessCold : state.retryGuessCold;
         estimate.coldProbability = awaitsLoad ? 1 : guess;
         InvokerState best = selector.lowestCost(request);
-        if (best == null) {
+        if (best == null && isBlockedByOutage()) {
+            finish(request, OUTAGE_RETRY_AFTER_MICROS);
+        } else if (best == null) {
             request.excludedInvokers.clear();
             queue(request, RECHECK_MICROS);
         } else if (isHopeless(request, best) && retryRules.mayReject(request)) {
@@ -67,6 +73,9 @@
             reject(request, state.estimateMicros);
         } else if (best.fullUntil > state.now) {
             queue(request, Math.min(RECHECK_MICROS, best.fullUntil - state.now));
+        } else if (!leases.mayStartWork(best)) {
+            queue(request, RECHECK_MICROS);
+            leases.await(best, request);
         } else if (awaitsLoad && mustWaitForLoad(request, best)) {
             request.waitedForLoad = true;
             preloads.preload(best, request.function, 1);
@@ -76,6 +85,11 @@
         }
     }
 
+    /** Whether no invoker can be found ready before discovery is back. */
+    private boolean isBlockedByOutage() {
+        return !leases.isListValid() && !leases.mayCheck();
+    }
+
     /** Whether an invoker without the function says so at once and takes a preload instead. */
     private boolean preloadsOnDemand() {
         return state.settings.preloading().reportsNotLoaded()
@@ -146,6 +160,7 @@
         request.startAttempt(
                 new AttemptState(invoker, instance, cold, guess, concurrent, state.now));
         slowStart.recordSend(request.function, invoker);
+        leases.renewAhead(invoker);
         state.commands.add(new ForwardAttempt(request.id, invoker.id, 0));
     }
 
@@ -163,9 +178,13 @@
 
     /** Ends a request that cannot be served: rejected where a retry is harmless, else failed. */
     void finish(RequestState request) {
+        finish(request, 0);
+    }
+
+    private void finish(RequestState request, long retryAfterMicros) {
         state.estimateMicros = RequestScheduler.NO_ESTIMATE;
         if (retryRules.mayReject(request)) {
-            reject(request, 0);
+            reject(request, retryAfterMicros);
         } else {
             state.commands.add(new FailRequest(request.id));
             state.forget(request);
--- a/src/main/java/waytrestle/scheduler/RequestScheduler.java
+++ b/src/main/java/waytrestle/scheduler/RequestScheduler.java
@@ -17,6 +17,14 @@
      */
     void handle(long nowMicros, SchedulerEvent event, SchedulerCommand.Sink commands);
 
+    /**
+     * Whether new work may begin at an invoker now, so far as that is a question of how old the
+     * knowledge of its readiness is. To be asked right before work is sent.
+     */
+    default boolean mayStartWork(String invoker, long nowMicros) {
+        return true;
+    }
+
     /**
      * The finish-time estimate behind the attempt or rejection of the last event, in microseconds,
      * or {@link #NO_ESTIMATE}.
--- a/src/main/java/waytrestle/scheduler/SchedulerEvent.java
+++ b/src/main/java/waytrestle/scheduler/SchedulerEvent.java
@@ -69,9 +69,29 @@
     record StreamStarted(long id, int attempt, String invoker, long elapsedMicros)
             implements SchedulerEvent {}
 
-    /** A health check ended. */
+    /**
+     * Service discovery went out of reach or came back.
+     *
+     * @param receivedAtMicros from when on all that discovery holds counts as received here; {@link
+     *     #CURRENT} while nothing is missing
+     */
+    record ListFreshnessChanged(long receivedAtMicros) implements SchedulerEvent {
+        /** In place of a time: the endpoint list is current. */
+        public static final long CURRENT = Long.MAX_VALUE;
+    }
+
+    /**
+     * A health check ended.
+     *
+     * @param connectedSinceMicros since when there has always been a connection to the invoker; 0
+     *     where that is not known
+     */
     record HealthCheckCompleted(
-            String invoker, ResponseCode code, long elapsedMicros, Map<String, Double> loadReport)
+            String invoker,
+            ResponseCode code,
+            long elapsedMicros,
+            Map<String, Double> loadReport,
+            long connectedSinceMicros)
             implements SchedulerEvent {}
 
     /**
