Outage without health checks: requests wait for a late heartbeat before they are rejected

Cause: after a reconnect the next heartbeat may come a second after the events, while the list counts for four fifths of the grace; where health may not be checked, requests in between were rejected for nothing.

Change: they queue for at most 0.8 s after the list has expired, then they are rejected at once.

--- a/src/main/java/waytrestle/scheduler/ReadinessLeases.java
+++ b/src/main/java/waytrestle/scheduler/ReadinessLeases.java
@@ -19,6 +19,7 @@
     private static final long SLOW_CHECK_MICROS = 40_000; // far above a usual round trip
     private static final long RETRY_MICROS = 200_000; // after a check that failed; doubles in a row
     private static final long MAX_RETRY_MICROS = 1_600_000; // a few checks of a usual drain
+    private static final long LATE_HEARTBEAT_MICROS = 800_000; // one that may still renew the list
     private static final int MAX_DOUBLINGS = 3; // by then the pause is at its longest
     private static final int MAX_DEFERRED_PRELOADS = 2; // for each invoker, as may be in flight
     private static final long SHORTEST_RESTART_MICROS = 3_000_000; // of a drain, an end and a start
@@ -68,8 +69,15 @@
         return mayCheck() && state.now >= lease.nextCheckAt && !slow;
     }
 
-    /** Whether an invoker's readiness can be found out at all while the list is not valid. */
-    boolean mayCheck() {
+    /**
+     * Whether no invoker can be found ready before discovery is back, and the list has been invalid
+     * for longer than a late heartbeat would explain.
+     */
+    boolean isBlocked() {
+        return !mayCheck() && !isListValid(state.now - LATE_HEARTBEAT_MICROS);
+    }
+
+    private boolean mayCheck() {
         return state.settings.limits().mayCheckHealth();
     }
 
--- a/src/main/java/waytrestle/scheduler/RequestRouter.java
+++ b/src/main/java/waytrestle/scheduler/RequestRouter.java
@@ -63,7 +63,7 @@
         double guess = first ? state.firstGuessCold : state.retryGuessCold;
         estimate.coldProbability = awaitsLoad ? 1 : guess;
         InvokerState best = selector.lowestCost(request);
-        if (best == null && isBlockedByOutage()) {
+        if (best == null && leases.isBlocked()) {
             finish(request, OUTAGE_RETRY_AFTER_MICROS);
         } else if (best == null) {
             request.excludedInvokers.clear();
@@ -85,11 +85,6 @@
         }
     }
 
-    /** Whether no invoker can be found ready before discovery is back. */
-    private boolean isBlockedByOutage() {
-        return !leases.isListValid() && !leases.mayCheck();
-    }
-
     /** Whether an invoker without the function says so at once and takes a preload instead. */
     private boolean preloadsOnDemand() {
         return state.settings.preloading().reportsNotLoaded()
--- a/src/test/java/waytrestle/scheduler/ReadinessLeasesTest.java
+++ b/src/test/java/waytrestle/scheduler/ReadinessLeasesTest.java
@@ -167,6 +167,10 @@
         scheduler.feed(new ListFreshnessChanged(scheduler.now));
         scheduler.now += LEASE_MICROS + 1;
         List<SchedulerCommand> commands = scheduler.request(1, "f");
+        assertEquals(List.of(), allOf(commands, RejectRequest.class), "a heartbeat may be late");
+        assertEquals(List.of(), allOf(commands, ForwardAttempt.class));
+        scheduler.now += SECOND;
+        commands = scheduler.request(3, "f");
         assertEquals(SECOND, onlyOne(commands, RejectRequest.class).retryAfterMicros());
         assertEquals(List.of(), allOf(commands, ForwardAttempt.class));
         scheduler.feed(new ListFreshnessChanged(ListFreshnessChanged.CURRENT));
