--- a/src/main/java/waytrestle/scheduler/ReadinessLease.java
+++ b/src/main/java/waytrestle/scheduler/ReadinessLease.java
@@ -19,6 +19,9 @@
     /** Health checks in a row that did not pass. */
     int consecutiveFailures;
 
+    /** Whether one of these was refused, as by an invoker that drains or has ended. */
+    boolean mayHaveEnded;
+
     /** No health check is sent before. */
     long nextCheckAt;
 
--- a/src/main/java/waytrestle/scheduler/ReadinessLeases.java
+++ b/src/main/java/waytrestle/scheduler/ReadinessLeases.java
@@ -120,11 +120,13 @@
         long sentAt = lease.checkSentAt;
         lease.checkSentAt = 0;
         if (event.code() == ResponseCode.OK) {
+            noteProcess(invoker, event.connectedSinceMicros());
             lease.consecutiveFailures = 0;
+            lease.mayHaveEnded = false;
             lease.expiresAt = sentAt + leaseMicros();
-            noteProcess(invoker, event.connectedSinceMicros());
         } else {
             lease.expiresAt = 0;
+            lease.mayHaveEnded |= event.code() != ResponseCode.TIMEOUT;
             int doublings = Math.min(MAX_DOUBLINGS, lease.consecutiveFailures++);
             long pause = Math.min(MAX_RETRY_MICROS, RETRY_MICROS << doublings);
             lease.nextCheckAt = state.now + pause;
@@ -138,15 +140,15 @@
 
     /**
      * Guards an invoker that has started anew unheard against the load of one that is warm: where
-     * no connection has lasted since it was last known, and time enough for a restart has passed,
-     * it counts as just started.
+     * no connection has lasted since it was last known, and it refused a check or time enough for a
+     * restart has passed, it counts as just started.
      */
     private void noteProcess(InvokerState invoker, long connectedSinceMicros) {
         ReadinessLease lease = invoker.readiness;
         long listedAt = Math.min(listReceivedAt, state.now);
         long knownAt = Math.max(lease.sameProcessAt, listedAt);
         boolean timeEnough = state.now - knownAt > SHORTEST_RESTART_MICROS;
-        if (timeEnough && connectedSinceMicros > knownAt) {
+        if ((timeEnough || lease.mayHaveEnded) && connectedSinceMicros > knownAt) {
             invoker.clearInstances();
             invoker.clearHealth();
             invoker.warmingSince = state.now;
--- a/src/test/java/waytrestle/platform/ScriptedInvoker.java
+++ b/src/test/java/waytrestle/platform/ScriptedInvoker.java
@@ -33,7 +33,12 @@
 
     /** Listens at a port, as an invoker does that has started again. */
     ScriptedInvoker(int port) throws IOException {
-        server = openServer(port, MAX_CONNECTIONS, this::handle);
+        try {
+            server = openServer(port, MAX_CONNECTIONS, this::handle);
+        } catch (IOException e) {
+            loop.stop();
+            throw e;
+        }
     }
 
     /** Another server on the same loop. */
--- a/src/test/java/waytrestle/scheduler/ReadinessLeasesTest.java
+++ b/src/test/java/waytrestle/scheduler/ReadinessLeasesTest.java
@@ -184,6 +184,27 @@
         assertTrue(keepsInstances(new SchedulerFixture(), 2 * SECOND, Long.MAX_VALUE), "no time");
     }
 
+    @Test
+    void anInvokerThatRefusedACheckAndPassesOneOnANewConnectionCountsAsJustStarted() {
+        for (long connectedSince : new long[] {1, Long.MAX_VALUE}) {
+            SchedulerFixture each = new SchedulerFixture();
+            each.mayCheckHealth = true;
+            each.start(ready("a"));
+            each.warm(1, "f");
+            each.feed(new ListFreshnessChanged(each.now));
+            each.now += LEASE_MICROS + 1;
+            checkedInvoker(each.request(2, "f"));
+            each.feed(new HealthCheckCompleted("a", ResponseCode.ERROR, 1, Map.of(), 1));
+            each.now += SECOND;
+            checkedInvoker(each.request(3, "f"));
+            each.feed(new HealthCheckCompleted("a", ResponseCode.OK, 1, Map.of(), connectedSince));
+            boolean kept =
+                    !allOf(each.request(4, "f", 3 * SECOND, 9 * SECOND), ForwardAttempt.class)
+                            .isEmpty();
+            assertEquals(connectedSince == 1, kept, "connected since " + connectedSince);
+        }
+    }
+
     /** Whether an instance there is still known after a check that passes so long after a loss. */
     private static boolean keepsInstances(
             SchedulerFixture scheduler, long afterMicros, long connectedSince) {
