--- a/src/main/java/waytrestle/controller/Attempt.java
+++ b/src/main/java/waytrestle/controller/Attempt.java
@@ -13,7 +13,7 @@
      * What is fixed when the scheduler decides on an attempt.
      *
      * @param estimateMicros the scheduler's estimate of the finish time, negative without one
-     * @param invokerWasReady whether the invoker was listed as ready
+     * @param invokerWasReady whether the scheduler took the invoker for ready
      */
     record Plan(
             int number,
--- a/src/main/java/waytrestle/controller/AttemptSender.java
+++ b/src/main/java/waytrestle/controller/AttemptSender.java
@@ -75,7 +75,7 @@
                         transport.now(),
                         giveUpAtMicros(request, command),
                         scheduler.estimateMicros(),
-                        connections.isReady(command.invoker()));
+                        connections.isReadyToScheduler(command.invoker()));
         return new Attempt(request, plan, completionHandler);
     }
 
--- a/src/main/java/waytrestle/controller/Controller.java
+++ b/src/main/java/waytrestle/controller/Controller.java
@@ -80,24 +80,9 @@
             ControllerListener listener,
             ControllerEnvironment environment) {
         StartupPreloadLimit preloadLimit = startupPreloadLimit(transport, dependencies.settings());
-        WorkReadiness readiness =
-                new WorkReadiness(
-                        transport,
-                        environment,
-                        connections,
-                        dependencies.scheduler(),
-                        listExpiry,
-                        listener);
+        WorkReadiness readiness = readiness(transport, dependencies, listener, environment);
         AttemptCompletionHandler completionHandler =
-                new AttemptCompletionHandler(
-                        transport,
-                        dispatcher,
-                        openRequests,
-                        connections,
-                        dependencies,
-                        listener,
-                        sendGuard,
-                        readiness);
+                completionHandler(transport, dependencies, listener, readiness);
         AttemptSender attemptSender =
                 new AttemptSender(
                         transport,
@@ -107,16 +92,6 @@
                         connections,
                         completionHandler,
                         listener);
-        InvokerOperations operations =
-                new InvokerOperations(
-                        transport,
-                        dependencies,
-                        dispatcher,
-                        connections,
-                        preloadLimit,
-                        readiness,
-                        sendGuard,
-                        listener);
         PendingRequestsCommandHandler pendingRequestsCommands =
                 new PendingRequestsCommandHandler(
                         transport,
@@ -133,6 +108,16 @@
                         attemptSender,
                         completionHandler,
                         listener);
+        InvokerOperations operations =
+                new InvokerOperations(
+                        transport,
+                        dependencies,
+                        dispatcher,
+                        connections,
+                        preloadLimit,
+                        readiness,
+                        sendGuard,
+                        listener);
         SchedulerCommandHandler schedulerCommands =
                 new SchedulerCommandHandler(
                         transport,
@@ -147,7 +132,38 @@
                 pendingRequestsCommands::execute,
                 classifierCommands::execute,
                 schedulerCommands::execute,
-                failureHandler(transport, dependencies, listener, environment));
+                failureHandler(transport, dependencies, listener, environment),
+                connections::schedulerNotified);
+    }
+
+    private WorkReadiness readiness(
+            Transport transport,
+            ControllerDependencies dependencies,
+            ControllerListener listener,
+            ControllerEnvironment environment) {
+        return new WorkReadiness(
+                transport,
+                environment,
+                connections,
+                dependencies.scheduler(),
+                listExpiry,
+                listener);
+    }
+
+    private AttemptCompletionHandler completionHandler(
+            Transport transport,
+            ControllerDependencies dependencies,
+            ControllerListener listener,
+            WorkReadiness readiness) {
+        return new AttemptCompletionHandler(
+                transport,
+                dispatcher,
+                openRequests,
+                connections,
+                dependencies,
+                listener,
+                sendGuard,
+                readiness);
     }
 
     private SchedulerFailureHandler failureHandler(
@@ -207,10 +223,12 @@
      *
      * @param receivedAtMicros from when on all that discovery holds counts as received here, unless
      *     it is heard from again; {@link Long#MAX_VALUE} where that is not limited
+     * @param catchingUp whether what is missing is being delivered
      */
-    public void listFreshnessChanged(long receivedAtMicros) {
+    public void listFreshnessChanged(long receivedAtMicros, boolean catchingUp) {
         listExpiry.receivedAt(receivedAtMicros);
-        dispatcher.dispatchToScheduler(new SchedulerEvent.ListFreshnessChanged(receivedAtMicros));
+        dispatcher.dispatchToScheduler(
+                new SchedulerEvent.ListFreshnessChanged(receivedAtMicros, catchingUp));
     }
 
     /** The endpoint list could not be fetched. */
--- a/src/main/java/waytrestle/controller/EventDispatcher.java
+++ b/src/main/java/waytrestle/controller/EventDispatcher.java
@@ -52,10 +52,12 @@
             Consumer<PendingRequests.Command> pendingRequestsCommands,
             Consumer<ClassifierCommand> classifierCommands,
             Consumer<SchedulerCommand> schedulerCommands,
-            SchedulerEventLoop.FailureHandler failureHandler) {
+            SchedulerEventLoop.FailureHandler failureHandler,
+            Runnable endpointsListener) {
         this.pendingRequestsCommandHandler = pendingRequestsCommands::accept;
         this.classifierCommandHandler = classifierCommands;
         schedulerLoop.connect(schedulerCommands, failureHandler);
+        schedulerLoop.onEndpointsHandled(endpointsListener);
     }
 
     /** Delivers an event to the pending requests, then lets the scheduler handle its queue. */
--- a/src/main/java/waytrestle/controller/InvokerConnections.java
+++ b/src/main/java/waytrestle/controller/InvokerConnections.java
@@ -22,6 +22,11 @@
     private final Map<String, InvokerEndpoint> endpoints = new HashMap<>();
     private final Set<String> readyInvokers = new HashSet<>();
 
+    /** Invokers that stopped being ready, of which the scheduler has not heard yet. */
+    private final Set<String> leavingInvokers = new HashSet<>();
+
+    private int updatesBeforeScheduler;
+
     InvokerConnections(
             Transport transport, EventDispatcher dispatcher, ControllerListener listener) {
         this.transport = transport;
@@ -42,6 +47,19 @@
         return readyInvokers.contains(invoker);
     }
 
+    /** Whether the scheduler takes the invoker for ready: it may hear of an update later. */
+    boolean isReadyToScheduler(String invoker) {
+        return isReady(invoker) || leavingInvokers.contains(invoker);
+    }
+
+    /** The scheduler has heard of an update. */
+    void schedulerNotified() {
+        updatesBeforeScheduler = Math.max(0, updatesBeforeScheduler - 1);
+        if (updatesBeforeScheduler == 0) {
+            leavingInvokers.clear();
+        }
+    }
+
     int clientCount() {
         return clients.size();
     }
@@ -132,6 +150,8 @@
     }
 
     private void updateReadiness(EndpointsUpdated update) {
+        updatesBeforeScheduler++;
+        Set<String> before = Set.copyOf(readyInvokers);
         if (update.snapshot()) {
             readyInvokers.clear();
         }
@@ -142,5 +162,10 @@
                 readyInvokers.remove(endpoint.id());
             }
         }
+        for (String invoker : before) {
+            if (!isReady(invoker)) {
+                leavingInvokers.add(invoker);
+            }
+        }
     }
 }
--- a/src/main/java/waytrestle/controller/InvokerOperations.java
+++ b/src/main/java/waytrestle/controller/InvokerOperations.java
@@ -97,7 +97,7 @@
 
         PreloadListener(SchedulerCommand.PreloadFunction command) {
             this.command = command;
-            this.invokerWasReady = connections.isReady(command.invoker());
+            this.invokerWasReady = connections.isReadyToScheduler(command.invoker());
         }
 
         @Override
--- a/src/main/java/waytrestle/controller/SchedulerEventLoop.java
+++ b/src/main/java/waytrestle/controller/SchedulerEventLoop.java
@@ -36,6 +36,7 @@
     private final ArrayDeque<SchedulerEvent> recentEvents = new ArrayDeque<>();
     private final List<SchedulerCommand> commands = new ArrayList<>();
     private Consumer<SchedulerCommand> commandHandler;
+    private Runnable endpointsListener = () -> {};
     private FailureHandler failureHandler;
     private boolean running;
 
@@ -50,6 +51,11 @@
         this.failureHandler = failureHandler;
     }
 
+    /** Sets who hears, before its commands, that the scheduler has handled an endpoint list. */
+    void onEndpointsHandled(Runnable listener) {
+        endpointsListener = listener;
+    }
+
     /** Queues an event for the next {@link #run}. */
     void enqueue(SchedulerEvent event) {
         queue.add(event);
@@ -78,6 +84,9 @@
         } catch (RuntimeException | StackOverflowError e) {
             failureHandler.schedulerThrew(event, recentEvents, e);
         }
+        if (event instanceof SchedulerEvent.EndpointsUpdated) {
+            endpointsListener.run();
+        }
         for (int i = 0; i < commands.size(); i++) {
             commandHandler.accept(commands.get(i));
         }
--- a/src/main/java/waytrestle/discovery/watch/ListFreshness.java
+++ b/src/main/java/waytrestle/discovery/watch/ListFreshness.java
@@ -9,6 +9,9 @@
  * requested again. The earliest one counts. It is over when the server has shown that nothing is
  * missing here.
  *
+ * <p>Lines and ends count from the earliest time at which they can have come: a process that has
+ * not run for a while finds old ones.
+ *
  * <p>Free of I/O, clocks and threads. Not thread-safe: used by the controller's event loop.
  */
 final class ListFreshness {
@@ -27,7 +30,7 @@
     private boolean current;
     private long receivedAtMicros = BEFORE_START;
     private long lastLineAtMicros;
-    private long requestedAtMicros;
+    private boolean catchingUp;
 
     /**
      * When all that the server holds counts as received. While nothing is missing this is when it
@@ -42,9 +45,16 @@
         return current;
     }
 
+    /**
+     * Whether missing events are being delivered: the next heartbeat will tell that none is left.
+     */
+    boolean isCatchingUp() {
+        return catchingUp;
+    }
+
     /** The connection has ended, or events are missing on it. */
-    void brokenOff(long nowMicros) {
-        atLatest(nowMicros + BROKEN_OFF_MICROS);
+    void brokenOff(long sinceMicros) {
+        atLatest(sinceMicros + BROKEN_OFF_MICROS);
     }
 
     /** The server has sent nothing new for longer than it may. */
@@ -59,29 +69,28 @@
 
     /** The events have been requested again on a new connection. */
     void requested(long nowMicros) {
-        requestedAtMicros = nowMicros;
         atLatest(nowMicros);
     }
 
     private void atLatest(long micros) {
         receivedAtMicros = Math.min(receivedAtMicros(), micros);
         current = false;
+        catchingUp = false;
     }
 
     /**
-     * The next event has come. While others may be missing, those up to the last request are being
-     * delivered, so that what counts begins with that request.
+     * The next event has come. While others may be missing the list counts for no more than before:
+     * those that are still to come have counted as received all the time.
      */
-    void eventReceived(long nowMicros) {
-        lastLineAtMicros = nowMicros;
-        if (!current) {
-            receivedAtMicros = Math.max(receivedAtMicros, requestedAtMicros);
-        }
+    void eventReceived(long sinceMicros) {
+        lastLineAtMicros = sinceMicros;
+        catchingUp = !current;
     }
 
     /** The server has reported that its last event is the last one known here. */
-    void caughtUp(long nowMicros) {
-        lastLineAtMicros = nowMicros;
+    void caughtUp(long sinceMicros) {
+        lastLineAtMicros = sinceMicros;
         current = true;
+        catchingUp = false;
     }
 }
--- a/src/main/java/waytrestle/discovery/watch/WatchClient.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchClient.java
@@ -26,6 +26,12 @@
     /** One event with some 20,000 endpoints; a longer line cannot exhaust the memory. */
     private static final int MAX_LINE_BYTES = 4 << 20;
 
+    /**
+     * Lateness of the event loop from which on what it finds does not count as just come, and time
+     * after that in which the rest of it is read.
+     */
+    private static final long LATE_MICROS = 50_000;
+
     private static final int MAX_UNREAD_BYTES = 64 * 1024;
     private static final int INITIAL_LINE_BYTES = 1_024;
 
@@ -39,6 +45,8 @@
     private InetSocketAddress address;
     private WatchConnection connection;
     private TimerHeap.Timer nextConnect;
+    private long lateReadAtMicros = Long.MIN_VALUE / 2;
+    private long earliestOfLateMicros;
 
     /**
      * Does not connect yet.
@@ -92,9 +100,18 @@
         loop.after(HEARTBEAT_CHECK_INTERVAL_MICROS, this::checkHeartbeat);
     }
 
-    /** Until when a connection is known to have been whole that is found ended now. */
-    private long lastCertainMicros() {
-        return Loop.now() - loop.behind();
+    /**
+     * The earliest time at which what is found now can have happened. What lay in the kernel while
+     * the process did not run is not all read at once: the end of a connection comes behind its
+     * last lines.
+     */
+    private long earliestMicros() {
+        long now = Loop.now();
+        if (loop.behind() > LATE_MICROS) {
+            lateReadAtMicros = now;
+            earliestOfLateMicros = now - loop.behind();
+        }
+        return now - lateReadAtMicros < LATE_MICROS ? earliestOfLateMicros : now;
     }
 
     private void handle(WatchState.Event event) {
@@ -185,7 +202,7 @@
                 fail(e.getMessage());
                 return;
             }
-            handle(new WatchState.LineReceived(event));
+            handle(new WatchState.LineReceived(event, earliestMicros()));
         }
 
         private void fail(String reason) {
@@ -197,14 +214,14 @@
                             + " reason=\""
                             + reason
                             + "\"");
-            handle(new WatchState.ConnectionFailed(lastCertainMicros()));
+            handle(new WatchState.ConnectionFailed(earliestMicros()));
         }
 
         @Override
         public void closed(IOException cause) {
             if (!dropped) {
                 dropped = true;
-                handle(new WatchState.ConnectionFailed(lastCertainMicros()));
+                handle(new WatchState.ConnectionFailed(earliestMicros()));
             }
         }
     }
--- a/src/main/java/waytrestle/discovery/watch/WatchState.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchState.java
@@ -34,8 +34,12 @@
     /** Something that happened. */
     public sealed interface Event {}
 
-    /** A line arrived: an event or a heartbeat. */
-    public record LineReceived(WatchEvent event) implements Event {}
+    /**
+     * A line arrived: an event or a heartbeat.
+     *
+     * @param sinceMicros the earliest time at which it can have come
+     */
+    public record LineReceived(WatchEvent event, long sinceMicros) implements Event {}
 
     /**
      * The connection ended, could not be made, or carried a line that cannot be read.
@@ -89,11 +93,13 @@
      * Tell the listener by when the list counts as outdated, at each change.
      *
      * @param current whether nothing is missing, so far as is known
+     * @param catchingUp whether missing events are being delivered
      * @param receivedAtMicros from when on all that the server holds counts as received here; while
      *     nothing is missing, if no further line comes
      * @param cause why the list may be outdated; of no meaning where nothing is missing
      */
-    public record PublishFreshness(boolean current, long receivedAtMicros, LossCause cause)
+    public record PublishFreshness(
+            boolean current, boolean catchingUp, long receivedAtMicros, LossCause cause)
             implements Command {}
 
     private final long longestStepMicros;
@@ -130,7 +136,7 @@
     /** Takes in what happened and passes on what to do about it, in order. */
     public void handle(long nowMicros, Event event, Consumer<Command> commands) {
         if (event instanceof LineReceived line) {
-            lineReceived(nowMicros, line.event(), commands);
+            lineReceived(nowMicros, line, commands);
         } else if (event instanceof RequestSent) {
             freshness.requested(nowMicros);
         } else if (event instanceof ConnectionFailed failed) {
@@ -149,7 +155,10 @@
         }
         PublishFreshness now =
                 new PublishFreshness(
-                        freshness.isCurrent(), freshness.receivedAtMicros(), lossCause);
+                        freshness.isCurrent(),
+                        freshness.isCatchingUp(),
+                        freshness.receivedAtMicros(),
+                        lossCause);
         if (!now.equals(published)) {
             published = now;
             commands.accept(now);
@@ -163,7 +172,8 @@
         }
     }
 
-    private void lineReceived(long nowMicros, WatchEvent event, Consumer<Command> commands) {
+    private void lineReceived(long nowMicros, LineReceived line, Consumer<Command> commands) {
+        WatchEvent event = line.event();
         if (event.isHeartbeat() && event.revision() < lastRevision) {
             // A server that is behind what was published here has nothing new to send: it counts
             // as silent, so that the client reconnects once the heartbeat time-out is over.
@@ -172,7 +182,7 @@
         silentSinceMicros = nowMicros;
         if (event.revision() > highestExpectedRevision(event)) {
             lost(LossCause.GAP);
-            freshness.brokenOff(nowMicros);
+            freshness.brokenOff(line.sinceMicros());
             reconnect(nowMicros, commands);
             return;
         }
@@ -182,10 +192,10 @@
             commands.accept(new PublishSynchronized());
         }
         if (event.isHeartbeat()) {
-            freshness.caughtUp(nowMicros);
+            freshness.caughtUp(line.sinceMicros());
         } else if (event.revision() == lastRevision + 1) {
             lastRevision = event.revision();
-            freshness.eventReceived(nowMicros);
+            freshness.eventReceived(line.sinceMicros());
             commands.accept(new PublishEvent(event));
         }
     }
--- a/src/main/java/waytrestle/http/HttpClient.java
+++ b/src/main/java/waytrestle/http/HttpClient.java
@@ -239,10 +239,15 @@
             long withinMicros, Withdrawal withdrawal, Handler handler, ByteBuffer... request) {
         Call call = new Call(request, withdrawal, handler);
         call.timer = loop.after(withinMicros, () -> call.end(Break.TIMEOUT, "no answer in time"));
-        if (call.withdrawn()) {
+        Link link = kept();
+        if (call.withdrawn()) { // asked behind the looks at connections: right before it is written
+            if (link != null && closed) {
+                link.drop();
+            } else if (link != null) {
+                idle.add(link);
+            }
             return call;
         }
-        Link link = kept();
         if (link == null) {
             onNew(call);
         } else {
--- a/src/main/java/waytrestle/platform/DiscoveryMonitor.java
+++ b/src/main/java/waytrestle/platform/DiscoveryMonitor.java
@@ -1,6 +1,5 @@
 package waytrestle.platform;
 
-import java.util.function.LongConsumer;
 import waytrestle.discovery.watch.WatchState;
 import waytrestle.net.Loop;
 
@@ -11,17 +10,23 @@
  * <p>Not thread-safe: used by the controller's event loop.
  */
 final class DiscoveryMonitor {
+    /** Hears by when the endpoint list counts as outdated. */
+    interface FreshnessListener {
+        /** See {@link waytrestle.controller.Controller#listFreshnessChanged}. */
+        void listFreshnessChanged(long receivedAtMicros, boolean catchingUp);
+    }
+
     private static final long MICROS_PER_MILLI = 1_000;
 
     private final PlatformLog log;
-    private final LongConsumer freshnessListener;
+    private final FreshnessListener freshnessListener;
     private long lostAtMicros;
     private boolean lost = true; // until the server has answered for the first time
     private long outages;
     private long longestOutageMicros;
 
     /** The listener gets the time from which on all that discovery holds counts as received. */
-    DiscoveryMonitor(PlatformLog log, LongConsumer freshnessListener) {
+    DiscoveryMonitor(PlatformLog log, FreshnessListener freshnessListener) {
         this.log = log;
         this.freshnessListener = freshnessListener;
         this.lostAtMicros = Loop.now();
@@ -35,7 +40,8 @@
         } else if (!freshness.current() && !lost) {
             lost(now, freshness, lastRevision);
         }
-        freshnessListener.accept(freshness.receivedAtMicros());
+        freshnessListener.listFreshnessChanged(
+                freshness.receivedAtMicros(), freshness.catchingUp());
     }
 
     private void lost(long now, WatchState.PublishFreshness freshness, long lastRevision) {
--- a/src/main/java/waytrestle/scheduler/ReadinessLeases.java
+++ b/src/main/java/waytrestle/scheduler/ReadinessLeases.java
@@ -19,13 +19,13 @@
     private static final long SLOW_CHECK_MICROS = 40_000; // far above a usual round trip
     private static final long RETRY_MICROS = 200_000; // after a check that failed; doubles in a row
     private static final long MAX_RETRY_MICROS = 1_600_000; // a few checks of a usual drain
-    private static final long LATE_HEARTBEAT_MICROS = 800_000; // one that may still renew the list
     private static final int MAX_DOUBLINGS = 3; // by then the pause is at its longest
     private static final int MAX_DEFERRED_PRELOADS = 2; // for each invoker, as may be in flight
     private static final long SHORTEST_RESTART_MICROS = 3_000_000; // of a drain, an end and a start
 
     private final SchedulerState state;
     private long listReceivedAt = SchedulerEvent.ListFreshnessChanged.CURRENT;
+    private boolean listCatchingUp;
 
     ReadinessLeases(SchedulerState state) {
         this.state = state;
@@ -34,6 +34,7 @@
     /** Discovery went out of reach or came back. */
     void freshnessChanged(SchedulerEvent.ListFreshnessChanged event) {
         listReceivedAt = event.receivedAtMicros();
+        listCatchingUp = event.catchingUp();
     }
 
     /** Whether the endpoint list may be acted on by itself. */
@@ -70,11 +71,10 @@
     }
 
     /**
-     * Whether no invoker can be found ready before discovery is back, and the list has been invalid
-     * for longer than a late heartbeat would explain.
+     * Whether no invoker can be found ready before discovery is back, and that is not about to be.
      */
     boolean isBlocked() {
-        return !mayCheck() && !isListValid(state.now - LATE_HEARTBEAT_MICROS);
+        return !mayCheck() && !listCatchingUp && !isListValid();
     }
 
     private boolean mayCheck() {
--- a/src/main/java/waytrestle/scheduler/SchedulerEvent.java
+++ b/src/main/java/waytrestle/scheduler/SchedulerEvent.java
@@ -74,8 +74,10 @@
      *
      * @param receivedAtMicros from when on all that discovery holds counts as received here, unless
      *     it is heard from again; {@link #CURRENT} where that is not limited
+     * @param catchingUp whether what is missing is being delivered
      */
-    record ListFreshnessChanged(long receivedAtMicros) implements SchedulerEvent {
+    record ListFreshnessChanged(long receivedAtMicros, boolean catchingUp)
+            implements SchedulerEvent {
         /** In place of a time: the endpoint list is current. */
         public static final long CURRENT = Long.MAX_VALUE;
     }
--- a/src/test/java/waytrestle/discovery/watch/ListFreshnessTest.java
+++ b/src/test/java/waytrestle/discovery/watch/ListFreshnessTest.java
@@ -44,11 +44,11 @@
     }
 
     private void receiveHeartbeat(long revision) {
-        handle(new WatchState.LineReceived(new WatchEvent(revision, false, null)));
+        handle(new WatchState.LineReceived(new WatchEvent(revision, false, null), nowMicros));
     }
 
     private void receiveEvent(long revision) {
-        handle(new WatchState.LineReceived(new WatchEvent(revision, false, List.of())));
+        handle(new WatchState.LineReceived(new WatchEvent(revision, false, List.of()), nowMicros));
     }
 
     /** It is current, and would be outdated from then on if nothing more came. */
@@ -79,6 +79,14 @@
         assertOutdatedAfter(2 * SECOND, WatchState.LossCause.CLOSED);
     }
 
+    @Test
+    void aHeartbeatThatIsReadLateCountsFromWhenItMayHaveCome() {
+        nowMicros += 3 * SECOND;
+        WatchEvent heartbeat = new WatchEvent(3, false, null);
+        handle(new WatchState.LineReceived(heartbeat, START_MICROS + SECOND));
+        assertCurrentUntil(5 * SECOND);
+    }
+
     @Test
     void aSilentServerOutdatesTheListFourSecondsAfterItsLastLine() {
         nowMicros += 2 * SECOND;
@@ -117,17 +125,18 @@
     }
 
     @Test
-    void aMissingEventOutdatesTheListAndSoDoesAnEventThatMayNotBeTheLast() {
+    void aMissingEventOutdatesTheListUntilTheServerReportsThatNoneIsLeft() {
         receiveHeartbeat(5);
         assertOutdatedAfter(2 * SECOND, WatchState.LossCause.GAP);
-        nowMicros += SECOND;
+        nowMicros += 3 * SECOND;
         handle(new WatchState.RequestSent());
         receiveEvent(4);
-        assertOutdatedAfter(SECOND, WatchState.LossCause.GAP);
+        assertOutdatedAfter(2 * SECOND, WatchState.LossCause.GAP);
+        assertTrue(published.catchingUp());
         receiveEvent(5);
-        assertOutdatedAfter(SECOND, WatchState.LossCause.GAP);
+        assertOutdatedAfter(2 * SECOND, WatchState.LossCause.GAP);
         receiveHeartbeat(5);
-        assertCurrentUntil(5 * SECOND);
+        assertCurrentUntil(7 * SECOND);
     }
 
     @Test
--- a/src/test/java/waytrestle/discovery/watch/WatchStateTest.java
+++ b/src/test/java/waytrestle/discovery/watch/WatchStateTest.java
@@ -38,11 +38,13 @@
     }
 
     private List<String> receiveEvent(long revision) {
-        return handle(new WatchState.LineReceived(new WatchEvent(revision, false, List.of())));
+        return handle(
+                new WatchState.LineReceived(new WatchEvent(revision, false, List.of()), nowMicros));
     }
 
     private List<String> receiveHeartbeat(long revision) {
-        return handle(new WatchState.LineReceived(new WatchEvent(revision, false, null)));
+        return handle(
+                new WatchState.LineReceived(new WatchEvent(revision, false, null), nowMicros));
     }
 
     private List<String> checkHeartbeat() {
--- a/src/test/java/waytrestle/platform/DiscoveryOutagePlay.java
+++ b/src/test/java/waytrestle/platform/DiscoveryOutagePlay.java
@@ -76,6 +76,7 @@
     private static final long COOL_DOWN_MILLIS = 1_500;
     private static final long RESTART_AT_MILLIS = 1_000;
     private static final long ENDED_MILLIS = 500;
+    private static final long SUSPENSION_LEAD_MILLIS = 1_100;
     private static final long RETURNED_WINDOW_MILLIS = 3_000;
 
     /** All limits of time are longer by this on sockets. */
@@ -165,7 +166,8 @@
 
     // ---- The outage. ----
     private void playOutage() throws Exception {
-        lostAtNanos = System.nanoTime() + Math.max(0, -scenario.drainAtMillis) * NANOS_PER_MILLI;
+        long leadMillis = Math.max(SUSPENSION_LEAD_MILLIS, -scenario.drainAtMillis);
+        lostAtNanos = System.nanoTime() + leadMillis * NANOS_PER_MILLI;
         counting = true;
         List<Callable<Void>> parts = new ArrayList<>();
         parts.add(this::loseAndRestore);
@@ -249,7 +251,7 @@
     }
 
     private Void suspendControllers() throws Exception {
-        sleepUntil(0);
+        sleepUntil(-SUSPENSION_LEAD_MILLIS);
         for (ControllerProcess controller : controllers) {
             controller.suspend();
         }
--- a/src/test/java/waytrestle/platform/OutageScenario.java
+++ b/src/test/java/waytrestle/platform/OutageScenario.java
@@ -35,7 +35,7 @@
     /** Whether a controller is killed and started again during the outage. */
     boolean restartsController;
 
-    /** How long all controllers are suspended from the loss on; 0 for not at all. */
+    /** Until when all controllers are suspended, from shortly before the loss; 0 for never. */
     long suspendedMillis;
 
     /** Of the configuration's text. */
--- a/src/test/java/waytrestle/platform/RepeatingClient.java
+++ b/src/test/java/waytrestle/platform/RepeatingClient.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.IntSupplier;
 
 /**
  * A client of the platform: one request at a time, on a connection that is kept or on a new one
@@ -42,10 +43,15 @@
     }
 
     private final boolean keepsConnection;
-    private int port;
+    private IntSupplier port;
     private Socket connection;
 
     RepeatingClient(int port, boolean keepsConnection) {
+        this(() -> port, keepsConnection);
+    }
+
+    /** Each new connection goes to the controller whose port is supplied then. */
+    RepeatingClient(IntSupplier port, boolean keepsConnection) {
         this.port = port;
         this.keepsConnection = keepsConnection;
     }
@@ -53,7 +59,7 @@
     /** From now on requests go to a controller at this port. */
     void moveTo(int newPort) throws IOException {
         disconnect();
-        port = newPort;
+        port = () -> newPort;
     }
 
     /** Sends a request, once more where its connection ended without a response. */
@@ -81,7 +87,7 @@
     private int attempt(String message) {
         try {
             if (connection == null) {
-                connection = new Socket(InetAddress.getLoopbackAddress(), port);
+                connection = new Socket(InetAddress.getLoopbackAddress(), port.getAsInt());
                 connection.setTcpNoDelay(true);
                 connection.setSoTimeout(RESPONSE_TIMEOUT_MILLIS);
             }
--- a/src/test/java/waytrestle/platform/SimulatedInvoker.java
+++ b/src/test/java/waytrestle/platform/SimulatedInvoker.java
@@ -5,7 +5,9 @@
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import waytrestle.http.HttpServer;
 
@@ -41,6 +43,7 @@
     private final long acceptMillis;
     private final List<Arrival> arrivals = Collections.synchronizedList(new ArrayList<>());
     private final Set<String> loaded = new HashSet<>();
+    private final Map<String, Integer> runs = new ConcurrentHashMap<>();
     private ScriptedInvoker server;
     private volatile State state = State.READY;
     private volatile long drainingSince;
@@ -63,6 +66,10 @@
         return port;
     }
 
+    State state() {
+        return state;
+    }
+
     /** All new work so far. */
     List<Arrival> arrivals() {
         synchronized (arrivals) {
@@ -70,6 +77,11 @@
         }
     }
 
+    /** How often the request of this id has begun to run here. */
+    int runs(String requestId) {
+        return runs.getOrDefault(requestId, 0);
+    }
+
     /** How often its health was checked. */
     int healthChecks() {
         return healthChecks;
@@ -152,6 +164,7 @@
         } else if (!isLoaded(exchange.message().header("x-name"))) {
             ScriptedInvoker.respond(exchange, 404, "");
         } else {
+            runs.merge(exchange.message().header("x-txn"), 1, Integer::sum);
             long millis = ThreadLocalRandom.current().nextInt(MIN_WORK_MILLIS, MAX_WORK_MILLIS + 1);
             server.schedule(
                     millis * MICROS_PER_MILLI,
--- a/src/test/java/waytrestle/scheduler/ReadinessLeasesTest.java
+++ b/src/test/java/waytrestle/scheduler/ReadinessLeasesTest.java
@@ -31,7 +31,7 @@
     private void startAndLoseDiscovery(InvokerEndpoint... invokers) {
         scheduler.mayCheckHealth = true;
         scheduler.start(invokers);
-        scheduler.feed(new ListFreshnessChanged(scheduler.now));
+        scheduler.feed(new ListFreshnessChanged(scheduler.now, false));
     }
 
     private List<SchedulerCommand> checked(String invoker, ResponseCode code) {
@@ -148,7 +148,7 @@
             scheduler.request(i, "g" + i);
             scheduler.completed(i, 0, "a", ResponseCode.OK, StartKind.COLD, 600_000);
         }
-        scheduler.feed(new ListFreshnessChanged(scheduler.now));
+        scheduler.feed(new ListFreshnessChanged(scheduler.now, false));
         scheduler.now += LEASE_MICROS + 1;
         List<SchedulerCommand> commands = scheduler.request(1, "f", SECOND, 4 * SECOND);
         onlyOne(commands, RejectRequest.class);
@@ -164,16 +164,17 @@
     @Test
     void whereHealthMayNotBeCheckedRequestsAreRejectedAtOnce() {
         scheduler.start(ready("a"));
-        scheduler.feed(new ListFreshnessChanged(scheduler.now));
+        long lostAt = scheduler.now;
+        scheduler.feed(new ListFreshnessChanged(lostAt, false));
         scheduler.now += LEASE_MICROS + 1;
         List<SchedulerCommand> commands = scheduler.request(1, "f");
-        assertEquals(List.of(), allOf(commands, RejectRequest.class), "a heartbeat may be late");
+        assertEquals(SECOND, onlyOne(commands, RejectRequest.class).retryAfterMicros());
         assertEquals(List.of(), allOf(commands, ForwardAttempt.class));
-        scheduler.now += SECOND;
+        scheduler.feed(new ListFreshnessChanged(lostAt, true));
         commands = scheduler.request(3, "f");
-        assertEquals(SECOND, onlyOne(commands, RejectRequest.class).retryAfterMicros());
+        assertEquals(List.of(), allOf(commands, RejectRequest.class), "it is about to be back");
         assertEquals(List.of(), allOf(commands, ForwardAttempt.class));
-        scheduler.feed(new ListFreshnessChanged(ListFreshnessChanged.CURRENT));
+        scheduler.feed(new ListFreshnessChanged(ListFreshnessChanged.CURRENT, false));
         assertEquals(1, allOf(scheduler.request(2, "f"), ForwardAttempt.class).size());
     }
 
@@ -191,7 +192,7 @@
             each.mayCheckHealth = true;
             each.start(ready("a"));
             each.warm(1, "f");
-            each.feed(new ListFreshnessChanged(each.now));
+            each.feed(new ListFreshnessChanged(each.now, false));
             each.now += LEASE_MICROS + 1;
             checkedInvoker(each.request(2, "f"));
             each.feed(new HealthCheckCompleted("a", ResponseCode.ERROR, 1, Map.of(), 1));
@@ -211,7 +212,7 @@
         scheduler.mayCheckHealth = true;
         scheduler.start(ready("a"));
         scheduler.warm(1, "f");
-        scheduler.feed(new ListFreshnessChanged(scheduler.now));
+        scheduler.feed(new ListFreshnessChanged(scheduler.now, false));
         scheduler.now += afterMicros;
         checkedInvoker(scheduler.request(2, "f"));
         long seen = Math.max(connectedSince, 1);
