Outage soak: its judge in a class of its own

Change: OutageHistory holds what was done to discovery, invokers and processes and judges late work by it; the soak plays.

--- a/src/test/java/waytrestle/platform/DiscoveryOutageSoak.java
+++ b/src/test/java/waytrestle/platform/DiscoveryOutageSoak.java
@@ -2,17 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import waytrestle.platform.RepeatingClient.SentRequest;
-import waytrestle.platform.SimulatedInvoker.Arrival;
 import waytrestle.platform.SimulatedInvoker.State;
 import waytrestle.platform.SimulatedWatchServer.Loss;
 
@@ -41,36 +38,6 @@
             int caughtByPauses,
             List<String> violations) {}
 
-    /** An outage of discovery, so far as it is known. */
-    private record Outage(long fromNanos, Loss loss) {}
-
-    /** When a controller did not run. */
-    private record Suspension(long fromNanos, long untilNanos) {}
-
-    /** An invoker that drains, and when it may get nothing new any more. */
-    private static final class Drain {
-        private final SimulatedInvoker invoker;
-        private final long fromNanos;
-        private final Outage outage;
-        private long untilNanos = Long.MAX_VALUE;
-
-        private Drain(SimulatedInvoker invoker, long fromNanos, Outage outage) {
-            this.invoker = invoker;
-            this.fromNanos = fromNanos;
-            this.outage = outage;
-        }
-
-        /** Requests for events are not held against controllers that have not sent them. */
-        private long limitNanos(long graceMillis) {
-            long told = fromNanos;
-            if (outage != null) {
-                long lossMillis = outage.loss().notifiedAfterMillis();
-                told = Math.max(told, outage.fromNanos() + lossMillis * NANOS_PER_MILLI);
-            }
-            return told + (graceMillis + SOCKET_SLACK_MILLIS) * NANOS_PER_MILLI;
-        }
-    }
-
     private static final int INVOKERS = 8;
     private static final int MIN_READY = 4;
     private static final int CLIENTS_EACH = 3;
@@ -78,10 +45,8 @@
     private static final int FUNCTIONS = 24;
     private static final long FIRST_FUNCTION = 0x7f3a9c21e0b4d000L;
     private static final long PLAY_MILLIS = 14_000;
-    private static final long SOCKET_SLACK_MILLIS = 50;
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int PERCENT = 100;
-    private static final long CAUGHT_MILLIS = 20;
 
     /** New connections still come to a controller for so long after SIGTERM. */
     private static final long NEW_CONNECTIONS_MILLIS = 300;
@@ -98,8 +63,6 @@
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final List<SimulatedInvoker> invokers = new ArrayList<>();
     private final List<Node> nodes = new ArrayList<>();
-    private final List<Drain> drains = Collections.synchronizedList(new ArrayList<>());
-    private final List<Suspension> suspensions = Collections.synchronizedList(new ArrayList<>());
     private final List<String> violations = Collections.synchronizedList(new ArrayList<>());
     private final AtomicInteger lastId = new AtomicInteger();
     private final AtomicInteger requests = new AtomicInteger();
@@ -107,9 +70,8 @@
     private final AtomicInteger cut = new AtomicInteger();
     private final AtomicInteger outages = new AtomicInteger();
     private final AtomicInteger signals = new AtomicInteger();
-    private final AtomicInteger caughtByPauses = new AtomicInteger();
+    private final OutageHistory history;
     private SimulatedWatchServer watchServer;
-    private volatile Outage outage;
     private volatile boolean playing = true;
 
     DiscoveryOutageSoak(long seed, int controllers) {
@@ -119,6 +81,7 @@
         this.checksHealth = random.nextInt(PERCENT) < 80;
         this.crowded = random.nextInt(PERCENT) < 40;
         this.graceMillis = random.nextBoolean() ? 1_000 : 2_000;
+        this.history = new OutageHistory(graceMillis);
     }
 
     /** Plays seeds one after another and prints a line for each. */
@@ -157,7 +120,7 @@
             for (Future<Void> part : parts) {
                 part.get();
             }
-            judgeArrivals();
+            violations.addAll(history.violations());
             nodes.forEach(Node::checkLog);
             return result();
         } finally {
@@ -172,10 +135,10 @@
                 served.get(),
                 cut.get(),
                 outages.get(),
-                drains.size(),
+                history.drains(),
                 signals.get(),
                 invokers.stream().mapToInt(SimulatedInvoker::healthChecks).sum(),
-                caughtByPauses.get(),
+                history.caughtByPauses(),
                 List.copyOf(violations));
     }
 
@@ -226,12 +189,12 @@
         while (playing) {
             pause(from, 200, 2_000);
             Loss loss = losses[from.nextInt(losses.length)];
-            outage = new Outage(System.nanoTime(), loss);
+            history.lost(loss);
             watchServer.lose(loss);
             outages.incrementAndGet();
             pause(from, 300, 8_000);
             watchServer.restore();
-            outage = null;
+            history.restored();
         }
         return null;
     }
@@ -244,8 +207,7 @@
             SimulatedInvoker invoker = invokers.get(from.nextInt(INVOKERS));
             long ready = invokers.stream().filter(each -> each.state() == State.READY).count();
             if (invoker.state() == State.READY && ready > MIN_READY) {
-                Drain drain = new Drain(invoker, System.nanoTime(), outage);
-                drains.add(drain);
+                OutageHistory.Drain drain = history.drained(invoker);
                 invoker.drain();
                 publish(invoker, "Terminating");
                 long returnSeed = from.nextLong();
@@ -258,14 +220,15 @@
         return null;
     }
 
-    private Void endAndReturn(Drain drain, Random from) throws Exception {
+    private Void endAndReturn(OutageHistory.Drain drain, Random from) throws Exception {
         pause(from, 1_500, 6_000);
-        drain.invoker.end();
-        publish(drain.invoker, "Gone");
+        SimulatedInvoker invoker = drain.invoker();
+        invoker.end();
+        publish(invoker, "Gone");
         pause(from, 300, 1_500);
-        drain.untilNanos = System.nanoTime();
-        drain.invoker.restart();
-        publish(drain.invoker, "Ready");
+        drain.returned();
+        invoker.restart();
+        publish(invoker, "Ready");
         return null;
     }
 
@@ -349,62 +312,6 @@
         violations.addAll(found);
     }
 
-    private void judgeArrivals() {
-        Set<Suspension> excused = new HashSet<>();
-        for (Drain drain : List.copyOf(drains)) {
-            long limit = drain.limitNanos(graceMillis);
-            for (Arrival arrival : drain.invoker.arrivals()) {
-                boolean during = arrival.atNanos() > limit && arrival.atNanos() < drain.untilNanos;
-                boolean late = during && arrival.state() != State.READY;
-                if (late && !isCaughtByPause(arrival, limit, excused)) {
-                    violations.add(
-                            "drain: "
-                                    + (arrival.preload() ? "a preload" : "a request")
-                                    + " reached "
-                                    + drain.invoker.id()
-                                    + " "
-                                    + (arrival.atNanos() - limit) / NANOS_PER_MILLI
-                                    + " ms late, "
-                                    + describe(drain, arrival));
-                }
-            }
-        }
-    }
-
-    /**
-     * Whether a pause of a controller caught it between the last check and the write: one at most
-     * for each pause, since a controller writes with one thread.
-     */
-    private boolean isCaughtByPause(Arrival arrival, long limit, Set<Suspension> excused) {
-        for (Suspension each : List.copyOf(suspensions)) {
-            long since = arrival.atNanos() - each.untilNanos();
-            boolean rightAfter = Math.abs(since) < CAUGHT_MILLIS * NANOS_PER_MILLI;
-            if (rightAfter && each.fromNanos() < limit && excused.add(each)) {
-                caughtByPauses.incrementAndGet();
-                return true;
-            }
-        }
-        return false;
-    }
-
-    /** What happened around it, in milliseconds before the arrival. */
-    private String describe(Drain drain, Arrival arrival) {
-        StringBuilder text = new StringBuilder("drain ");
-        text.append((arrival.atNanos() - drain.fromNanos) / NANOS_PER_MILLI);
-        if (drain.outage != null) {
-            long since = (arrival.atNanos() - drain.outage.fromNanos()) / NANOS_PER_MILLI;
-            text.append(", outage ").append(drain.outage.loss()).append(' ').append(since);
-        }
-        for (Suspension each : List.copyOf(suspensions)) {
-            long from = (arrival.atNanos() - each.fromNanos()) / NANOS_PER_MILLI;
-            long until = (arrival.atNanos() - each.untilNanos()) / NANOS_PER_MILLI;
-            if (from >= 0 && until < PLAY_MILLIS / 2) {
-                text.append(", suspended ").append(from).append(" to ").append(until);
-            }
-        }
-        return text.toString();
-    }
-
     private void close() throws Exception {
         playing = false;
         threads.shutdownNow();
@@ -451,7 +358,7 @@
                     process.suspend();
                     pause(from, 50, 1_500);
                     process.resume();
-                    suspensions.add(new Suspension(suspendedAt, System.nanoTime()));
+                    history.suspended(suspendedAt);
                     signals.addAndGet(2);
                 } else if (drawn < 75) {
                     endAndStart(from);
