Broken connections: the test breaks them after the run has begun; a pause unnoticed, red

It breaks the connection at the second read, which a loop that is more than 50 ms late makes right behind the first, before it handles the request; since overslept waits count as lateness, a busy machine is enough. The request had not run, and closing at once is right then.

Change: the connection breaks when the invoker has begun the run, with the same bound on the close.

--- a/src/test/java/waytrestle/platform/RunRecorder.java
+++ b/src/test/java/waytrestle/platform/RunRecorder.java
@@ -18,6 +18,7 @@
     private volatile int unrunPercent;
     private volatile long minWorkMillis = 1;
     private volatile long maxWorkMillis = 2;
+    private volatile Runnable onRun = () -> {};
 
     /** Becomes the script of these invokers. */
     RunRecorder(ScriptedInvoker... invokers) {
@@ -32,6 +33,11 @@
         maxWorkMillis = most;
     }
 
+    /** This is done at the beginning of each run. */
+    void onRun(Runnable action) {
+        onRun = action;
+    }
+
     /** So many requests in a hundred are answered as not run, by each answer that says so. */
     void leaveUnrun(int percent) {
         unrunPercent = percent;
@@ -48,6 +54,7 @@
             return;
         }
         runs.computeIfAbsent(id, unused -> new AtomicInteger()).incrementAndGet();
+        onRun.run();
         long millis = ThreadLocalRandom.current().nextLong(minWorkMillis, maxWorkMillis + 1);
         invoker.schedule(millis * MICROS_PER_MILLI, () -> answer(exchange, id));
     }
