Loop: what came during a stop of the process is looked for in the turn that notices the stop

Cause: the selector's wait, interrupted by SIGSTOP and SIGCONT, returns with nothing found. The loop noticed that it had overslept, but handled nothing in that turn; the next turn found what had come and took it for new. So neither was the watch read first nor a client's end looked for.

Change: a wait that was overslept and found nothing is followed by a look at all channels in the same turn.

Result: the request of CrossingCloseTest does not run any more after a stop of 1.5 s.

--- a/src/main/java/waytrestle/net/Loop.java
+++ b/src/main/java/waytrestle/net/Loop.java
@@ -296,6 +296,12 @@
             // A process that was stopped in its wait cannot tell what came meanwhile from what has
             // just come: requests would seem to have all their time left, and events to be new.
             waited = now() - begin <= wait + LONG_TURN;
+            if (!waited && selector.selectedKeys().isEmpty()) {
+                // The stop has interrupted the wait: without a look in this turn, the next one
+                // would
+                // take what came during the stop for new.
+                selector.selectNow();
+            }
         }
     }
 
