Repeats: a request whose client left before anything was written is run when it comes again

Cause: an attempt counted as one that may run from the moment it was handed over. Where the guard, right before the first byte, finds that the client has gone, the request was abandoned as "may have run" and its repeat by the same id answered 502.

Change: AttemptWaiting and AttemptSent tell the pending requests what of an attempt is out. One that was withdrawn with nothing written leaves no memory; one that may have been written is remembered as before, also while it connects anew after the first check. The emulator's host asks the guard as the sockets do.

--- a/src/main/java/waytrestle/controller/AttemptCompletionHandler.java
+++ b/src/main/java/waytrestle/controller/AttemptCompletionHandler.java
@@ -81,10 +81,16 @@
      */
     ExchangeResult.Kind withdrawal(Attempt attempt) {
         OpenRequest request = attempt.request();
+        // Guards against a repeat that is not run although the request never was: its client may be
+        // found to have left right here, before anything was written.
+        dispatcher.notifyPendingRequests(
+                new PendingRequests.AttemptWaiting(request.id(), attempt.number()));
         request.firstClient().checkConnected();
         SendGuard.Refusal refusal = sendGuard.refusal(request.sendHistory(), intent(attempt));
         if (refusal == null) {
             readiness.sent(ControllerListener.WorkKind.ATTEMPT);
+            dispatcher.notifyPendingRequests(
+                    new PendingRequests.AttemptSent(request.id(), attempt.number()));
             return null;
         }
         listener.sendRefused(request.incoming(), attempt.number(), attempt.invoker(), refusal);
--- a/src/main/java/waytrestle/controller/InvokerClient.java
+++ b/src/main/java/waytrestle/controller/InvokerClient.java
@@ -56,8 +56,9 @@
     /** Something that waits for a connection and may be withdrawn before it is sent. */
     interface Withdrawable {
         /**
-         * Called before the first byte is sent, which may be late: how the exchange ends instead,
-         * or null to send it.
+         * To be called before the first byte is sent, which may be late, and again before each
+         * further try while nothing has been written: how the exchange ends instead, or null to
+         * send it. What was never asked for counts as not sent.
          */
         default ExchangeResult.Kind withdrawal() {
             return null;
--- a/src/main/java/waytrestle/emulator/SimHost.java
+++ b/src/main/java/waytrestle/emulator/SimHost.java
@@ -192,6 +192,11 @@
         public Runnable sendAttempt(
                 IncomingRequest call, String key, int attempt, long within, AttemptListener ended) {
             Attempt a = new Attempt(id, ended);
+            Kind withdrawal = ended.withdrawal();
+            if (withdrawal != null) {
+                clock.after(0, () -> a.end(AttemptResult.of(withdrawal)));
+                return () -> {};
+            }
             long work = Emulation.workOf(call);
             clock.after(
                     network.delay(controller, id),
--- a/src/main/java/waytrestle/requests/AttemptLog.java
+++ b/src/main/java/waytrestle/requests/AttemptLog.java
@@ -19,10 +19,15 @@
     private static final class Attempt {
         final long forwardedAt;
         boolean inFlight;
+        boolean sent;
 
         Attempt(long forwardedAt) {
             this.forwardedAt = forwardedAt;
         }
+
+        boolean mayStillRun() {
+            return inFlight && sent;
+        }
     }
 
     /** By attempt number; a number that was never forwarded is not in flight. */
@@ -45,6 +50,20 @@
         forwardedAttempts++;
     }
 
+    /** Nothing of the attempt has been written so far: if it is withdrawn now, it has not run. */
+    void waiting(int number) {
+        if (isInFlight(number)) {
+            attempts.get(number).sent = false;
+        }
+    }
+
+    /** The attempt may be written, and may run, from now on. */
+    void sent(int number) {
+        if (isInFlight(number)) {
+            attempts.get(number).sent = true;
+        }
+    }
+
     /** Records what came back last, also of an attempt that was withheld. */
     void responseReceived(ResponseCode code, String responseText) {
         lastCode = code;
@@ -81,6 +100,10 @@
         return false;
     }
 
+    boolean anyMayStillRun() {
+        return attempts.stream().anyMatch(Attempt::mayStillRun);
+    }
+
     /**
      * When the first attempt that has run, may have run or may still run was forwarded; {@link
      * #NEVER} if the function is proved not to have run.
@@ -88,7 +111,7 @@
     long mayHaveRunSince() {
         long first = completedMayHaveRunSince;
         for (Attempt attempt : attempts) {
-            if (attempt.inFlight) {
+            if (attempt.mayStillRun()) {
                 first = earlier(first, attempt.forwardedAt);
             }
         }
--- a/src/main/java/waytrestle/requests/PendingRequests.java
+++ b/src/main/java/waytrestle/requests/PendingRequests.java
@@ -64,9 +64,15 @@
     /** The connection of a waiting client was closed. */
     public record ClientDisconnected(long clientId) implements Event {}
 
-    /** An attempt of the request was sent to an invoker. */
+    /** An attempt of the request was handed over to be sent; it may still be withdrawn. */
     public record AttemptForwarded(long requestId, int attempt) implements RequestEvent {}
 
+    /** A forwarded attempt waits for its connection: nothing of it has been written so far. */
+    public record AttemptWaiting(long requestId, int attempt) implements RequestEvent {}
+
+    /** The first byte of a forwarded attempt may be written from now on. */
+    public record AttemptSent(long requestId, int attempt) implements RequestEvent {}
+
     /**
      * An attempt ended.
      *
@@ -246,6 +252,10 @@
     private void handle(PendingRequest request, RequestEvent event) {
         if (event instanceof AttemptForwarded forwarded) {
             request.attempts.forwarded(forwarded.attempt(), now);
+        } else if (event instanceof AttemptWaiting waiting) {
+            request.attempts.waiting(waiting.attempt());
+        } else if (event instanceof AttemptSent sent) {
+            request.attempts.sent(sent.attempt());
         } else if (event instanceof AttemptCompleted completed) {
             attemptCompleted(request, completed);
         } else if (event instanceof SchedulerRejectedRequest rejected) {
@@ -372,7 +382,7 @@
         if (!request.clients.isEmpty()) {
             return;
         }
-        if (cancelsAttempts || !request.attempts.anyInFlight()) {
+        if (cancelsAttempts || !request.attempts.anyMayStillRun()) {
             abandon(request);
         } else if (!request.detached) {
             // Guards against a repeat that runs beside the attempt which its client left behind:
--- a/src/test/java/waytrestle/requests/AttemptLogTest.java
+++ b/src/test/java/waytrestle/requests/AttemptLogTest.java
@@ -20,7 +20,19 @@
     @Test
     void functionMayRunWhileAnAttemptIsInFlight() {
         attempts.forwarded(0, 100);
+        attempts.sent(0);
         assertEquals(100, attempts.mayHaveRunSince());
+        assertTrue(attempts.anyMayStillRun());
+    }
+
+    @Test
+    void functionHasNotRunWhileItsAttemptsWaitForTheirConnections() {
+        attempts.forwarded(0, 100);
+        assertFalse(attempts.mayHaveRun());
+        attempts.sent(0);
+        attempts.waiting(0);
+        assertFalse(attempts.mayHaveRun());
+        assertTrue(attempts.anyInFlight());
     }
 
     @Test
--- a/src/test/java/waytrestle/requests/PendingRequestsTest.java
+++ b/src/test/java/waytrestle/requests/PendingRequestsTest.java
@@ -12,6 +12,7 @@
 import waytrestle.requests.PendingRequests.AbandonRequest;
 import waytrestle.requests.PendingRequests.AttemptCompleted;
 import waytrestle.requests.PendingRequests.AttemptForwarded;
+import waytrestle.requests.PendingRequests.AttemptSent;
 import waytrestle.requests.PendingRequests.ClientDisconnected;
 import waytrestle.requests.PendingRequests.DeadlineExpired;
 import waytrestle.requests.PendingRequests.RespondToClient;
@@ -48,6 +49,7 @@
 
     private void serve(long requestId) {
         fixture.handle(new AttemptForwarded(requestId, 0));
+        fixture.handle(new AttemptSent(requestId, 0));
         fixture.handle(new AttemptCompleted(requestId, 0, ResponseCode.OK, RESPONSE, true, "200"));
     }
 
@@ -101,6 +103,25 @@
         assertEquals(0, fixture.pending.waitingClients());
     }
 
+    /** It was remembered as one that may have run, and its repeat failed with "abandoned". */
+    @Test
+    void repeatOfARequestWhoseClientLeftBeforeItsAttemptWasSentIsANewRequest() {
+        long first = fixture.start(1, NON_IDEMPOTENT, "a");
+        fixture.handle(new AttemptForwarded(first, 0));
+        fixture.handle(new ClientDisconnected(1));
+        assertTrue(fixture.start(2, NON_IDEMPOTENT, "a") > first);
+    }
+
+    @Test
+    void repeatOfARequestWhoseClientLeftAfterItsAttemptWasSentDoesNotRun() {
+        long requestId = fixture.start(1, NON_IDEMPOTENT, "a");
+        fixture.handle(new AttemptForwarded(requestId, 0));
+        fixture.handle(new AttemptSent(requestId, 0));
+        fixture.handle(new ClientDisconnected(1));
+        fixture.arrive(2, NON_IDEMPOTENT, "a", 3 * SECOND);
+        assertTrue(fixture.commands().stream().noneMatch(StartRequest.class::isInstance));
+    }
+
     @Test
     void schedulerRejectionIsPassedOnOnlyIfRetryingIsProvedHarmless() {
         for (Idempotency idempotency : Idempotency.values()) {
@@ -133,6 +154,7 @@
         String key = "key " + idempotency + " " + code;
         long requestId = fixture.start(10, idempotency.ordinal(), key);
         fixture.handle(new AttemptForwarded(requestId, 0));
+        fixture.handle(new AttemptSent(requestId, 0));
         if (code != null) {
             fixture.handle(new AttemptCompleted(requestId, 0, code, null, false, "x"));
         }
@@ -161,6 +183,7 @@
                         PendingRequestsFixture.classOf(Idempotency.KEYED, DeduplicationScope.ALL));
         long requestId = allDeduplicate.start(1, 0, null);
         allDeduplicate.handle(new AttemptForwarded(requestId, 0));
+        allDeduplicate.handle(new AttemptSent(requestId, 0));
         allDeduplicate.now += micros;
         allDeduplicate.handle(new SchedulerRejectedRequest(requestId, 0, -1));
         return allDeduplicate.outcomeOf(1);
@@ -170,6 +193,7 @@
     void requestThatTheSchedulerDidNotEndFailsJustBeforeItsDeadline() {
         long requestId = fixture.start(1, NON_IDEMPOTENT, "a");
         fixture.handle(new AttemptForwarded(requestId, 0));
+        fixture.handle(new AttemptSent(requestId, 0));
         fixture.now += 3 * SECOND - TICK / 2;
         fixture.handle(new DeadlineExpired(1));
         assertEquals(failedAfter("", Reason.DEADLINE_EXCEEDED), fixture.outcomeOf(1));
--- a/src/test/java/waytrestle/requests/RandomEventRun.java
+++ b/src/test/java/waytrestle/requests/RandomEventRun.java
@@ -15,6 +15,7 @@
 import waytrestle.Bytes;
 import waytrestle.requests.PendingRequests.AttemptCompleted;
 import waytrestle.requests.PendingRequests.AttemptForwarded;
+import waytrestle.requests.PendingRequests.AttemptSent;
 import waytrestle.requests.PendingRequests.ClientDisconnected;
 import waytrestle.requests.PendingRequests.Command;
 import waytrestle.requests.PendingRequests.DeadlineExpired;
@@ -79,13 +80,14 @@
 
     private Event nextEvent() {
         long requestId = requestIds.get(random.nextInt(requestIds.size()));
-        return switch (random.nextInt(9)) {
+        return switch (random.nextInt(10)) {
             case 0, 1, 2 -> arrival();
             case 3 -> disconnection();
             case 4 -> new AttemptForwarded(requestId, random.nextInt(MAX_ATTEMPTS));
             case 5 -> attemptCompletion(requestId);
             case 6 -> new SchedulerRejectedRequest(requestId, 5, random.nextInt(9) - 2);
-            case 7 -> new SchedulerFailedRequest(requestId);
+            case 7 -> new AttemptSent(requestId, random.nextInt(MAX_ATTEMPTS));
+            case 8 -> new SchedulerFailedRequest(requestId);
             default -> new SchedulerThrew(requestId);
         };
     }
