--- a/src/main/java/waytrestle/discovery/ConsulPoller.java
+++ b/src/main/java/waytrestle/discovery/ConsulPoller.java
@@ -12,10 +12,13 @@
 import waytrestle.discovery.EndpointDirectory.Poll;
 import waytrestle.discovery.EndpointDirectory.PollFailed;
 import waytrestle.discovery.EndpointDirectory.SnapshotReceived;
+import waytrestle.http.ExchangeBreak;
+import waytrestle.http.Held;
 import waytrestle.http.HttpClient;
 import waytrestle.http.HttpLimits;
 import waytrestle.http.HttpMessage;
 import waytrestle.http.HttpWriter;
+import waytrestle.http.ResponseHandler;
 import waytrestle.invoker.InferProtocol;
 import waytrestle.net.Loop;
 import waytrestle.net.SocketAddresses;
@@ -102,7 +105,8 @@
                         responseLimits(),
                         MAX_CONNECTIONS,
                         settings.connectTimeoutMicros(),
-                        settings.waitMicros());
+                        settings.waitMicros(),
+                        new Held(Long.MAX_VALUE));
     }
 
     /** The time limits are those of a server; a client has one for the whole exchange. */
@@ -163,15 +167,15 @@
                 HttpWriter.request("GET", target(index), SocketAddresses.format(settings.address()))
                         .header(InferProtocol.CONTROLLER, settings.controllerIndex())
                         .head(0);
-        HttpClient.Handler handler =
-                new HttpClient.Handler() {
+        ResponseHandler handler =
+                new ResponseHandler() {
                     @Override
                     public void answered(HttpMessage response) {
                         onResult.accept(readResponse(response));
                     }
 
                     @Override
-                    public void broken(HttpClient.Break how, String why) {
+                    public void broken(ExchangeBreak how, String why) {
                         onResult.accept(new PollFailed());
                     }
                 };
--- a/src/main/java/waytrestle/emulator/Emulation.java
+++ b/src/main/java/waytrestle/emulator/Emulation.java
@@ -24,7 +24,7 @@
 import waytrestle.discovery.EndpointDirectory;
 import waytrestle.front.Fronts;
 import waytrestle.gateway.GatewayControllerListener;
-import waytrestle.http.HttpClient.Break;
+import waytrestle.http.ExchangeBreak;
 import waytrestle.metrics.Metrics;
 import waytrestle.overload.OverloadControl;
 import waytrestle.play.Cast;
@@ -560,11 +560,21 @@
                         if (!c.up || c.stopping) {
                             clock.after(
                                     delay(false),
-                                    () -> end(over, () -> handler.broken(Break.NO_CONNECTION)));
+                                    () ->
+                                            end(
+                                                    over,
+                                                    () ->
+                                                            handler.broken(
+                                                                    ExchangeBreak.NO_CONNECTION)));
                             return;
                         }
                         Runnable cut =
-                                () -> end(over, () -> handler.broken(Break.AFTER_FIRST_BYTE));
+                                () ->
+                                        end(
+                                                over,
+                                                () ->
+                                                        handler.broken(
+                                                                ExchangeBreak.AFTER_FIRST_BYTE));
                         c.cuts.add(cut);
                         byte[] payload =
                                 ("{\"work_ms\":" + call.workMs() + "}")
@@ -618,7 +628,7 @@
                                         if (ticket[0] != null) {
                                             ticket[0].clientDisconnected();
                                         }
-                                        handler.broken(Break.TIMEOUT);
+                                        handler.broken(ExchangeBreak.TIMEOUT);
                                     }));
         }
 
--- a/src/main/java/waytrestle/gateway/HttpInvokerClient.java
+++ b/src/main/java/waytrestle/gateway/HttpInvokerClient.java
@@ -4,8 +4,10 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import waytrestle.controller.InvokerClient;
+import waytrestle.http.ExchangeBreak;
 import waytrestle.http.HttpClient;
 import waytrestle.http.HttpMessage;
+import waytrestle.http.ResponseHandler;
 import waytrestle.responses.ExchangeResult.Kind;
 
 /** What the ways to invokers over HTTP share, whatever protocol is spoken on them. */
@@ -32,20 +34,20 @@
                     return how == null
                             ? null
                             : how == Kind.CANCELLED
-                                    ? HttpClient.Break.CANCELLED
-                                    : HttpClient.Break.NO_ROOM;
+                                    ? ExchangeBreak.CANCELLED
+                                    : ExchangeBreak.NO_ROOM;
                 };
         return client.call(
                 within,
                 withdrawal,
-                new HttpClient.Handler() {
+                new ResponseHandler() {
                     @Override
                     public void answered(HttpMessage m) {
                         answered.accept(m);
                     }
 
                     @Override
-                    public void broken(HttpClient.Break how, String why) {
+                    public void broken(ExchangeBreak how, String why) {
                         broken.accept(of(how));
                     }
                 },
@@ -55,7 +57,7 @@
     /**
      * The line is the first byte of the request: before it the invoker cannot have run anything.
      */
-    private static Kind of(HttpClient.Break how) {
+    private static Kind of(ExchangeBreak how) {
         return switch (how) {
             case NO_CONNECTION, BEFORE_FIRST_BYTE -> Kind.NOT_CONNECTED;
             case AFTER_FIRST_BYTE -> Kind.CONNECTION_LOST;
--- a/src/main/java/waytrestle/http/HttpClient.java
+++ b/src/main/java/waytrestle/http/HttpClient.java
@@ -20,77 +20,49 @@
  * Requests to one peer over a bounded pool of kept connections, one request at a time on each. It
  * reports how an exchange ended in terms of what was on the wire; what that proves is for the
  * caller to say.
+ *
+ * <p>Not thread-safe: used by its loop alone.
  */
 public final class HttpClient {
-    /** Where an exchange broke. */
-    public enum Break {
-        NO_CONNECTION,
-        BEFORE_FIRST_BYTE,
-        AFTER_FIRST_BYTE,
-        MALFORMED,
-        TIMEOUT,
-        CANCELLED,
-        NO_ROOM
-    }
-
     /** Before anything of a request is written: how it ends instead, or null to go on. */
     public interface Withdrawal {
-        Break now();
+        /** Called right before the first byte is written, and again before each further try. */
+        ExchangeBreak now();
     }
 
-    /** Hears of one end, on the loop and never within the call that began the exchange. */
-    public interface Handler {
-        void answered(HttpMessage message);
-
-        void broken(Break how, String why);
-    }
+    /** Connections begun for one request: so many resets in a row tell of the server. */
+    private static final int MAX_CONNECTIONS_PER_CALL = 3;
 
     private final Loop loop;
     private final InetSocketAddress peer;
     private final HttpLimits limits;
     private final int maxConnections;
-    private final long connectMicros, idleMicros;
+    private final long connectMicros;
+    private final long idleMicros;
     private final Held held;
-    private final ArrayDeque<Link> idle = new ArrayDeque<>();
-    private int open;
+
+    /** Idle connections, the last used at the end. */
+    private final ArrayDeque<PooledConnection> idle = new ArrayDeque<>();
 
     /** Open connections in the order in which they were begun. */
-    private final Set<Link> links = new LinkedHashSet<>();
-
-    private static final int ANEW =
-            3; // connections begun for one request: so many resets in a row tell of the server
-    private static final int INTERIM =
-            16; // interim answers (1xx) to one request: more say nothing more
-    private static final long YOUNG =
-            4_000_000; // micros since its use in which no server closes a kept connection:
-    // the shortest usual bound is five seconds
-    private static final long AT_ONCE =
-            100_000; // micros in which all connections of a process that ends close
-    private Runnable lost = () -> {};
-    private long youngClosedAt = Long.MIN_VALUE / 2;
-    private long strays;
-    private boolean closed;
-    private long stallMicros = Long.MAX_VALUE, restMicros;
-    private Slots slots = new Slots(Integer.MAX_VALUE);
+    private final Set<PooledConnection> connections = new LinkedHashSet<>();
 
-    /** With no bound on all answers but those on each and on connections. */
-    public HttpClient(
-            Loop loop,
-            InetSocketAddress peer,
-            HttpLimits limits,
-            int maxConnections,
-            long connectMicros,
-            long idleMicros) {
-        this(
-                loop,
-                peer,
-                limits,
-                maxConnections,
-                connectMicros,
-                idleMicros,
-                new Held(Long.MAX_VALUE));
-    }
+    private final PeerEndDetector peerEnd = new PeerEndDetector();
+    private Slots slots = new Slots(Integer.MAX_VALUE);
+    private Runnable onLost = () -> {};
+    private long stallMicros = Long.MAX_VALUE;
+    private long restMicros;
+    private long strayResponses;
+    private boolean closed;
 
+    /**
+     * Creates a client without any connection.
+     *
+     * @param maxConnections to the peer, idle ones included
+     * @param connectMicros for a connection to come up
+     * @param idleMicros for which an idle connection is kept
+     * @param held the bytes that incomplete responses of this and other clients may hold
+     */
     public HttpClient(
             Loop loop,
             InetSocketAddress peer,
@@ -112,8 +84,8 @@
      * Hears that all connections were closed by the other side at once, kept ones among them that
      * were used lately.
      */
-    public HttpClient lost(Runnable told) {
-        lost = told;
+    public HttpClient lost(Runnable listener) {
+        onLost = listener;
         return this;
     }
 
@@ -138,20 +110,22 @@
         return this;
     }
 
+    /** Open connections, idle ones and those that are coming up included. */
     public int open() {
-        return open;
+        return connections.size();
     }
 
     /** When the oldest open connection came up; {@link Long#MAX_VALUE} without one. */
     public long connectedSince() {
-        for (Link link : links) {
-            if (link.up) {
-                return link.upSince;
+        for (PooledConnection connection : connections) {
+            if (connection.isUp) {
+                return connection.upSince;
             }
         }
         return Long.MAX_VALUE;
     }
 
+    /** Idle connections. */
     public int idle() {
         return idle.size();
     }
@@ -160,9 +134,10 @@
      * How often bytes came on a connection with no request out: a second answer, or part of one.
      */
     public long strays() {
-        return strays;
+        return strayResponses;
     }
 
+    /** Closes the connections that are idle now. */
     public void closeIdle() {
         while (!idle.isEmpty()) {
             idle.poll().drop();
@@ -178,14 +153,14 @@
     /** A request under way. */
     public final class Call {
         private final ByteBuffer[] request;
-        private final Handler handler;
+        private final ResponseHandler handler;
         private final Withdrawal withdrawal;
-        private Link link;
-        private TimerHeap.Timer timer;
-        private boolean over;
-        private int begun;
+        private PooledConnection connection;
+        private TimerHeap.Timer deadline;
+        private boolean hasEnded;
+        private int connectionsBegun;
 
-        private Call(ByteBuffer[] request, Withdrawal withdrawal, Handler handler) {
+        private Call(ByteBuffer[] request, Withdrawal withdrawal, ResponseHandler handler) {
             this.request = request;
             this.withdrawal = withdrawal;
             this.handler = handler;
@@ -193,41 +168,50 @@
 
         /** Whether it is not to be written any more, and has ended by that. */
         private boolean withdrawn() {
-            Break how = over ? null : withdrawal.now();
+            ExchangeBreak how = hasEnded ? null : withdrawal.now();
             if (how != null) {
                 end(how, "withdrawn before it was sent");
             }
-            return over;
+            return hasEnded;
         }
 
         /** Ends it as cancelled and closes its connection, which is how the peer learns of it. */
         public void cancel() {
-            end(Break.CANCELLED, "cancelled");
+            end(ExchangeBreak.CANCELLED, "cancelled");
         }
 
-        private void end(Break how, String why) {
-            if (over) {
+        private void end(ExchangeBreak how, String why) {
+            if (hasEnded) {
                 return;
             }
-            over = true;
-            timer.cancel();
-            if (link != null) {
-                link.call = null;
-                link.reset();
+            hasEnded = true;
+            deadline.cancel();
+            if (connection != null) {
+                connection.call = null;
+                connection.reset();
             }
             loop.after(0, () -> handler.broken(how, why));
         }
 
         private void answered(HttpMessage message) {
-            over = true;
-            timer.cancel();
-            link = null;
+            hasEnded = true;
+            deadline.cancel();
+            connection = null;
             handler.answered(message);
         }
+
+        /** The same bytes for each try. */
+        private ByteBuffer[] copyOfRequest() {
+            ByteBuffer[] copy = new ByteBuffer[request.length];
+            for (int i = 0; i < request.length; i++) {
+                copy[i] = request[i].duplicate();
+            }
+            return copy;
+        }
     }
 
     /** Sends a request; the head and body are handed over. */
-    public Call call(long withinMicros, Handler handler, ByteBuffer... request) {
+    public Call call(long withinMicros, ResponseHandler handler, ByteBuffer... request) {
         return call(withinMicros, () -> null, handler, request);
     }
 
@@ -236,179 +220,191 @@
      * comes up.
      */
     public Call call(
-            long withinMicros, Withdrawal withdrawal, Handler handler, ByteBuffer... request) {
+            long withinMicros,
+            Withdrawal withdrawal,
+            ResponseHandler handler,
+            ByteBuffer... request) {
         Call call = new Call(request, withdrawal, handler);
-        call.timer = loop.after(withinMicros, () -> call.end(Break.TIMEOUT, "no answer in time"));
-        Link link = kept();
-        if (call.withdrawn()) { // asked behind the looks at connections: right before it is written
-            if (link != null && closed) {
-                link.drop();
-            } else if (link != null) {
-                idle.add(link);
-            }
-            return call;
-        }
-        if (link == null) {
-            onNew(call);
+        call.deadline =
+                loop.after(
+                        withinMicros, () -> call.end(ExchangeBreak.TIMEOUT, "no answer in time"));
+        PooledConnection connection = takeIdle();
+        // Asked behind the looks at idle connections, which take time: right before it is written.
+        if (call.withdrawn()) {
+            giveBack(connection);
+        } else if (connection == null) {
+            openConnectionFor(call);
         } else {
-            link.idleTimer.cancel();
-            slots.noLongerIdle(link);
-            link.take(call);
+            connection.idleTimer.cancel();
+            slots.noLongerIdle(connection);
+            connection.begin(call);
         }
         return call;
     }
 
+    /** Returns a connection, if any, that was taken and not used. */
+    private void giveBack(PooledConnection connection) {
+        if (connection == null) {
+            return;
+        }
+        if (closed) {
+            connection.drop();
+        } else {
+            idle.add(connection);
+        }
+    }
+
     /**
      * The last used that has rested is the least likely to have been closed by the peer; null
      * without one.
      */
-    private Link kept() {
+    private PooledConnection takeIdle() {
         long now = Loop.now();
-        for (Iterator<Link> all = idle.descendingIterator(); all.hasNext(); ) {
-            Link link = all.next();
-            if (now - link.usedAt >= restMicros) {
-                IdleState found = link.connection.idle();
-                if (found == IdleState.UNKNOWN) {
-                    continue; // the look failed: it stays idle, and is looked at the next time
-                }
-                all.remove();
-                if (link.fit(found)) {
-                    return link;
-                }
+        for (Iterator<PooledConnection> all = idle.descendingIterator(); all.hasNext(); ) {
+            PooledConnection candidate = all.next();
+            if (now - candidate.usedAt < restMicros) {
+                continue;
+            }
+            IdleState state = candidate.transport.idle();
+            if (state == IdleState.UNKNOWN) {
+                continue; // the look failed: it stays idle, and is looked at the next time
+            }
+            all.remove();
+            if (candidate.isUsable(state)) {
+                return candidate;
             }
         }
         return null;
     }
 
-    private void onNew(Call call) {
-        if (open >= maxConnections || !slots.take()) {
-            call.end(Break.NO_ROOM, "all connections that may be made to the invoker are in use");
+    private void openConnectionFor(Call call) {
+        if (open() >= maxConnections || !slots.take()) {
+            call.end(
+                    ExchangeBreak.NO_ROOM,
+                    "all connections that may be made to the invoker are in use");
             return;
         }
-        Link link = new Link();
-        link.connection = Connection.open(loop, peer, limits.bodyBytes(), connectMicros, link);
-        open++;
-        links.add(link);
-        call.begun++;
-        link.take(call);
+        PooledConnection connection = new PooledConnection();
+        connection.transport =
+                Connection.open(loop, peer, limits.bodyBytes(), connectMicros, connection);
+        connections.add(connection);
+        call.connectionsBegun++;
+        connection.begin(call);
     }
 
-    private final class Link implements ConnectionHandler {
-        private final HttpParser parser = HttpParser.responses(limits);
-        private Connection connection;
+    private void openAnotherConnectionFor(Call call) {
+        if (!call.withdrawn()) {
+            openConnectionFor(call);
+        }
+    }
+
+    /** A connection to the peer, with at most one request at a time. */
+    private final class PooledConnection implements ConnectionHandler {
+        private final ResponseReader responses = new ResponseReader(limits, held);
+        private Connection transport;
         private Call call;
-        private TimerHeap.Timer idleTimer, stallTimer;
-        private boolean up, dropped;
-        private int interim;
+        private TimerHeap.Timer idleTimer;
+        private TimerHeap.Timer stallTimer;
+        private boolean isUp;
+        private boolean isDropped;
         private long usedAt;
         private long upSince;
-        private long has; // bytes of an answer that is not whole yet
         private long writtenBefore;
 
-        /** Whether it may be used again; if not it is dropped. */
-        private boolean fit(IdleState found) {
-            if (found == IdleState.SPOKE) {
-                strays++;
+        /** Whether an idle one may be used again; if not it is dropped. */
+        private boolean isUsable(IdleState state) {
+            if (state == IdleState.SPOKE) {
+                strayResponses++;
                 drop();
-            } else if (found == IdleState.ENDED) {
+            } else if (state == IdleState.ENDED) {
                 closed(null);
             }
-            return found == IdleState.FIT;
+            return state == IdleState.FIT;
         }
 
-        private void take(Call next) {
+        private void begin(Call next) {
             call = next;
-            next.link = this;
-            if (up) {
+            next.connection = this;
+            if (isUp) {
                 write();
             }
         }
 
-        /** It came up late: what it was made for may have been withdrawn meanwhile. */
-        private boolean stillWanted() {
-            return call != null && !call.withdrawn();
-        }
-
         private void write() {
-            writtenBefore = connection.written();
-            ByteBuffer[] request = new ByteBuffer[call.request.length];
-            for (int i = 0; i < request.length; i++) {
-                request[i] =
-                        call.request[i].duplicate(); // it may have to be written again, on another
-                // connection
-            }
-            connection.send(request);
+            writtenBefore = transport.written();
+            transport.send(call.copyOfRequest());
         }
 
         @Override
         public void connected() {
-            up = true;
+            isUp = true;
             upSince = Loop.now();
-            if (stillWanted()) {
+            // It may have come up late: what it was made for may have been withdrawn meanwhile.
+            if (call != null && !call.withdrawn()) {
                 write();
             }
         }
 
         @Override
         public void received(ByteBuffer in) {
-            int bytes = in.remaining();
-            moved();
+            cancelStallTimer();
             try {
-                HttpMessage message = parser.next(in);
-                while (message != null && message.status() < 200) {
-                    if (call == null || message.status() == 101 || ++interim > INTERIM) {
-                        throw new HttpError(400, "an interim answer that nobody asked for");
-                    }
-                    message = parser.next(in);
-                }
+                HttpMessage message = responses.next(in, call != null);
                 if (message == null) {
-                    if (!held.add(has, bytes)) {
-                        throw new HttpError(413, "answers together hold as much as they may");
-                    }
-                    has += bytes;
-                    if (stallMicros < Long.MAX_VALUE) {
-                        stallTimer =
-                                loop.after(
-                                        stallMicros,
-                                        () -> fail(Break.MALFORMED, "the answer stopped short"));
-                    }
-                    return;
-                }
-                held.release(has);
-                has = 0;
-                Call done = call;
-                if (done == null) {
-                    strays++;
-                    drop();
-                    return;
-                }
-                boolean more = in.hasRemaining(); // a second answer must not reach the connection's
-                // next call
-                strays += more ? 1 : 0;
-                call = null;
-                interim = 0;
-                if (closed || more || !message.keepsAlive() || connection.pending() > 0) {
-                    drop();
+                    awaitRest();
                 } else {
-                    usedAt = Loop.now();
-                    idleTimer = loop.after(idleMicros, this::drop);
-                    idle.add(this);
-                    slots.idle(this, this::drop);
+                    completed(message, in.hasRemaining());
                 }
-                done.answered(message);
             } catch (HttpError e) {
-                fail(Break.MALFORMED, e.getMessage());
+                fail(ExchangeBreak.MALFORMED, e.getMessage());
+            }
+        }
+
+        private void awaitRest() {
+            if (stallMicros < Long.MAX_VALUE) {
+                stallTimer = loop.after(stallMicros, this::stalled);
+            }
+        }
+
+        private void stalled() {
+            fail(ExchangeBreak.MALFORMED, "the answer stopped short");
+        }
+
+        private void completed(HttpMessage message, boolean moreFollows) {
+            Call answered = call;
+            if (answered == null) {
+                strayResponses++;
+                drop();
+                return;
             }
+            strayResponses += moreFollows ? 1 : 0;
+            call = null;
+            // A second response must not reach the connection's next request.
+            boolean reusable =
+                    !closed && !moreFollows && message.keepsAlive() && transport.pending() == 0;
+            if (reusable) {
+                becomeIdle();
+            } else {
+                drop();
+            }
+            answered.answered(message);
+        }
+
+        private void becomeIdle() {
+            usedAt = Loop.now();
+            idleTimer = loop.after(idleMicros, this::drop);
+            idle.add(this);
+            slots.idle(this, this::drop);
         }
 
-        private void moved() {
+        private void cancelStallTimer() {
             if (stallTimer != null) {
                 stallTimer.cancel();
                 stallTimer = null;
             }
         }
 
-        private void fail(Break how, String why) {
+        private void fail(ExchangeBreak how, String why) {
             Call broken = call;
             if (broken != null) {
                 broken.end(how, why);
@@ -419,74 +415,80 @@
 
         @Override
         public void closed(IOException why) {
-            HttpMessage whole = parser.closed();
+            HttpMessage complete = responses.closed();
             Call broken = call;
-            boolean kept = broken == null && !dropped;
+            boolean wasIdle = broken == null && !isDropped;
             drop();
-            if (kept && Loop.now() - usedAt < YOUNG) {
-                youngClosedAt = Loop.now();
-            }
-            if (open == 0 && !closed && Loop.now() - youngClosedAt < AT_ONCE) {
-                youngClosedAt = Long.MIN_VALUE / 2;
-                loop.after(0, lost);
-            }
+            noteClose(wasIdle);
             if (broken == null) {
                 return;
             }
-            if (whole != null) {
+            if (complete != null) {
                 call = null;
-                broken.answered(whole);
-                return;
+                broken.answered(complete);
+            } else if (why instanceof NoSocketException) {
+                // Nothing was sent, and nobody refused: it tells of this connection alone, as any
+                // client takes it.
+                broken.end(ExchangeBreak.NO_ROOM, why.getMessage());
+            } else if (mayBeSentAgain(broken, why)) {
+                broken.connection = null;
+                loop.after(0, () -> openAnotherConnectionFor(broken));
+            } else {
+                broken.end(
+                        howItBroke(),
+                        why == null ? "the peer closed" : String.valueOf(why.getMessage()));
             }
-            Break how =
-                    !up
-                            ? Break.NO_CONNECTION
-                            : connection.written() == writtenBefore
-                                    ? Break.BEFORE_FIRST_BYTE
-                                    : Break.AFTER_FIRST_BYTE;
-            // Nothing was sent, and nobody refused: it tells of this connection alone, as any
-            // client takes it.
-            if (why instanceof NoSocketException) {
-                broken.end(Break.NO_ROOM, why.getMessage());
-                return;
+        }
+
+        private void noteClose(boolean wasIdle) {
+            if (wasIdle) {
+                peerEnd.idleConnectionClosed(Loop.now(), usedAt);
+            }
+            if (connections.isEmpty() && !closed && peerEnd.hasEnded(Loop.now())) {
+                loop.after(0, onLost);
+            }
+        }
+
+        private ExchangeBreak howItBroke() {
+            if (!isUp) {
+                return ExchangeBreak.NO_CONNECTION;
             }
+            boolean nothingWritten = transport.written() == writtenBefore;
+            return nothingWritten
+                    ? ExchangeBreak.BEFORE_FIRST_BYTE
+                    : ExchangeBreak.AFTER_FIRST_BYTE;
+        }
+
+        /** Nothing of it was written, and nobody has refused the connection. */
+        private boolean mayBeSentAgain(Call broken, IOException why) {
             boolean refused =
                     why instanceof ConnectException || why instanceof SocketTimeoutException;
-            if (how != Break.AFTER_FIRST_BYTE && !refused && !closed && broken.begun < ANEW) {
-                broken.link = null;
-                loop.after(
-                        0,
-                        () -> {
-                            if (!broken.withdrawn()) {
-                                onNew(broken);
-                            }
-                        });
-                return;
-            }
-            broken.end(how, why == null ? "the peer closed" : String.valueOf(why.getMessage()));
+            return howItBroke() != ExchangeBreak.AFTER_FIRST_BYTE
+                    && !refused
+                    && !closed
+                    && broken.connectionsBegun < MAX_CONNECTIONS_PER_CALL;
         }
 
         private void reset() {
-            connection.reset();
+            transport.reset();
             drop();
         }
 
         private void drop() {
-            if (!dropped) {
-                dropped = true;
-                moved();
-                held.release(has);
-                has = 0;
-                open--;
-                links.remove(this);
-                slots.free();
-                slots.noLongerIdle(this);
-                idle.remove(this);
-                if (idleTimer != null) {
-                    idleTimer.cancel();
-                }
-                connection.close();
+            if (isDropped) {
+                return;
+            }
+            isDropped = true;
+            cancelStallTimer();
+            responses.release();
+            connections.remove(this);
+            slots.free();
+            slots.noLongerIdle(this);
+            idle.remove(this);
+            if (idleTimer != null) {
+                idleTimer.cancel();
             }
+            transport.close();
         }
     }
 }
--- a/src/main/java/waytrestle/load/LoadRun.java
+++ b/src/main/java/waytrestle/load/LoadRun.java
@@ -18,10 +18,13 @@
 import waytrestle.Bytes;
 import waytrestle.config.GatewayConfig;
 import waytrestle.front.webhook.Signatures;
+import waytrestle.http.ExchangeBreak;
+import waytrestle.http.Held;
 import waytrestle.http.HttpClient;
 import waytrestle.http.HttpLimits;
 import waytrestle.http.HttpMessage;
 import waytrestle.http.HttpWriter;
+import waytrestle.http.ResponseHandler;
 import waytrestle.invoker.InferProtocol;
 import waytrestle.net.Loop;
 
@@ -93,7 +96,8 @@
                                         LIMITS,
                                         plan.connections(),
                                         2_000_000,
-                                        60_000_000));
+                                        60_000_000,
+                                        new Held(Long.MAX_VALUE)));
             }
         }
     }
@@ -180,7 +184,7 @@
         clients.get(to)
                 .call(
                         s.deadlineMicros(),
-                        new HttpClient.Handler() {
+                        new ResponseHandler() {
                             @Override
                             public void answered(HttpMessage m) {
                                 ended(
@@ -195,7 +199,7 @@
                             }
 
                             @Override
-                            public void broken(HttpClient.Break how, String why) {
+                            public void broken(ExchangeBreak how, String why) {
                                 ended(
                                         s,
                                         function,
--- a/src/main/java/waytrestle/play/Clients.java
+++ b/src/main/java/waytrestle/play/Clients.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
-import waytrestle.http.HttpClient.Break;
+import waytrestle.http.ExchangeBreak;
 import waytrestle.scheduler.Idempotency;
 import waytrestle.scheduler.SchedulerSettings.RequestClass;
 import waytrestle.standin.Env;
@@ -35,7 +35,7 @@
     public interface Handler {
         void answered(int status, boolean harmless, long retryAfterMillis);
 
-        void broken(Break how);
+        void broken(ExchangeBreak how);
     }
 
     /** How clients reach controllers: sockets, or the emulator. */
@@ -224,7 +224,7 @@
                         }
 
                         @Override
-                        public void broken(Break how) {
+                        public void broken(ExchangeBreak how) {
                             open--;
                             broke(now, how);
                         }
@@ -263,16 +263,16 @@
             }
         }
 
-        void broke(int tryNumber, Break how) {
+        void broke(int tryNumber, ExchangeBreak how) {
             boolean unreachable =
-                    how == Break.NO_CONNECTION
-                            || how == Break.BEFORE_FIRST_BYTE
-                            || how == Break.NO_ROOM;
-            boolean left = how == Break.TIMEOUT && leaveAfter > 0;
+                    how == ExchangeBreak.NO_CONNECTION
+                            || how == ExchangeBreak.BEFORE_FIRST_BYTE
+                            || how == ExchangeBreak.NO_ROOM;
+            boolean left = how == ExchangeBreak.TIMEOUT && leaveAfter > 0;
             saw(
                     unreachable
                             ? "unreached"
-                            : left ? "left" : how == Break.TIMEOUT ? "unanswered" : "cut",
+                            : left ? "left" : how == ExchangeBreak.TIMEOUT ? "unanswered" : "cut",
                     tryNumber,
                     0,
                     false);
--- a/src/main/java/waytrestle/play/HttpWay.java
+++ b/src/main/java/waytrestle/play/HttpWay.java
@@ -9,10 +9,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import waytrestle.front.webhook.Signatures;
+import waytrestle.http.ExchangeBreak;
+import waytrestle.http.Held;
 import waytrestle.http.HttpClient;
 import waytrestle.http.HttpLimits;
 import waytrestle.http.HttpMessage;
 import waytrestle.http.HttpWriter;
+import waytrestle.http.ResponseHandler;
 import waytrestle.net.Loop;
 import waytrestle.scheduler.SchedulerSettings.RequestClass;
 
@@ -31,7 +34,14 @@
         this.classes = classes;
         for (InetSocketAddress each : at) {
             controllers.add(
-                    new HttpClient(loop, each, HttpLimits.DEFAULT, 4_000, 500_000, 10_000_000));
+                    new HttpClient(
+                            loop,
+                            each,
+                            HttpLimits.DEFAULT,
+                            4_000,
+                            500_000,
+                            10_000_000,
+                            new Held(Long.MAX_VALUE)));
             hosts.add("127.0.0.1:" + each.getPort());
         }
     }
@@ -52,7 +62,7 @@
                 .get(controller)
                 .call(
                         within,
-                        new HttpClient.Handler() {
+                        new ResponseHandler() {
                             @Override
                             public void answered(HttpMessage m) {
                                 if (m.status() == 200) {
@@ -76,7 +86,7 @@
                             }
 
                             @Override
-                            public void broken(HttpClient.Break how, String why) {
+                            public void broken(ExchangeBreak how, String why) {
                                 handler.broken(how);
                             }
                         },
--- a/src/test/java/waytrestle/http/HttpClientTest.java
+++ b/src/test/java/waytrestle/http/HttpClientTest.java
@@ -43,7 +43,8 @@
                         HttpLimits.DEFAULT,
                         100,
                         500_000,
-                        5_000_000)
+                        5_000_000,
+                        new Held(Long.MAX_VALUE))
                 .within(slots);
     }
 
@@ -59,14 +60,14 @@
                 () ->
                         by.call(
                                 3_000_000,
-                                new HttpClient.Handler() {
+                                new ResponseHandler() {
                                     @Override
                                     public void answered(HttpMessage m) {
                                         ends.add("answered " + m.status());
                                     }
 
                                     @Override
-                                    public void broken(HttpClient.Break how, String why) {
+                                    public void broken(ExchangeBreak how, String why) {
                                         ends.add(how.name());
                                     }
                                 },
@@ -213,16 +214,13 @@
     @Test
     void whatIsWithdrawnBeforeItIsWrittenNeverLeaves() throws Exception {
         BlockingQueue<String> bodies = new ArrayBlockingQueue<>(10);
-        loop.execute(() -> ask(() -> HttpClient.Break.NO_ROOM, bodies, () -> {}));
+        loop.execute(() -> ask(() -> ExchangeBreak.NO_ROOM, bodies, () -> {}));
         assertEquals("NO_ROOM", bodies.poll(10, TimeUnit.SECONDS));
         AtomicInteger asked = new AtomicInteger();
         loop.execute(
                 () ->
                         ask(
-                                () ->
-                                        asked.getAndIncrement() == 0
-                                                ? null
-                                                : HttpClient.Break.CANCELLED,
+                                () -> asked.getAndIncrement() == 0 ? null : ExchangeBreak.CANCELLED,
                                 bodies,
                                 () -> {}));
         assertEquals("CANCELLED", bodies.poll(10, TimeUnit.SECONDS));
@@ -248,7 +246,7 @@
         client.call(
                 3_000_000,
                 withdrawal,
-                new HttpClient.Handler() {
+                new ResponseHandler() {
                     @Override
                     public void answered(HttpMessage m) {
                         bodies.add(new String(m.body(), StandardCharsets.US_ASCII));
@@ -256,7 +254,7 @@
                     }
 
                     @Override
-                    public void broken(HttpClient.Break how, String why) {
+                    public void broken(ExchangeBreak how, String why) {
                         bodies.add(how.name());
                     }
                 },
