Outage judge: each controller has a watch server of its own, so that its requests for events are its own

Cause: events count as received by a controller as soon as it requests them again. The judge took the first such request of any controller for all. With 46 controllers whose heartbeats are spread over a second that is up to a second too early for the others: 62 and 92 late pieces of work in two plays of the silent outage, first at 1.88 s, which is the first request (0.83 s), the grace and the slack.

Change: a watch server for each controller, and requests told apart by the client that sent them. A restarted controller's request, which was not held against anybody where connections stay open, now counts for it. Preload requests carry no sender: the last controller's request counts for them.

--- a/src/test/java/waytrestle/platform/DiscoveryOutagePlay.java
+++ b/src/test/java/waytrestle/platform/DiscoveryOutagePlay.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -95,7 +96,13 @@
     private final AtomicInteger requests = new AtomicInteger();
     private final AtomicInteger served = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
-    private SimulatedWatchServer watchServer;
+
+    /** By controller, so that it is known which one has requested events again. */
+    private final List<SimulatedWatchServer> watchServers = new ArrayList<>();
+
+    /** The controller that a request was sent to, by its id. */
+    private final Map<String, Integer> controllerOfRequest = new ConcurrentHashMap<>();
+
     private long lostAtNanos;
     private volatile boolean sending = true;
     private volatile boolean counting;
@@ -126,8 +133,8 @@
             invokers.add(new SimulatedInvoker("s-" + i, scenario.acceptMillis));
         }
         String known = event(1, true, invokers, "Ready");
-        watchServer = new SimulatedWatchServer(known);
         for (int i = 0; i < scenario.controllers; i++) {
+            watchServers.add(new SimulatedWatchServer(known));
             ControllerProcess controller = new ControllerProcess();
             configurations.put(controller, configuration(i, known));
             controllers.add(controller.start(configurations.get(controller)));
@@ -139,7 +146,7 @@
 
     private String configuration(int index, String known) {
         String text =
-                PlatformFixture.configurationJson("256", watchServer.port(), known)
+                PlatformFixture.configurationJson("256", watchServers.get(index).port(), known)
                         .replace(
                                 "\"me\":0,\"balancers\":1",
                                 "\"me\":" + index + ",\"balancers\":" + scenario.controllers)
@@ -161,7 +168,9 @@
     }
 
     private void publish(List<SimulatedInvoker> changed, String health) {
-        watchServer.publish(event(watchServer.nextRevision(), false, changed, health));
+        for (SimulatedWatchServer each : watchServers) {
+            each.publish(event(each.nextRevision(), false, changed, health));
+        }
     }
 
     // ---- The outage. ----
@@ -188,7 +197,9 @@
     private Void loseAndRestore() throws Exception {
         sleepUntil(0);
         if (scenario.loss != Loss.NONE) {
-            watchServer.lose(scenario.loss);
+            for (SimulatedWatchServer each : watchServers) {
+                each.lose(scenario.loss);
+            }
         }
         if (scenario.loss == Loss.MOVED) {
             moveControllers();
@@ -196,20 +207,23 @@
         sleepUntil(scenario.outageMillis);
         counting = false;
         if (scenario.loss != Loss.NONE) {
-            watchServer.restore();
+            for (SimulatedWatchServer each : watchServers) {
+                each.restore();
+            }
         }
         return null;
     }
 
     /** The configuration names the new address; the process is signalled. */
     private void moveControllers() throws Exception {
-        for (ControllerProcess controller : controllers) {
+        for (int i = 0; i < controllers.size(); i++) {
+            ControllerProcess controller = controllers.get(i);
             String moved =
                     configurations
                             .get(controller)
                             .replaceFirst(
                                     "\"board\":\"127.0.0.1:\\d+\"",
-                                    "\"board\":\"127.0.0.1:" + watchServer.port() + "\"");
+                                    "\"board\":\"127.0.0.1:" + watchServers.get(i).port() + "\"");
             configurations.put(controller, moved);
             controller.writeConfiguration(moved);
             controller.reload();
@@ -270,20 +284,23 @@
     // ---- Clients. ----
     private List<Future<Void>> startClients() {
         List<Future<Void>> clients = new ArrayList<>();
-        for (ControllerProcess controller : controllers) {
-            for (int i = 0; i < CLIENTS_EACH; i++) {
+        for (int i = 0; i < controllers.size(); i++) {
+            int controller = i;
+            for (int j = 0; j < CLIENTS_EACH; j++) {
                 clients.add(threads.submit(() -> playClient(controller)));
             }
         }
         return clients;
     }
 
-    private Void playClient(ControllerProcess controller) throws Exception {
-        try (RepeatingClient client = new RepeatingClient(controller.port(), true)) {
+    private Void playClient(int controller) throws Exception {
+        try (RepeatingClient client =
+                new RepeatingClient(controllers.get(controller).port(), true)) {
             while (sending) {
                 ThreadLocalRandom random = ThreadLocalRandom.current();
                 Thread.sleep(random.nextInt(2 * PAUSE_MILLIS));
                 String id = PlatformFixture.correlationId(lastId.incrementAndGet());
+                controllerOfRequest.put(id, controller);
                 int number = (int) (FUNCTIONS * random.nextDouble() * random.nextDouble());
                 String function = "%016x".formatted(FIRST_FUNCTION + number);
                 boolean counts = counting;
@@ -317,13 +334,10 @@
         int returnedWork = 0;
         long firstLate = Long.MAX_VALUE;
         for (Drain drain : drains) {
-            long limit =
-                    notifiedAt(drain)
-                            + (scenario.graceMillis + SOCKET_SLACK_MILLIS) * NANOS_PER_MILLI;
             long returnedUntil = drain.untilNanos() + RETURNED_WINDOW_MILLIS * NANOS_PER_MILLI;
             for (Arrival arrival : drain.invoker().arrivals()) {
                 boolean draining = arrival.state() != State.READY;
-                if (draining && arrival.atNanos() > limit) {
+                if (draining && arrival.atNanos() > limit(drain, arrival)) {
                     lateRequests += arrival.preload() ? 0 : 1;
                     latePreloads += arrival.preload() ? 1 : 0;
                     firstLate = Math.min(firstLate, arrival.atNanos());
@@ -346,24 +360,35 @@
                 logs());
     }
 
+    /** Until when the sender of this work may begin new work at the invoker. */
+    private long limit(Drain drain, Arrival arrival) {
+        long graceMillis = scenario.graceMillis + SOCKET_SLACK_MILLIS;
+        return notifiedAt(drain, arrival) + graceMillis * NANOS_PER_MILLI;
+    }
+
     /** When the drain counts as notified: at its event, or by the clock of the loss. */
-    private long notifiedAt(Drain drain) {
+    private long notifiedAt(Drain drain, Arrival arrival) {
         if (scenario.loss == Loss.NONE || drain.fromNanos() < lostAtNanos) {
             return drain.fromNanos();
         }
         long byClock = lostAtNanos + scenario.loss.notifiedAfterMillis() * NANOS_PER_MILLI;
-        long told = Math.min(byClock, requestedAgainAt());
-        return Math.max(drain.fromNanos(), told);
+        long notified = Math.min(byClock, requestedAgainAt(arrival));
+        return Math.max(drain.fromNanos(), notified);
     }
 
     /**
-     * The events also count as received by a controller as soon as it requests them again. Where
-     * connections stay open, one that is started meanwhile does so before the others.
+     * The events also count as received by a controller as soon as it requests them again. Preload
+     * requests do not say whose they are: all controllers must have.
      */
-    private long requestedAgainAt() {
-        boolean othersMayHaveWaited =
-                scenario.restartsController && !scenario.loss.endsConnections();
-        return othersMayHaveWaited ? Long.MAX_VALUE : watchServer.firstRequestWhileLost();
+    private long requestedAgainAt(Arrival arrival) {
+        if (!arrival.preload()) {
+            int sender = controllerOfRequest.get(arrival.requestId());
+            return watchServers.get(sender).firstRequestWhileLost();
+        }
+        return watchServers.stream()
+                .mapToLong(SimulatedWatchServer::firstRequestWhileLost)
+                .max()
+                .orElse(Long.MAX_VALUE);
     }
 
     private String logs() {
@@ -378,8 +403,8 @@
         for (ControllerProcess controller : controllers) {
             controller.close();
         }
-        if (watchServer != null) {
-            watchServer.close();
+        for (SimulatedWatchServer each : watchServers) {
+            each.close();
         }
         for (SimulatedInvoker invoker : invokers) {
             invoker.close();
--- a/src/test/java/waytrestle/platform/SimulatedInvoker.java
+++ b/src/test/java/waytrestle/platform/SimulatedInvoker.java
@@ -28,9 +28,13 @@
      * New work that has reached it.
      *
      * @param atNanos when it had come complete
-     * @param preload whether it was a preload request and no request
+     * @param requestId of a request; null for a preload request
      */
-    record Arrival(long atNanos, boolean preload, State state) {}
+    record Arrival(long atNanos, String requestId, State state) {
+        boolean preload() {
+            return requestId == null;
+        }
+    }
 
     private static final long MICROS_PER_MILLI = 1_000;
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -128,7 +132,7 @@
         boolean loads = Integer.parseInt(parts[parts.length - 1]) > 0;
         boolean isLoaded = isLoaded(function);
         if (loads) {
-            record(true);
+            record(null);
         }
         if (isLoaded || !loads) {
             ScriptedInvoker.respond(exchange, 200, "", "X-Units", isLoaded ? "1" : "0");
@@ -155,7 +159,7 @@
     }
 
     private void handleRequest(HttpServer.Exchange exchange) {
-        record(false);
+        record(exchange.message().header("x-txn"));
         boolean rejects =
                 state == State.DRAINING
                         && System.nanoTime() - drainingSince > acceptMillis * NANOS_PER_MILLI;
@@ -176,8 +180,8 @@
         }
     }
 
-    private void record(boolean preload) {
-        arrivals.add(new Arrival(System.nanoTime(), preload, state));
+    private void record(String requestId) {
+        arrivals.add(new Arrival(System.nanoTime(), requestId, state));
     }
 
     @Override
