Loop: after a stop of the process all channels are looked at again in the same turn

Cause: SuspendedControllerTest failed once (one late request 12 ms after the controller was resumed). A ready channel had ended the loop's wait just before the stop. The turn after the stop handled that channel only; the next turn found what had come during the stop and took it for new, so neither was the watch read before a send.

Change: SelectionClock, free of I/O, tells how old what a selection finds can be. A selection that took longer than it was meant to, whatever it found, is followed by a further look in the same turn; the times that it compares leave no gap between one turn and the next.

--- a/src/main/java/waytrestle/net/Loop.java
+++ b/src/main/java/waytrestle/net/Loop.java
@@ -26,12 +26,12 @@
 
     private static final int READ_BUFFER =
             64 * 1024; // bytes: one read takes what a socket usually holds
-    private static final long LONG_TURN =
-            10_000; // micros: what came during a shorter one counts as just come
     private static final int MAX_DELAYED_CLOSES =
             16; // descriptors: a crowd of broken connections must not use them up
     private static final long MAX_WAIT =
             1_000_000; // micros: a wake-up that the kernel refused is made up for then
+    private static final int MAX_FURTHER_LOOKS =
+            3; // a process that is stopped in each of them handles what it has found
     private static final long FAILED_SELECTION_PAUSE =
             5_000_000; // nanos between looks at all channels while the selector fails
 
@@ -50,9 +50,7 @@
     private volatile boolean ended;
     private volatile boolean failed;
     private Thread thread;
-    private long turnAt = now();
-    private long turnBefore = turnAt;
-    private boolean waited; // in this turn's selection, so what it found had only just come
+    private final SelectionClock selection = new SelectionClock(now());
 
     /** What a handler throws is given to {@code broken}; the loop itself goes on. */
     public Loop(String name, Consumer<Throwable> broken) throws IOException {
@@ -98,12 +96,12 @@
      * started knows how long at most.
      */
     public long turnBefore() {
-        return turnBefore;
+        return selection.selectedBeforeMicros();
     }
 
     /** When this turn's selection returned. */
     public long turnAt() {
-        return turnAt;
+        return selection.selectedAtMicros();
     }
 
     /**
@@ -111,7 +109,7 @@
      * elsewhere.
      */
     public long behind() {
-        return now() - (waited ? turnAt : turnBefore);
+        return selection.unseenMicros(now());
     }
 
     /** Counts of the system calls that failed on this loop. */
@@ -247,8 +245,6 @@
 
     private void turn() {
         boolean selected = selectOrPause();
-        turnBefore = turnAt;
-        turnAt = now();
         if (selected) {
             handleSelected();
         } else {
@@ -275,33 +271,29 @@
             return true;
         } catch (IOException e) {
             faults.count("selector.select", "looked_at_all", e);
-            waited = false;
             LockSupport.parkNanos(FAILED_SELECTION_PAUSE);
+            selection.fail(now());
             return false;
         }
     }
 
     private void select() throws IOException {
-        long wait = Math.min(MAX_WAIT, timers.untilNext(now()));
+        long begin = now();
+        long wait = Math.min(MAX_WAIT, timers.untilNext(begin));
         if (!handed.isEmpty()) {
             wait = 0;
         }
         boolean atOnce = wait == 0 || (precise && wait < 1_500);
-        // After a long turn a look tells what came during it from what comes during the wait.
-        int found = atOnce || now() - turnAt > LONG_TURN ? selector.selectNow() : 0;
-        waited = !atOnce && found == 0;
-        if (waited) {
-            long begin = now();
+        boolean turnWasLong = selection.begin(begin);
+        int found = atOnce || turnWasLong ? selector.selectNow() : 0;
+        if (!atOnce && found == 0) {
+            selection.waitFor(wait);
             selector.select(Math.max(1, (wait + 999) / 1_000));
-            // A process that was stopped in its wait cannot tell what came meanwhile from what has
-            // just come: requests would seem to have all their time left, and events to be new.
-            waited = now() - begin <= wait + LONG_TURN;
-            if (!waited && selector.selectedKeys().isEmpty()) {
-                // The stop has interrupted the wait: without a look in this turn, the next one
-                // would
-                // take what came during the stop for new.
-                selector.selectNow();
-            }
+        }
+        boolean wasStopped = selection.end(now());
+        for (int looks = 0; wasStopped && looks < MAX_FURTHER_LOOKS; looks++) {
+            selector.selectNow();
+            wasStopped = selection.end(now());
         }
     }
 
