HTTP client: a request is not sent on an answer from before a stop of the process

Cause: the last cause of a late send after SIGSTOP and SIGCONT. The process was stopped between the question whether an invoker may still get the request and the write.

Change: WithdrawalCheck asks again where a question took over 10 ms, and right before the bytes are handed to the connection. What is left is the write itself. Withdrawal stands in a file of its own; HttpClient reads on request what came while the loop was busy elsewhere.

--- a/src/main/java/waytrestle/http/HttpClient.java
+++ b/src/main/java/waytrestle/http/HttpClient.java
@@ -8,6 +8,7 @@
 import java.util.ArrayDeque;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import waytrestle.net.Connection;
 import waytrestle.net.ConnectionHandler;
@@ -24,12 +25,6 @@
  * <p>Not thread-safe: used by its loop alone.
  */
 public final class HttpClient {
-    /** Before anything of a request is written: how it ends instead, or null to go on. */
-    public interface Withdrawal {
-        /** Called right before the first byte is written, and again before each further try. */
-        ExchangeBreak now();
-    }
-
     /** Connections begun for one request: so many resets in a row tell of the server. */
     private static final int MAX_CONNECTIONS_PER_CALL = 3;
 
@@ -41,10 +36,10 @@
     private final long idleMicros;
     private final Held held;
 
-    /** Idle connections, the last used at the end. */
+    /** The last used at the end. */
     private final ArrayDeque<PooledConnection> idle = new ArrayDeque<>();
 
-    /** Open connections in the order in which they were begun. */
+    /** In the order in which they were begun. */
     private final Set<PooledConnection> connections = new LinkedHashSet<>();
 
     private final PeerEndDetector peerEnd = new PeerEndDetector();
@@ -137,6 +132,15 @@
         return strayResponses;
     }
 
+    /** Reads responses that have come already, where the loop has been busy elsewhere for long. */
+    public void pollIfBehind() {
+        for (PooledConnection connection : List.copyOf(connections)) {
+            if (connection.isUp && connection.call != null) {
+                connection.transport.pollIfBehind();
+            }
+        }
+    }
+
     /** Closes the connections that are idle now. */
     public void closeIdle() {
         while (!idle.isEmpty()) {
@@ -154,7 +158,7 @@
     public final class Call {
         private final ByteBuffer[] request;
         private final ResponseHandler handler;
-        private final Withdrawal withdrawal;
+        private final WithdrawalCheck withdrawal;
         private PooledConnection connection;
         private TimerHeap.Timer deadline;
         private boolean hasEnded;
@@ -162,13 +166,13 @@
 
         private Call(ByteBuffer[] request, Withdrawal withdrawal, ResponseHandler handler) {
             this.request = request;
-            this.withdrawal = withdrawal;
+            this.withdrawal = new WithdrawalCheck(withdrawal, Loop::now);
             this.handler = handler;
         }
 
         /** Whether it is not to be written any more, and has ended by that. */
         private boolean withdrawn() {
-            ExchangeBreak how = hasEnded ? null : withdrawal.now();
+            ExchangeBreak how = hasEnded ? null : withdrawal.ask();
             if (how != null) {
                 end(how, "withdrawn before it was sent");
             }
@@ -332,7 +336,10 @@
 
         private void write() {
             writtenBefore = transport.written();
-            transport.send(call.copyOfRequest());
+            ByteBuffer[] request = call.copyOfRequest();
+            if (!call.withdrawal.isOutdated() || !call.withdrawn()) {
+                transport.send(request);
+            }
         }
 
         @Override
@@ -427,8 +434,7 @@
                 call = null;
                 broken.answered(complete);
             } else if (why instanceof NoSocketException) {
-                // Nothing was sent, and nobody refused: it tells of this connection alone, as any
-                // client takes it.
+                // Nothing was sent, and nobody refused: it tells of this connection alone.
                 broken.end(ExchangeBreak.NO_ROOM, why.getMessage());
             } else if (mayBeSentAgain(broken, why)) {
                 broken.connection = null;
--- a/src/test/java/waytrestle/http/HttpClientTest.java
+++ b/src/test/java/waytrestle/http/HttpClientTest.java
@@ -241,8 +241,7 @@
         return bytes;
     }
 
-    private void ask(
-            HttpClient.Withdrawal withdrawal, BlockingQueue<String> bodies, Runnable then) {
+    private void ask(Withdrawal withdrawal, BlockingQueue<String> bodies, Runnable then) {
         client.call(
                 3_000_000,
                 withdrawal,
