Event loop: a watchdog tells of a loop that is stuck and ends the process

Cause: a loop that hangs, as in a read on a socket that the JDK has left blocking (fcntl failing for a moment), answered nobody, not even SIGTERM, and its process looked alive.

Change: LoopWatchdog watches from a thread of its own; StallDetector, free of I/O and clocks, counts observations without a turn, so that a stopped process is no stall. Platform controller and gateway.

That a channel is really non-blocking is still not verified where it is set up (ROADMAP).

--- a/src/main/java/waytrestle/cli/ServeCommand.java
+++ b/src/main/java/waytrestle/cli/ServeCommand.java
@@ -70,6 +70,8 @@
                         "stop");
         Runtime.getRuntime().addShutdownHook(onTerm);
         ProcessSignals.handle(ProcessSignals.RELOAD, gateway::reload);
+        // Not by exit: the hook above waits for the loop, which is stuck.
+        gateway.startWatchdog(Runtime.getRuntime()::halt);
         return gateway.join(0);
     }
 }
--- a/src/main/java/waytrestle/net/Loop.java
+++ b/src/main/java/waytrestle/net/Loop.java
@@ -10,6 +10,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
@@ -50,6 +51,7 @@
     private volatile boolean ended;
     private volatile boolean failed;
     private Thread thread;
+    private final AtomicLong turns = new AtomicLong();
     private final SelectionClock selection = new SelectionClock(now());
 
     /** What a handler throws is given to {@code broken}; the loop itself goes on. */
@@ -112,6 +114,21 @@
         return selection.unseenMicros(now());
     }
 
+    /** Number of turns completed. May be called from any thread. */
+    long turns() {
+        return turns.get();
+    }
+
+    /** Whether it runs no more. May be called from any thread. */
+    boolean hasEnded() {
+        return ended;
+    }
+
+    /** Where its thread is now. May be called from any thread, after the start. */
+    StackTraceElement[] stackTrace() {
+        return thread.getStackTrace();
+    }
+
     /** Counts of the system calls that failed on this loop. */
     public SystemFaults faults() {
         return faults;
@@ -221,6 +238,7 @@
         try {
             while (running) {
                 turn();
+                turns.lazySet(turns.get() + 1);
             }
         } catch (Error e) {
             failed = true;
--- a/src/main/java/waytrestle/platform/PlatformController.java
+++ b/src/main/java/waytrestle/platform/PlatformController.java
@@ -4,9 +4,11 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import java.util.function.LongSupplier;
 import waytrestle.config.platform.PlatformConfig;
 import waytrestle.net.Loop;
+import waytrestle.net.LoopWatchdog;
 
 /**
  * A running controller on the platform: one event loop with a front end, invoker connections, a
@@ -22,10 +24,12 @@
     private final PlatformComponents components;
     private final ConfigurationReloader reloader;
     private final GracefulShutdown shutdown;
+    private final PlatformLog log;
 
     PlatformController(Loop loop, PlatformComponents components, PlatformLog log) {
         this.loop = loop;
         this.components = components;
+        this.log = log;
         this.reloader = new ConfigurationReloader(loop, log, this::applyConfiguration);
         this.shutdown =
                 new GracefulShutdown(
@@ -45,6 +49,34 @@
                 .start();
     }
 
+    /**
+     * Watches the event loop from now on.
+     *
+     * @param endProcess ends the process at once, with this exit code, when the loop is stuck for
+     *     good
+     */
+    void startWatchdog(IntConsumer endProcess) {
+        LoopWatchdog.Listener listener =
+                new LoopWatchdog.Listener() {
+                    @Override
+                    public void stalled(StackTraceElement[] stack) {
+                        log.loopStalled(stack);
+                    }
+
+                    @Override
+                    public void recovered() {
+                        log.loopRecovered();
+                    }
+
+                    @Override
+                    public void givenUp() {
+                        log.loopGivenUp();
+                        endProcess.accept(LoopWatchdog.EXIT_CODE);
+                    }
+                };
+        new LoopWatchdog(loop, listener).start();
+    }
+
     /** Runs the controller that the environment describes, until a signal ends it. */
     public static void main(String[] args) throws InterruptedException {
         PlatformProcess.run(args);
--- a/src/main/java/waytrestle/platform/PlatformLog.java
+++ b/src/main/java/waytrestle/platform/PlatformLog.java
@@ -11,6 +11,7 @@
 import java.util.function.LongSupplier;
 import waytrestle.controller.ControllerListener;
 import waytrestle.net.Loop;
+import waytrestle.net.LoopWatchdog;
 import waytrestle.requests.PendingRequests;
 import waytrestle.requests.RequestHandler.IncomingRequest;
 import waytrestle.requests.SendGuard;
@@ -79,10 +80,32 @@
 
     private void stackTrace(Throwable cause) {
         for (StackTraceElement frame : cause.getStackTrace()) {
-            message(new LogLine("stack.frame").with("at", frame).toString());
+            message(frameLine(frame));
         }
     }
 
+    private static String frameLine(StackTraceElement frame) {
+        return new LogLine("stack.frame").with("at", frame).toString();
+    }
+
+    /** Logs where the event loop is stuck. May be called from any thread. */
+    void loopStalled(StackTraceElement[] stack) {
+        print(new LogLine("loop.stalled").toString());
+        for (StackTraceElement frame : stack) {
+            print(frameLine(frame));
+        }
+    }
+
+    /** Logs that the event loop runs again. May be called from any thread. */
+    void loopRecovered() {
+        print(new LogLine("loop.recovered").toString());
+    }
+
+    /** Logs that the process is ended since its event loop is stuck. From any thread. */
+    void loopGivenUp() {
+        print(new LogLine("loop.given_up").with("exit_code", LoopWatchdog.EXIT_CODE).toString());
+    }
+
     @Override
     public void attemptEnded(
             IncomingRequest request, int attempt, String invoker, ResponseCode code) {
--- a/src/main/java/waytrestle/platform/PlatformProcess.java
+++ b/src/main/java/waytrestle/platform/PlatformProcess.java
@@ -39,6 +39,7 @@
         handleSignals(path, started);
         PlatformController controller = start(path);
         started.complete(controller);
+        controller.startWatchdog(Runtime.getRuntime()::halt);
         Runtime.getRuntime().halt(controller.join(NO_TIME_LIMIT));
     }
 
