Gateway: a list of invokers that nobody renews is acted on for a bounded time

Change: PollFreshness, free of I/O, says from when on the polled list counts as received: roster.valid_ms (2 s) after a query that failed or is overdue. Then the scheduler's readiness leases hold as on the platform: new work after a health check that passed. Where settings allow none the list is acted on for ever, unless roster.valid_ms is given. A response without a known leader counts as failed; one that lay unread counts as old as that and is followed by a query that is answered at once. Before a send the health API's response is read where the loop was busy elsewhere. EndpointSource takes discovery out of Gateway, logs and counts outages. Simulated invokers fail health checks while they terminate.

--- a/src/main/java/waytrestle/config/GatewayConfig.java
+++ b/src/main/java/waytrestle/config/GatewayConfig.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import waytrestle.access.FileAccessLog;
+import waytrestle.discovery.PollFreshness;
 import waytrestle.http.HttpLimits;
 import waytrestle.net.SocketAddresses;
 import waytrestle.overload.OverloadControl;
@@ -80,14 +81,20 @@
     public record InvokerLink(
             int maxConnections, long idleMicros, int answerBytes, long allAnswerBytes) {}
 
-    /** Where the list of invokers comes from: fixed entries, or a health API at an address. */
+    /**
+     * Where the list of invokers comes from: fixed entries, or a health API at an address.
+     *
+     * @param validMicros how long the list may be acted on by itself after a query that failed;
+     *     {@link PollFreshness#UNLIMITED} for ever
+     */
     public record Roster(
             List<InvokerEndpoint> fixed,
             InetSocketAddress at,
             String service,
             long waitMicros,
             long retryMicros,
-            long retryMostMicros) {}
+            long retryMostMicros,
+            long validMicros) {}
 
     /** Other controllers, by number; an empty list when there is no talk. */
     public record Peers(InetSocketAddress listen, Map<Integer, InetSocketAddress> others) {}
@@ -114,6 +121,9 @@
     /** When failed decisions end the process: more than so many within a span. */
     public record Faults(int most, long spanMicros) {}
 
+    /** A leader election of the health API's servers takes less, and a drain is rarely shorter. */
+    private static final double DEFAULT_LIST_VALID_MILLIS = 2_000;
+
     private static final double DAY = 86_400_000; // ms: no time in a configuration is longer
 
     public static GatewayConfig read(Path file) throws ConfigError {
@@ -259,7 +269,7 @@
                         links.millis("idle_close_ms", 1, DAY, 15_000),
                         (int) links.whole("answer_bytes", 1, 1 << 30, 8 << 20),
                         links.whole("all_answer_bytes", 1_024, 1L << 40, 256L << 20)),
-                roster(rosterTable, root, zones, kinds),
+                roster(rosterTable, root, zones, kinds, moduleLimits.mayCheckHealth()),
                 peers(root, count),
                 root.sub("stop").millis("grace_ms", 0, DAY, 10_000),
                 new Faults(
@@ -516,7 +526,12 @@
         return new Kserve(kind, keys, byModel, (int) s.whole("json_bytes", 256, 1 << 30, 1 << 20));
     }
 
-    private static Roster roster(Section r, Section root, List<String> zones, List<String> kinds) {
+    private static Roster roster(
+            Section r,
+            Section root,
+            List<String> zones,
+            List<String> kinds,
+            boolean mayCheckHealth) {
         List<InvokerEndpoint> fixed = new ArrayList<>();
         Set<String> ids = new HashSet<>();
         for (Section i : root.each("invoker")) {
@@ -548,7 +563,19 @@
                 service,
                 r.millis("wait_ms", 1, 600_000, 10_000),
                 r.millis("retry_ms", 1, DAY, 200),
-                r.millis("retry_most_ms", 1, DAY, 5_000));
+                r.millis("retry_most_ms", 1, DAY, 5_000),
+                validMicros(r, mayCheckHealth));
+    }
+
+    /**
+     * Without health checks nothing but the list tells of an invoker: then it is acted on for ever,
+     * unless the setting says otherwise.
+     */
+    private static long validMicros(Section roster, boolean mayCheckHealth) {
+        if (!roster.has("valid_ms") && !mayCheckHealth) {
+            return PollFreshness.UNLIMITED;
+        }
+        return roster.millis("valid_ms", 0, DAY, DEFAULT_LIST_VALID_MILLIS);
     }
 
     private static Peers peers(Section root, int count) {
--- a/src/main/java/waytrestle/discovery/ConsulPoller.java
+++ b/src/main/java/waytrestle/discovery/ConsulPoller.java
@@ -11,6 +11,7 @@
 import waytrestle.discovery.EndpointDirectory.Event;
 import waytrestle.discovery.EndpointDirectory.Poll;
 import waytrestle.discovery.EndpointDirectory.PollFailed;
+import waytrestle.discovery.EndpointDirectory.RegisteredEndpoint;
 import waytrestle.discovery.EndpointDirectory.SnapshotReceived;
 import waytrestle.http.ExchangeBreak;
 import waytrestle.http.Held;
@@ -35,7 +36,7 @@
      * Beyond the agreed wait, to which the health API may add a sixteenth. Without it, a blocking
      * query that returns late would count as failed.
      */
-    private static final long RESPONSE_SLACK_MICROS = 2_000_000;
+    public static final long RESPONSE_SLACK_MICROS = 2_000_000;
 
     /** Some 20,000 endpoints; a longer response counts as failed and cannot exhaust the memory. */
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
@@ -48,6 +49,9 @@
     private static final long NO_INDEX = 0;
     private static final String INDEX_HEADER = "x-consul-index";
 
+    /** {@code false} on a list that a server without a leader has kept, of whatever age. */
+    private static final String KNOWN_LEADER_HEADER = "x-consul-knownleader";
+
     /** At most 18 digits always fit a long. */
     private static final Pattern INDEX = Pattern.compile("\\d{1,18}");
 
@@ -141,6 +145,11 @@
         send(NO_INDEX, event -> directory.handle(Loop.now(), event, this::publishUnlessPoll));
     }
 
+    /** Reads what has come meanwhile, where the event loop has been busy elsewhere for long. */
+    public void pollIfBehind() {
+        client.pollIfBehind();
+    }
+
     private void pollWhileSubscribed(long index) {
         if (!subscribed) {
             return;
@@ -176,7 +185,7 @@
 
                     @Override
                     public void broken(ExchangeBreak how, String why) {
-                        onResult.accept(new PollFailed());
+                        onResult.accept(failed());
                     }
                 };
         client.call(settings.waitMicros() + RESPONSE_SLACK_MICROS, handler, head);
@@ -197,12 +206,23 @@
 
     private Event readResponse(HttpMessage response) {
         String index = response.header(INDEX_HEADER);
-        if (response.status() != STATUS_OK || index == null || !INDEX.matcher(index).matches()) {
-            return new PollFailed();
+        boolean indexed = index != null && INDEX.matcher(index).matches();
+        boolean leaderless = "false".equalsIgnoreCase(response.header(KNOWN_LEADER_HEADER));
+        if (response.status() != STATUS_OK || !indexed || leaderless) {
+            return failed();
         }
-        Optional<Event> snapshot =
-                reader.read(response.body())
-                        .map(entries -> new SnapshotReceived(Long.parseLong(index), entries));
-        return snapshot.orElseGet(PollFailed::new);
+        Optional<List<RegisteredEndpoint>> entries = reader.read(response.body());
+        return entries.isEmpty()
+                ? failed()
+                : new SnapshotReceived(Long.parseLong(index), entries.get(), earliestMicros());
+    }
+
+    private Event failed() {
+        return new PollFailed(earliestMicros());
+    }
+
+    /** The earliest time at which what is found now can have happened. */
+    private long earliestMicros() {
+        return Loop.now() - loop.behind();
     }
 }
--- a/src/main/java/waytrestle/discovery/EndpointDirectory.java
+++ b/src/main/java/waytrestle/discovery/EndpointDirectory.java
@@ -19,8 +19,11 @@
  *
  * <ul>
  *   <li>While it lags, the last snapshot stays in force.
- *   <li>When a poll fails, the last snapshot stays in force too, and the next poll comes after an
- *       exponential backoff with jitter, so that controllers do not return all together.
+ *   <li>When a poll fails, the last snapshot stays in force too, for as long as {@link
+ *       PollFreshness} allows, and the next poll comes after an exponential backoff with jitter, so
+ *       that controllers do not return all together.
+ *   <li>When a response lay unread, since this process did not run, the next poll is answered at
+ *       once and tells what has changed since.
  *   <li>A snapshot that shrinks, even to nothing, takes effect at once: an endpoint that is gone
  *       must receive nothing new, and a request without invokers is rejected, which harms nobody.
  *   <li>When it restarts, so that its index goes back, it is polled from index 0 again.
@@ -35,6 +38,12 @@
     /** More could overflow; these reach the longest backoff of any usual setting. */
     private static final int MAX_BACKOFF_DOUBLINGS = 16;
 
+    /**
+     * A response that lay unread for longer tells what held then. It is small beside any drain
+     * grace, and longer than the pauses of a loaded process.
+     */
+    private static final long LATE_MICROS = 100_000;
+
     private static final long NEVER = 0;
     private static final long AGE_BEFORE_FIRST_SNAPSHOT = -1;
 
@@ -48,11 +57,20 @@
     /** The result of a poll. */
     public sealed interface Event {}
 
-    /** A poll returned the complete list of endpoints, as of the health API's index. */
-    public record SnapshotReceived(long index, List<RegisteredEndpoint> entries) implements Event {}
+    /**
+     * A poll returned the complete list of endpoints, as of the health API's index.
+     *
+     * @param sinceMicros the earliest time at which the response can have arrived
+     */
+    public record SnapshotReceived(long index, List<RegisteredEndpoint> entries, long sinceMicros)
+            implements Event {}
 
-    /** A poll returned no list of endpoints. */
-    public record PollFailed() implements Event {}
+    /**
+     * A poll returned no list of endpoints.
+     *
+     * @param sinceMicros the earliest time at which it can have failed
+     */
+    public record PollFailed(long sinceMicros) implements Event {}
 
     /** What is to be done after an event. */
     public sealed interface Command {}
@@ -63,6 +81,15 @@
     /** Tell the scheduler that the poll it asked for failed. */
     public record PublishFailure() implements Command {}
 
+    /**
+     * Tell the scheduler by when the list counts as outdated, at each change.
+     *
+     * @param current whether the last poll was answered in time
+     * @param receivedAtMicros from when on all that the health API holds counts as received here,
+     *     if no further poll is answered; {@link PollFreshness#UNLIMITED} where that is not limited
+     */
+    public record PublishFreshness(boolean current, long receivedAtMicros) implements Command {}
+
     /** Poll after the delay, blocking until the index changes; index 0 is answered at once. */
     public record Poll(long index, long afterMicros) implements Command {}
 
@@ -70,24 +97,32 @@
     private final long maxBackoffMicros;
     private final boolean publishesFailures;
     private final SplittableRandom random;
+    private final PollFreshness freshness;
     private Map<String, RegisteredEndpoint> endpoints = new LinkedHashMap<>();
     private boolean awaitingFirstSnapshot = true;
     private long index;
     private long lastSnapshotAtMicros = NEVER;
     private int consecutiveFailures;
+    private PublishFreshness published;
 
     /**
      * Starts with no endpoints.
      *
      * @param publishesFailures whether the scheduler polls by itself and so has to know of failures
      * @param seed of the backoff's jitter
+     * @param limits for how long the list may be acted on without an answered poll
      */
     public EndpointDirectory(
-            long minBackoffMicros, long maxBackoffMicros, boolean publishesFailures, long seed) {
+            long minBackoffMicros,
+            long maxBackoffMicros,
+            boolean publishesFailures,
+            long seed,
+            PollFreshness.Limits limits) {
         this.minBackoffMicros = minBackoffMicros;
         this.maxBackoffMicros = maxBackoffMicros;
         this.publishesFailures = publishesFailures;
         this.random = new SplittableRandom(seed);
+        this.freshness = new PollFreshness(limits);
     }
 
     /** The number of endpoints in the last snapshot. */
@@ -108,15 +143,17 @@
         if (event instanceof SnapshotReceived snapshot) {
             snapshotReceived(nowMicros, snapshot, commands);
         } else {
-            pollFailed(commands);
+            pollFailed((PollFailed) event, commands);
         }
     }
 
-    private void pollFailed(Consumer<Command> commands) {
+    private void pollFailed(PollFailed failure, Consumer<Command> commands) {
         long delayMicros = nextBackoffMicros();
         if (publishesFailures) {
             commands.accept(new PublishFailure());
         }
+        freshness.lost(failure.sinceMicros());
+        publishFreshness(commands);
         commands.accept(new Poll(index, delayMicros));
     }
 
@@ -143,7 +180,28 @@
             commands.accept(new PublishUpdate(update));
         }
         awaitingFirstSnapshot = false;
-        pollAfter(snapshot, commands);
+        boolean late = nowMicros - snapshot.sinceMicros() > LATE_MICROS;
+        if (late) {
+            freshness.lost(snapshot.sinceMicros());
+        } else {
+            freshness.answered(nowMicros);
+        }
+        publishFreshness(commands);
+        if (late) {
+            // What has changed since the response came is asked for at once.
+            commands.accept(new Poll(0, 0));
+        } else {
+            pollAfter(snapshot, commands);
+        }
+    }
+
+    private void publishFreshness(Consumer<Command> commands) {
+        PublishFreshness now =
+                new PublishFreshness(freshness.isCurrent(), freshness.receivedAtMicros());
+        if (!now.equals(published)) {
+            published = now;
+            commands.accept(now);
+        }
     }
 
     private void pollAfter(SnapshotReceived snapshot, Consumer<Command> commands) {
--- a/src/main/java/waytrestle/emulator/Emulation.java
+++ b/src/main/java/waytrestle/emulator/Emulation.java
@@ -22,6 +22,7 @@
 import waytrestle.controller.Controller;
 import waytrestle.controller.ControllerEnvironment;
 import waytrestle.discovery.EndpointDirectory;
+import waytrestle.discovery.PollFreshness;
 import waytrestle.front.Fronts;
 import waytrestle.gateway.GatewayControllerListener;
 import waytrestle.http.ExchangeBreak;
@@ -353,7 +354,9 @@
                                 }
                             });
             subscribed = c.module().discovery() == DiscoveryMode.PUSH;
-            book = new EndpointDirectory(200_000, 5_000_000, !subscribed, c.seed());
+            book =
+                    new EndpointDirectory(
+                            200_000, 5_000_000, !subscribed, c.seed(), PollFreshness.Limits.NONE);
             evidence.saw("play", "controller_up", "controller", number);
             if (!subscribed) { // the module subscribes once it has been told its list, empty as yet
                 controller.endpointsUpdated(new EndpointsUpdated(true, true, List.of()));
@@ -401,7 +404,7 @@
                         book.handle(
                                 clock.now(),
                                 new EndpointDirectory.SnapshotReceived(
-                                        index, List.copyOf(listed.values())),
+                                        index, List.copyOf(listed.values()), clock.now()),
                                 action -> {
                                     if (action instanceof EndpointDirectory.PublishUpdate tell) {
                                         controller.endpointsUpdated(tell.update());
--- a/src/main/java/waytrestle/gateway/Gateway.java
+++ b/src/main/java/waytrestle/gateway/Gateway.java
@@ -6,11 +6,13 @@
 import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.slf4j.Logger;
@@ -21,8 +23,6 @@
 import waytrestle.config.SecretsFile;
 import waytrestle.controller.Controller;
 import waytrestle.controller.ControllerEnvironment;
-import waytrestle.discovery.ConsulPoller;
-import waytrestle.discovery.EndpointDirectory;
 import waytrestle.front.Front;
 import waytrestle.front.Router;
 import waytrestle.front.kserve.KserveFront;
@@ -31,10 +31,9 @@
 import waytrestle.http.Problem;
 import waytrestle.metrics.Metrics;
 import waytrestle.net.Loop;
+import waytrestle.net.LoopWatchdog;
 import waytrestle.overload.OverloadControl;
 import waytrestle.requests.AdmissionControl;
-import waytrestle.scheduler.DiscoveryMode;
-import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
 
 /** A running gateway: one loop with its controller, fronts, roster and pages. */
 public final class Gateway {
@@ -55,7 +54,7 @@
     private WebhookFront webhooks;
     private FileAccessLog access;
     private HttpServer server, admin;
-    private ConsulPoller roster;
+    private EndpointSource endpoints;
     private GossipSocket peers;
     private boolean stopping;
 
@@ -129,20 +128,17 @@
                         new ControllerEnvironment() {
                             @Override
                             public void subscribe(boolean on) {
-                                if (roster != null) {
-                                    roster.subscribe(on);
-                                }
+                                endpoints.subscribe(on);
                             }
 
                             @Override
                             public void fetchEndpoints() {
-                                if (roster != null) {
-                                    roster.fetch();
-                                } else {
-                                    controller.endpointsUpdated(
-                                            new EndpointsUpdated(
-                                                    true, false, config.roster().fixed()));
-                                }
+                                endpoints.fetch();
+                            }
+
+                            @Override
+                            public void pollEndpoints() {
+                                endpoints.pollIfBehind();
                             }
 
                             @Override
@@ -160,6 +156,8 @@
                             }
                         });
         watch.gauges(controller);
+        endpoints = new EndpointSource(config, controller, loop, wallMillis);
+        endpoints.register(metrics);
         try {
             Predicate<String> known =
                     name ->
@@ -201,7 +199,6 @@
                     "Open calls beyond which tenants over their share give way.");
             metrics.help("waytrestle_connections", "Open connections of clients.");
             metrics.help("waytrestle_timers", "Timers set on the loop.");
-            metrics.help("waytrestle_roster_age_seconds", "Time since the roster last answered.");
             metrics.family(
                     "waytrestle_turned_away_total",
                     "counter",
@@ -231,7 +228,7 @@
             }
             throw e;
         }
-        loop.execute(() -> follow(wallMillis));
+        loop.execute(endpoints::start);
     }
 
     /** What the process has used so far, for figures a call. */
@@ -253,48 +250,39 @@
         }
     }
 
-    private void follow(LongSupplier wallMillis) {
-        if (config.roster().at() == null) {
-            controller.endpointsUpdated(new EndpointsUpdated(true, false, config.roster().fixed()));
-            return;
-        }
-        boolean asked = config.module().discovery() == DiscoveryMode.POLL;
-        EndpointDirectory book =
-                new EndpointDirectory(
-                        config.roster().retryMicros(),
-                        config.roster().retryMostMicros(),
-                        asked,
-                        config.seed());
-        metrics.gauge("waytrestle_roster_age_seconds", "", () -> book.age(Loop.now()) / 1e6);
-        roster =
-                new ConsulPoller(
-                        loop,
-                        pollerSettings(),
-                        book,
-                        action -> {
-                            if (action instanceof EndpointDirectory.PublishUpdate tell) {
-                                controller.endpointsUpdated(tell.update());
-                            } else {
-                                controller.endpointUpdateFailed();
-                            }
-                        },
-                        wallMillis);
-        if (asked) { // the module subscribes once it has been told its list, empty as yet
-            controller.endpointsUpdated(new EndpointsUpdated(true, true, List.of()));
-        } else {
-            roster.subscribe(true);
-        }
+    /**
+     * Watches the event loop from now on.
+     *
+     * @param endProcess ends the process at once, with this exit code, when the loop is stuck for
+     *     good
+     */
+    public void startWatchdog(IntConsumer endProcess) {
+        LoopWatchdog.Listener listener =
+                new LoopWatchdog.Listener() {
+                    @Override
+                    public void stalled(StackTraceElement[] stack) {
+                        LOG.error("loop.stalled stack={}", Arrays.toString(stack));
+                    }
+
+                    @Override
+                    public void recovered() {
+                        LOG.warn("loop.recovered");
+                    }
+
+                    @Override
+                    public void givenUp() {
+                        LOG.error("loop.given_up exit_code={}", LoopWatchdog.EXIT_CODE);
+                        endProcess.accept(LoopWatchdog.EXIT_CODE);
+                    }
+                };
+        LoopWatchdog watchdog = new LoopWatchdog(loop, listener).start();
+        loop.execute(() -> registerStalls(watchdog));
     }
 
-    private ConsulPoller.Settings pollerSettings() {
-        return new ConsulPoller.Settings(
-                config.roster().at(),
-                config.roster().service(),
-                config.roster().waitMicros(),
-                config.module().limits().connectTimeoutMicros(),
-                config.module().controllerIndex(),
-                config.zones(),
-                config.kinds());
+    private void registerStalls(LoopWatchdog watchdog) {
+        metrics.help(
+                "waytrestle_loop_stalls", "Times that the event loop was stuck for three seconds.");
+        metrics.gauge("waytrestle_loop_stalls", "", watchdog::stalls);
     }
 
     private void page(HttpServer.Exchange e) {
--- a/src/main/java/waytrestle/gateway/HttpInvokerClient.java
+++ b/src/main/java/waytrestle/gateway/HttpInvokerClient.java
@@ -8,6 +8,7 @@
 import waytrestle.http.HttpClient;
 import waytrestle.http.HttpMessage;
 import waytrestle.http.ResponseHandler;
+import waytrestle.http.Withdrawal;
 import waytrestle.responses.ExchangeResult.Kind;
 
 /** What the ways to invokers over HTTP share, whatever protocol is spoken on them. */
@@ -28,7 +29,7 @@
             Consumer<HttpMessage> answered,
             Consumer<Kind> broken,
             ByteBuffer... request) {
-        HttpClient.Withdrawal withdrawal =
+        Withdrawal withdrawal =
                 () -> {
                     Kind how = withdrawn.get();
                     return how == null
--- a/src/main/java/waytrestle/play/Troubles.java
+++ b/src/main/java/waytrestle/play/Troubles.java
@@ -230,6 +230,7 @@
 
     /** Told to drain, given a while, then gone and back cold. */
     private void replace(Actor i, long drainFor, long backAfter) {
+        i.terminate();
         env.after(rosterLag, () -> stage.list(i.id(), "critical", 0));
         env.after(drainFor, () -> crash(i, backAfter));
     }
--- a/src/main/java/waytrestle/standin/Actor.java
+++ b/src/main/java/waytrestle/standin/Actor.java
@@ -13,6 +13,9 @@
 
     void crash();
 
+    /** Is told to end soon: it fails its health checks, and still takes requests. */
+    void terminate();
+
     /** Comes back cold. */
     void restart() throws IOException;
 
--- a/src/main/java/waytrestle/standin/InvokerBody.java
+++ b/src/main/java/waytrestle/standin/InvokerBody.java
@@ -55,6 +55,7 @@
     private int failingStatus, ownStatus;
     private Tells tells = Tells.TRUTH;
     private boolean up = true;
+    private boolean terminating;
     private IntPredicate cutOff = controller -> false;
 
     /**
@@ -105,10 +106,21 @@
         }
     }
 
+    @Override
+    public void terminate() {
+        terminating = true;
+    }
+
+    /** Whether it passes a health check. */
+    public boolean isReady() {
+        return up && !terminating;
+    }
+
     @Override
     public void restart() throws IOException {
         if (!up) {
             up = true;
+            terminating = false;
             model = maker.apply(true);
             spoil(0, 0);
             sightings.saw(id, "up");
--- a/src/main/java/waytrestle/standin/InvokerStandIn.java
+++ b/src/main/java/waytrestle/standin/InvokerStandIn.java
@@ -88,7 +88,7 @@
         String[] path = m.path().split("/");
         if (m.path().equals("/v2/health/ready")) {
             e.answer(
-                    200,
+                    isReady() ? 200 : 503,
                     "",
                     HttpMessage.NO_BODY,
                     "endpoint-load-metrics",
--- a/src/main/java/waytrestle/standin/RosterStandIn.java
+++ b/src/main/java/waytrestle/standin/RosterStandIn.java
@@ -31,6 +31,8 @@
     private HttpServer server;
     private long index = 1;
     private boolean erring;
+    private boolean mute;
+    private boolean leaderless;
 
     public RosterStandIn(Loop loop, int port, Sightings sightings) throws IOException {
         this.loop = loop;
@@ -67,6 +69,25 @@
         erring = on;
     }
 
+    /** Never answers while on. */
+    public void mute(boolean on) {
+        mute = on;
+        if (!on) {
+            changed();
+        }
+    }
+
+    /** Goes on answering with the present list, as a server without a leader does, while on. */
+    public void leaderless(boolean on) {
+        leaderless = on;
+    }
+
+    /** Ends its connections and refuses further ones until {@link #restart}. */
+    public void down() {
+        server.kill();
+        pending.clear();
+    }
+
     public void clear() {
         instances.clear();
         changed();
@@ -122,7 +143,7 @@
     }
 
     private void answer(HttpServer.Exchange e, int controller) {
-        if (!e.open()) {
+        if (!e.open() || mute) {
             return;
         }
         if (erring) {
@@ -177,6 +198,8 @@
                 "application/json",
                 out.append(']').toString().getBytes(StandardCharsets.US_ASCII),
                 "X-Consul-Index",
-                Long.toString(index));
+                Long.toString(index),
+                "X-Consul-KnownLeader",
+                Boolean.toString(!leaderless));
     }
 }
--- a/src/test/java/waytrestle/ArchitectureTest.java
+++ b/src/test/java/waytrestle/ArchitectureTest.java
@@ -33,7 +33,7 @@
     /** What decisions may know beside plain Java. */
     private static final String DECISION_LAYER =
             "(\\[L)?waytrestle\\.(Bytes|(scheduler|stats|requests|overload|responses)\\.[A-Za-z]+"
-                + "|discovery\\.EndpointDirectory|discovery\\.watch\\.(WatchState|WatchEvent|ListFreshness)"
+                + "|discovery\\.(EndpointDirectory|PollFreshness)|discovery\\.watch\\.(WatchState|WatchEvent|ListFreshness)"
                 + "|invoker\\.platform\\.PlatformResponseClassifier"
                 + "|controller\\.FailureThreshold)(\\$.*)?;?";
 
@@ -63,7 +63,7 @@
         "scheduler\\.[A-Za-z]+",
         "stats\\.[A-Za-z]+",
         "requests\\.[A-Za-z]+",
-        "discovery\\.EndpointDirectory",
+        "discovery\\.(EndpointDirectory|PollFreshness)",
         "discovery\\.watch\\.(WatchState|ListFreshness)",
         "invoker\\.platform\\.PlatformResponseClassifier",
         "controller\\.FailureThreshold",
--- a/src/test/java/waytrestle/discovery/EndpointDirectoryTest.java
+++ b/src/test/java/waytrestle/discovery/EndpointDirectoryTest.java
@@ -13,6 +13,7 @@
 import waytrestle.discovery.EndpointDirectory.Poll;
 import waytrestle.discovery.EndpointDirectory.PollFailed;
 import waytrestle.discovery.EndpointDirectory.PublishFailure;
+import waytrestle.discovery.EndpointDirectory.PublishFreshness;
 import waytrestle.discovery.EndpointDirectory.PublishUpdate;
 import waytrestle.discovery.EndpointDirectory.RegisteredEndpoint;
 import waytrestle.discovery.EndpointDirectory.SnapshotReceived;
@@ -25,6 +26,8 @@
     private static final long MIN_BACKOFF_MICROS = 200_000;
     private static final long MAX_BACKOFF_MICROS = 5_000_000;
     private static final long SEED = 1;
+    private static final long RESPONSE_MICROS = 12_000_000;
+    private static final long VALID_MICROS = 2_000_000;
 
     private final List<Command> commands = new ArrayList<>();
     private EndpointDirectory directory = directory(false);
@@ -32,7 +35,11 @@
 
     private static EndpointDirectory directory(boolean publishesFailures) {
         return new EndpointDirectory(
-                MIN_BACKOFF_MICROS, MAX_BACKOFF_MICROS, publishesFailures, SEED);
+                MIN_BACKOFF_MICROS,
+                MAX_BACKOFF_MICROS,
+                publishesFailures,
+                SEED,
+                new PollFreshness.Limits(RESPONSE_MICROS, VALID_MICROS));
     }
 
     private static RegisteredEndpoint ready(String id, long createIndex) {
@@ -47,13 +54,13 @@
 
     private void receiveSnapshot(long index, RegisteredEndpoint... entries) {
         commands.clear();
-        SnapshotReceived snapshot = new SnapshotReceived(index, Arrays.asList(entries));
+        SnapshotReceived snapshot = new SnapshotReceived(index, Arrays.asList(entries), nowMicros);
         directory.handle(nowMicros, snapshot, commands::add);
     }
 
     private void failPoll() {
         commands.clear();
-        directory.handle(nowMicros, new PollFailed(), commands::add);
+        directory.handle(nowMicros, new PollFailed(nowMicros), commands::add);
     }
 
     /** The update published by the last event, null where there was none. */
@@ -98,7 +105,12 @@
         long longestMicros = 0;
         for (int i = 0; i < 40; i++) {
             failPoll();
-            assertEquals(1, commands.size(), "nothing is published, only the next poll is set");
+            int freshnessChanges = i == 0 ? 1 : 0;
+            assertEquals(
+                    1 + freshnessChanges,
+                    commands.size(),
+                    "no list is published, only the next poll is set");
+            assertNull(update());
             assertEquals(5, nextPoll().index());
             assertTrue(nextPoll().afterMicros() <= MAX_BACKOFF_MICROS);
             assertTrue(nextPoll().afterMicros() >= MIN_BACKOFF_MICROS / 2);
@@ -150,4 +162,62 @@
         receiveSnapshot(3, ready("a", 11));
         assertNull(update(), "the same start keeps its time");
     }
+
+    /** By when the list counts as outdated, by the last event; null where that has not changed. */
+    private PublishFreshness freshness() {
+        for (Command command : commands) {
+            if (command instanceof PublishFreshness publish) {
+                return publish;
+            }
+        }
+        return null;
+    }
+
+    @Test
+    void aListIsCurrentUntilTheNextResponseIsOverdue() {
+        receiveSnapshot(5, ready("a", 1));
+        long overdueAt = nowMicros + RESPONSE_MICROS;
+        assertEquals(new PublishFreshness(true, overdueAt + VALID_MICROS), freshness());
+    }
+
+    @Test
+    void afterAFailedPollTheListCountsForALimitedTimeWhichFurtherFailuresDoNotExtend() {
+        receiveSnapshot(5, ready("a", 1));
+        nowMicros += 700;
+        failPoll();
+        assertEquals(new PublishFreshness(false, nowMicros + VALID_MICROS), freshness());
+        nowMicros += 700;
+        failPoll();
+        assertNull(freshness());
+        receiveSnapshot(5, ready("a", 1));
+        assertTrue(freshness().current());
+    }
+
+    @Test
+    void aListThatLayUnreadIsAsOldAsThatAndIsAskedForAgainAtOnce() {
+        receiveSnapshot(5, ready("a", 1));
+        commands.clear();
+        nowMicros += 3_000_000;
+        long sinceMicros = nowMicros - 2_500_000;
+        directory.handle(
+                nowMicros,
+                new SnapshotReceived(6, List.of(ready("a", 1)), sinceMicros),
+                commands::add);
+        assertEquals(new PublishFreshness(false, sinceMicros + VALID_MICROS), freshness());
+        assertEquals(new Poll(0, 0), nextPoll());
+    }
+
+    @Test
+    void withoutALimitTheListCountsForEver() {
+        directory =
+                new EndpointDirectory(
+                        MIN_BACKOFF_MICROS,
+                        MAX_BACKOFF_MICROS,
+                        false,
+                        SEED,
+                        PollFreshness.Limits.NONE);
+        receiveSnapshot(5, ready("a", 1));
+        failPoll();
+        assertEquals(new PublishFreshness(false, PollFreshness.UNLIMITED), freshness());
+    }
 }
