--- a/src/test/java/waytrestle/platform/DiscoveryOutageSoak.java
+++ b/src/test/java/waytrestle/platform/DiscoveryOutageSoak.java
@@ -36,7 +36,8 @@
             int signals,
             int healthChecks,
             int caughtByPauses,
-            List<String> violations) {}
+            List<String> violations)
+            implements SoakRunner.Result {}
 
     private static final int INVOKERS = 8;
     private static final int MIN_READY = 4;
@@ -84,18 +85,10 @@
         this.history = new OutageHistory(graceMillis);
     }
 
-    /** Plays seeds one after another and prints a line for each. */
+    /** Plays seeds one after another; see {@link SoakRunner#run}. */
     public static void main(String[] args) throws Exception {
-        int controllers = Integer.parseInt(args[0]);
-        long first = Long.parseLong(args[1]);
-        int violated = 0;
-        for (long seed = first; seed < first + Long.parseLong(args[2]); seed++) {
-            Result result = new DiscoveryOutageSoak(seed, controllers).play();
-            violated += result.violations().isEmpty() ? 0 : 1;
-            System.out.println(result);
-        }
-        System.out.println(violated + " seeds with violations");
-        System.exit(violated == 0 ? 0 : 1);
+        SoakRunner.run(
+                args, (seed, controllers) -> new DiscoveryOutageSoak(seed, controllers).play());
     }
 
     Result play() throws Exception {
@@ -403,13 +396,7 @@
         }
 
         private void checkLog() {
-            String log = process.log();
-            if (log.contains("send.violation_prevented")) {
-                violations.add("the guard had to prevent a send: " + log);
-            }
-            if (log.contains("handler.failed") || log.contains("scheduler.decision_failed")) {
-                violations.add("a handler failed: " + log);
-            }
+            violations.addAll(SoakRunner.violationsIn(process.log()));
         }
     }
 }
--- a/src/test/java/waytrestle/platform/SystemFaultSoak.java
+++ b/src/test/java/waytrestle/platform/SystemFaultSoak.java
@@ -53,7 +53,8 @@
             int cut,
             int undeliverable,
             int faults,
-            List<String> violations) {}
+            List<String> violations)
+            implements SoakRunner.Result {}
 
     private final long seed;
     private final int controllers;
@@ -71,18 +72,9 @@
         this.controllers = controllers;
     }
 
-    /** Plays seeds one after another and prints a line for each. */
+    /** Plays seeds one after another; see {@link SoakRunner#run}. */
     public static void main(String[] args) throws Exception {
-        int controllers = Integer.parseInt(args[0]);
-        long first = Long.parseLong(args[1]);
-        int violated = 0;
-        for (long seed = first; seed < first + Long.parseLong(args[2]); seed++) {
-            Result result = new SystemFaultSoak(seed, controllers).play();
-            violated += result.violations().isEmpty() ? 0 : 1;
-            System.out.println(result);
-        }
-        System.out.println(violated + " seeds with violations");
-        System.exit(violated == 0 ? 0 : 1);
+        SoakRunner.run(args, (seed, controllers) -> new SystemFaultSoak(seed, controllers).play());
     }
 
     Result play() throws Exception {
@@ -290,13 +282,7 @@
         }
 
         private void checkLog() {
-            String log = controller.log();
-            if (log.contains("send.violation_prevented")) {
-                violations.add("the guard had to prevent a send: " + log);
-            }
-            if (log.contains("handler.failed") || log.contains("scheduler.decision_failed")) {
-                violations.add("a handler failed: " + log);
-            }
+            violations.addAll(SoakRunner.violationsIn(controller.log()));
         }
     }
 }
