Watch: events that were missing are followed by one more request that tells that none is left

Change: 20 ms after the first missing event, at the next look at the heartbeat, the events are requested once more; a server that has none answers with a heartbeat at once. Once for each loss.

--- a/src/main/java/waytrestle/discovery/watch/WatchState.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchState.java
@@ -11,11 +11,21 @@
  * connection, the client reconnects at once, and with backoff while that fails. A server whose
  * connection stays open without a line is taken for dead, since it sends a heartbeat each second.
  * {@link ListFreshness} says meanwhile from when on the list counts as outdated.
+ *
+ * <p>A server that has nothing to send answers a request with a heartbeat at once; after events its
+ * next one comes within a second. So events that were missing are followed by one more request,
+ * whose answer tells that none is left: a controller that has just started would wait for a second.
  */
 public final class WatchState {
     /** Between lines: one heartbeat may be late, but two may not be missing. */
     private static final long HEARTBEAT_TIMEOUT_MICROS = 1_700_000;
 
+    /**
+     * After the first of the missing events: by then the others, which the server sends in one go,
+     * have come too.
+     */
+    private static final long CATCH_UP_MICROS = 20_000;
+
     /** Doubles with each failure; the first reconnect comes without any backoff. */
     private static final long RECONNECT_BACKOFF_MICROS = 20_000;
 
@@ -106,8 +116,10 @@
     private final ListFreshness freshness = new ListFreshness();
     private long lastRevision;
     private long silentSinceMicros;
+    private long catchingUpSinceMicros;
     private int consecutiveFailures;
     private boolean synchronizedOnce;
+    private boolean confirmationRequested;
     private LossCause lossCause = LossCause.STARTING;
     private PublishFreshness published;
 
@@ -152,6 +164,9 @@
             lost(LossCause.SILENT);
             freshness.fallenSilent();
             reconnect(nowMicros, commands);
+        } else if (mayHaveCaughtUp(nowMicros)) {
+            confirmationRequested = true;
+            reconnect(nowMicros, commands);
         }
         PublishFreshness now =
                 new PublishFreshness(
@@ -165,6 +180,13 @@
         }
     }
 
+    /** Whether missing events have come, and none for a while. Once for each loss. */
+    private boolean mayHaveCaughtUp(long nowMicros) {
+        return freshness.isCatchingUp()
+                && !confirmationRequested
+                && nowMicros - catchingUpSinceMicros > CATCH_UP_MICROS;
+    }
+
     /** Remembers why: the first cause of one loss counts. */
     private void lost(LossCause cause) {
         if (freshness.isCurrent()) {
@@ -193,8 +215,12 @@
         }
         if (event.isHeartbeat()) {
             freshness.caughtUp(line.sinceMicros());
+            confirmationRequested = false;
         } else if (event.revision() == lastRevision + 1) {
             lastRevision = event.revision();
+            if (!freshness.isCatchingUp()) {
+                catchingUpSinceMicros = nowMicros;
+            }
             freshness.eventReceived(line.sinceMicros());
             commands.accept(new PublishEvent(event));
         }
--- a/src/test/java/waytrestle/discovery/watch/WatchStateTest.java
+++ b/src/test/java/waytrestle/discovery/watch/WatchStateTest.java
@@ -146,4 +146,26 @@
         }
         assertEquals(500_000, longestMicros, "the longest backoff");
     }
+
+    @Test
+    void eventsThatWereMissingAreFollowedByOneMoreRequestWhichTellsThatNoneIsLeft() {
+        handle(new WatchState.AddressChanged());
+        receiveEvent(4);
+        receiveEvent(5);
+        assertEquals(List.of(), checkHeartbeat(), "the others may still come");
+        nowMicros += 30_000;
+        assertEquals(List.of("reconnect after 5"), checkHeartbeat());
+        receiveEvent(6);
+        nowMicros += 100_000;
+        assertEquals(List.of(), checkHeartbeat(), "once: then the next heartbeat is awaited");
+    }
+
+    @Test
+    void aSingleEventWhileNothingIsMissingIsFollowedByNoRequest() {
+        handle(new WatchState.AddressChanged());
+        receiveHeartbeat(3);
+        receiveEvent(4);
+        nowMicros += 100_000;
+        assertEquals(List.of(), checkHeartbeat());
+    }
 }
