A send that a stop of the process has caught is logged, and the judges excuse nothing else

Cause: a process stopped between its last check and the write cannot hold that write back.

Change: after the write the age of the check is looked at; over 10 ms send.delayed tells the request or preload, the invoker and the delay. DelayedSends: the outage plays and the soak excuse exactly the arrivals named there, each line for one; the 20 ms are gone, so the soak is stricter, and the suspended play now allows for what no controller can prevent, by proof.

--- a/src/main/java/waytrestle/controller/Attempt.java
+++ b/src/main/java/waytrestle/controller/Attempt.java
@@ -78,6 +78,11 @@
         return completionHandler.withdrawal(this);
     }
 
+    @Override
+    public void sendDelayed(long micros) {
+        completionHandler.sendDelayed(this, micros);
+    }
+
     void recordResult(AttemptResult attemptResult, long nowMicros) {
         result = attemptResult;
         exchangeResult = attemptResult.result();
--- a/src/main/java/waytrestle/controller/AttemptCompletionHandler.java
+++ b/src/main/java/waytrestle/controller/AttemptCompletionHandler.java
@@ -4,6 +4,7 @@
 import waytrestle.invoker.LoadMetrics;
 import waytrestle.requests.AdmissionControl;
 import waytrestle.requests.PendingRequests;
+import waytrestle.requests.RequestHandler.IncomingRequest;
 import waytrestle.requests.RequestOutcome;
 import waytrestle.requests.SendGuard;
 import waytrestle.responses.Classification;
@@ -99,6 +100,12 @@
                 : ExchangeResult.Kind.NO_CAPACITY;
     }
 
+    /** An attempt was sent though the process was stopped after it had been allowed. */
+    void sendDelayed(Attempt attempt, long micros) {
+        IncomingRequest incoming = attempt.request().incoming();
+        listener.attemptSendDelayed(incoming, attempt.number(), attempt.invoker(), micros);
+    }
+
     private SendGuard.SendIntent intent(Attempt attempt) {
         WorkReadiness.Readiness known =
                 readiness.of(attempt.invoker(), attempt.plan().invokerWasReady());
--- a/src/main/java/waytrestle/controller/ControllerListener.java
+++ b/src/main/java/waytrestle/controller/ControllerListener.java
@@ -58,6 +58,16 @@
      */
     default void sentOnExpiredList(WorkKind kind) {}
 
+    /**
+     * An attempt was sent so long after its last check, since the process was stopped between the
+     * two: it may have come to an invoker that drained meanwhile.
+     */
+    default void attemptSendDelayed(
+            IncomingRequest request, int attempt, String invoker, long micros) {}
+
+    /** A preload request was sent so long after its last check, likewise. */
+    default void preloadSendDelayed(String invoker, String function, long micros) {}
+
     /** A preload request, or a question for loaded instances, has ended. */
     default void preloadCompleted(String invoker, String function, ResponseCode code) {}
 
--- a/src/main/java/waytrestle/controller/InvokerClient.java
+++ b/src/main/java/waytrestle/controller/InvokerClient.java
@@ -63,6 +63,12 @@
         default ExchangeResult.Kind withdrawal() {
             return null;
         }
+
+        /**
+         * It was sent so long after {@link #withdrawal} had allowed it, since the process was
+         * stopped between the two.
+         */
+        default void sendDelayed(long micros) {}
     }
 
     /** Waits for the end of an attempt. */
--- a/src/main/java/waytrestle/controller/InvokerOperations.java
+++ b/src/main/java/waytrestle/controller/InvokerOperations.java
@@ -113,6 +113,11 @@
             return null;
         }
 
+        @Override
+        public void sendDelayed(long micros) {
+            listener.preloadSendDelayed(command.invoker(), command.function(), micros);
+        }
+
         /** Notifies the classifier of the end, then the scheduler. */
         @Override
         public void completed(ExchangeResult result, int instances, LoadMetrics metrics) {
--- a/src/main/java/waytrestle/gateway/GatewayControllerListener.java
+++ b/src/main/java/waytrestle/gateway/GatewayControllerListener.java
@@ -190,6 +190,17 @@
         metrics.latency("waytrestle_attempt_seconds", "code=\"" + label(code) + "\"", micros);
     }
 
+    @Override
+    public void attemptSendDelayed(
+            IncomingRequest request, int attempt, String invoker, long micros) {
+        LOG.warn("send.delayed attempt={} invoker={} delay_us={}", attempt, invoker, micros);
+    }
+
+    @Override
+    public void preloadSendDelayed(String invoker, String function, long micros) {
+        LOG.warn("send.delayed preload={} invoker={} delay_us={}", function, invoker, micros);
+    }
+
     @Override
     public void preloadSent() {
         metrics.counter("waytrestle_orders_total", "").add();
--- a/src/main/java/waytrestle/gateway/HttpInvokerClient.java
+++ b/src/main/java/waytrestle/gateway/HttpInvokerClient.java
@@ -2,7 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import waytrestle.controller.InvokerClient;
 import waytrestle.http.ExchangeBreak;
 import waytrestle.http.HttpClient;
@@ -25,22 +24,13 @@
      */
     protected final HttpClient.Call exchange(
             long within,
-            Supplier<Kind> withdrawn,
+            Withdrawable exchange,
             Consumer<HttpMessage> answered,
             Consumer<Kind> broken,
             ByteBuffer... request) {
-        Withdrawal withdrawal =
-                () -> {
-                    Kind how = withdrawn.get();
-                    return how == null
-                            ? null
-                            : how == Kind.CANCELLED
-                                    ? ExchangeBreak.CANCELLED
-                                    : ExchangeBreak.NO_ROOM;
-                };
         return client.call(
                 within,
-                withdrawal,
+                withdrawalOf(exchange),
                 new ResponseHandler() {
                     @Override
                     public void answered(HttpMessage m) {
@@ -55,6 +45,24 @@
                 request);
     }
 
+    private static Withdrawal withdrawalOf(Withdrawable exchange) {
+        return new Withdrawal() {
+            @Override
+            public ExchangeBreak now() {
+                Kind how = exchange.withdrawal();
+                if (how == null) {
+                    return null;
+                }
+                return how == Kind.CANCELLED ? ExchangeBreak.CANCELLED : ExchangeBreak.NO_ROOM;
+            }
+
+            @Override
+            public void writeDelayed(long micros) {
+                exchange.sendDelayed(micros);
+            }
+        };
+    }
+
     /**
      * The line is the first byte of the request: before it the invoker cannot have run anything.
      */
--- a/src/main/java/waytrestle/gateway/SocketTransport.java
+++ b/src/main/java/waytrestle/gateway/SocketTransport.java
@@ -77,7 +77,7 @@
             HttpClient.Call exchange =
                     exchange(
                             within,
-                            ended::withdrawal,
+                            ended,
                             m -> {
                                 Served served =
                                         m.status() != 200
@@ -117,7 +117,7 @@
                 long within, Copies copies, OperationListener told, ByteBuffer... request) {
             exchange(
                     within,
-                    told::withdrawal,
+                    told,
                     m -> {
                         boolean ok = m.status() == 200;
                         told.completed(
--- a/src/main/java/waytrestle/http/HttpClient.java
+++ b/src/main/java/waytrestle/http/HttpClient.java
@@ -75,10 +75,7 @@
         this.idleMicros = idleMicros;
     }
 
-    /**
-     * Hears that all connections were closed by the other side at once, kept ones among them that
-     * were used lately.
-     */
+    /** Hears that all connections, kept ones used lately among them, were closed by the peer. */
     public HttpClient lost(Runnable listener) {
         onLost = listener;
         return this;
@@ -337,8 +334,10 @@
         private void write() {
             writtenBefore = transport.written();
             ByteBuffer[] request = call.copyOfRequest();
-            if (!call.withdrawal.isOutdated() || !call.withdrawn()) {
+            Call writing = call;
+            if (!writing.withdrawal.isOutdated() || !writing.withdrawn()) {
                 transport.send(request);
+                writing.withdrawal.written();
             }
         }
 
--- a/src/main/java/waytrestle/http/Withdrawal.java
+++ b/src/main/java/waytrestle/http/Withdrawal.java
@@ -11,4 +11,10 @@
      * @return how the request ends instead of being sent; null to send it
      */
     ExchangeBreak now();
+
+    /**
+     * The request was written so long after the last question, since the process was stopped
+     * between the two. No process can prevent that.
+     */
+    default void writeDelayed(long micros) {}
 }
--- a/src/main/java/waytrestle/http/WithdrawalCheck.java
+++ b/src/main/java/waytrestle/http/WithdrawalCheck.java
@@ -39,6 +39,18 @@
 
     /** Whether the last answer is too old to be acted on. */
     boolean isOutdated() {
-        return clockMicros.getAsLong() - askedAtMicros > MAX_AGE_MICROS;
+        return ageMicros() > MAX_AGE_MICROS;
+    }
+
+    /** The request has been written. */
+    void written() {
+        long age = ageMicros();
+        if (age > MAX_AGE_MICROS) {
+            withdrawal.writeDelayed(age);
+        }
+    }
+
+    private long ageMicros() {
+        return clockMicros.getAsLong() - askedAtMicros;
     }
 }
--- a/src/main/java/waytrestle/platform/PlatformInvokerClient.java
+++ b/src/main/java/waytrestle/platform/PlatformInvokerClient.java
@@ -47,7 +47,7 @@
         HttpClient.Call exchange =
                 exchange(
                         timeoutMicros,
-                        listener::withdrawal,
+                        listener,
                         response -> listener.completed(attemptResult(response)),
                         failure -> listener.completed(AttemptResult.of(failure)),
                         message);
@@ -82,7 +82,7 @@
     private void sendOperation(long timeoutMicros, ByteBuffer request, OperationListener listener) {
         exchange(
                 timeoutMicros,
-                listener::withdrawal,
+                listener,
                 response ->
                         listener.completed(
                                 PlatformInvokerProtocol.result(response),
--- a/src/main/java/waytrestle/platform/PlatformLog.java
+++ b/src/main/java/waytrestle/platform/PlatformLog.java
@@ -32,6 +32,10 @@
     private static final int MAX_LINES_PER_SECOND = 20;
 
     private static final long MICROS_PER_SECOND = 1_000_000;
+    private static final long MICROS_PER_MILLI = 1_000;
+
+    /** Work that was written after a stop of the process, by a check from before it. */
+    private static final String SEND_DELAYED_EVENT = "send.delayed";
 
     /** Ends of attempts that say something of a fault; the others are counted alone. */
     private static final Set<ResponseCode> LOGGED_CODES =
@@ -122,6 +126,28 @@
         message(attemptLine(event, request, attempt, invoker, reason));
     }
 
+    @Override
+    public void attemptSendDelayed(
+            IncomingRequest request, int attempt, String invoker, long micros) {
+        message(
+                new LogLine(SEND_DELAYED_EVENT)
+                        .with("id", request.forwardedId())
+                        .with("attempt", attempt)
+                        .with("invoker", invoker)
+                        .with("delay_ms", micros / MICROS_PER_MILLI)
+                        .toString());
+    }
+
+    @Override
+    public void preloadSendDelayed(String invoker, String function, long micros) {
+        message(
+                new LogLine(SEND_DELAYED_EVENT)
+                        .with("preload", function)
+                        .with("invoker", invoker)
+                        .with("delay_ms", micros / MICROS_PER_MILLI)
+                        .toString());
+    }
+
     @Override
     public void requestCompleted(IncomingRequest request, String end, String reason, long micros) {
         String outcome = reason.isEmpty() ? end : end + "/" + reason;
--- a/src/test/java/waytrestle/http/WithdrawalCheckTest.java
+++ b/src/test/java/waytrestle/http/WithdrawalCheckTest.java
@@ -13,16 +13,25 @@
 
     private long nowMicros;
     private int questions;
+    private long delayedMicros;
 
     private WithdrawalCheck stoppedDuring(int stoppedQuestions, ExchangeBreak afterwards) {
         Withdrawal withdrawal =
-                () -> {
-                    questions++;
-                    if (questions > stoppedQuestions) {
-                        return afterwards;
+                new Withdrawal() {
+                    @Override
+                    public ExchangeBreak now() {
+                        questions++;
+                        if (questions > stoppedQuestions) {
+                            return afterwards;
+                        }
+                        nowMicros += STOP_MICROS;
+                        return null;
+                    }
+
+                    @Override
+                    public void writeDelayed(long micros) {
+                        delayedMicros = micros;
                     }
-                    nowMicros += STOP_MICROS;
-                    return null;
                 };
         return new WithdrawalCheck(withdrawal, () -> nowMicros);
     }
@@ -53,4 +62,15 @@
         nowMicros += STOP_MICROS;
         assertTrue(check.isOutdated());
     }
+
+    @Test
+    void aStopBetweenTheLastQuestionAndTheWriteIsTold() {
+        WithdrawalCheck check = stoppedDuring(0, null);
+        check.ask();
+        check.written();
+        assertEquals(0, delayedMicros);
+        nowMicros += STOP_MICROS;
+        check.written();
+        assertEquals(STOP_MICROS, delayedMicros);
+    }
 }
--- a/src/test/java/waytrestle/platform/DiscoveryOutagePlay.java
+++ b/src/test/java/waytrestle/platform/DiscoveryOutagePlay.java
@@ -32,6 +32,7 @@
      * @param lost requests of the whole play that never got a response
      * @param healthChecks of all invokers in the whole play
      * @param returnedWork new work at returned invokers within three seconds of their start
+     * @param caughtByStops late work that a stop of its controller caught right at the write
      */
     record Result(
             String name,
@@ -43,6 +44,7 @@
             int lost,
             int healthChecks,
             int returnedWork,
+            int caughtByStops,
             String log) {
         double servedShare() {
             return requests == 0 ? 1 : served / (double) requests;
@@ -52,7 +54,8 @@
         public String toString() {
             return String.format(
                     "%s: late requests %d, late preloads %d, first after %d ms; served %d of %d"
-                            + " (%.3f), lost %d, health checks %d, work at returned invokers %d",
+                        + " (%.3f), lost %d, health checks %d, work at returned invokers %d, caught"
+                        + " by stops %d",
                     name,
                     lateRequests,
                     latePreloads,
@@ -62,7 +65,8 @@
                     servedShare(),
                     lost,
                     healthChecks,
-                    returnedWork);
+                    returnedWork,
+                    caughtByStops);
         }
     }
 
@@ -329,6 +333,8 @@
 
     // ---- Judging. ----
     private Result judge() {
+        String logs = logs();
+        DelayedSends delayedSends = new DelayedSends(logs);
         int lateRequests = 0;
         int latePreloads = 0;
         int returnedWork = 0;
@@ -337,7 +343,8 @@
             long returnedUntil = drain.untilNanos() + RETURNED_WINDOW_MILLIS * NANOS_PER_MILLI;
             for (Arrival arrival : drain.invoker().arrivals()) {
                 boolean draining = arrival.state() != State.READY;
-                if (draining && arrival.atNanos() > limit(drain, arrival)) {
+                boolean late = draining && arrival.atNanos() > limit(drain, arrival);
+                if (late && !delayedSends.explain(drain.invoker(), arrival)) {
                     lateRequests += arrival.preload() ? 0 : 1;
                     latePreloads += arrival.preload() ? 1 : 0;
                     firstLate = Math.min(firstLate, arrival.atNanos());
@@ -346,18 +353,19 @@
                 returnedWork += returned && arrival.atNanos() < returnedUntil ? 1 : 0;
             }
         }
-        boolean late = firstLate < Long.MAX_VALUE;
+        boolean anyLate = firstLate < Long.MAX_VALUE;
         return new Result(
                 scenario.name,
                 lateRequests,
                 latePreloads,
-                late ? (firstLate - lostAtNanos) / NANOS_PER_MILLI : -1,
+                anyLate ? (firstLate - lostAtNanos) / NANOS_PER_MILLI : -1,
                 requests.get(),
                 served.get(),
                 lost.get(),
                 invokers.stream().mapToInt(SimulatedInvoker::healthChecks).sum(),
                 returnedWork,
-                logs());
+                delayedSends.explained(),
+                logs);
     }
 
     /** Until when the sender of this work may begin new work at the invoker. */
--- a/src/test/java/waytrestle/platform/DiscoveryOutageSoak.java
+++ b/src/test/java/waytrestle/platform/DiscoveryOutageSoak.java
@@ -24,7 +24,7 @@
     /**
      * What one seed came to.
      *
-     * @param caughtByPauses late sends that a pause had caught between check and write
+     * @param caughtByStops late sends that a stop had caught between check and write
      */
     record Result(
             long seed,
@@ -35,7 +35,7 @@
             int drains,
             int signals,
             int healthChecks,
-            int caughtByPauses,
+            int caughtByStops,
             List<String> violations)
             implements SoakRunner.Result {}
 
@@ -66,6 +66,10 @@
     private final List<Node> nodes = new ArrayList<>();
     private final List<String> violations = Collections.synchronizedList(new ArrayList<>());
     private final AtomicInteger lastId = new AtomicInteger();
+
+    /** Of all processes so far, those that have ended included. */
+    private final StringBuffer logs = new StringBuffer();
+
     private final AtomicInteger requests = new AtomicInteger();
     private final AtomicInteger served = new AtomicInteger();
     private final AtomicInteger cut = new AtomicInteger();
@@ -113,15 +117,16 @@
             for (Future<Void> part : parts) {
                 part.get();
             }
-            violations.addAll(history.violations());
             nodes.forEach(Node::checkLog);
-            return result();
+            DelayedSends delayedSends = new DelayedSends(logs.toString());
+            violations.addAll(history.violations(delayedSends));
+            return result(delayedSends.explained());
         } finally {
             close();
         }
     }
 
-    private Result result() {
+    private Result result(int caughtByStops) {
         return new Result(
                 seed,
                 requests.get(),
@@ -131,7 +136,7 @@
                 history.drains(),
                 signals.get(),
                 invokers.stream().mapToInt(SimulatedInvoker::healthChecks).sum(),
-                history.caughtByPauses(),
+                caughtByStops,
                 List.copyOf(violations));
     }
 
@@ -396,7 +401,9 @@
         }
 
         private void checkLog() {
-            violations.addAll(SoakRunner.violationsIn(process.log()));
+            String log = process.log();
+            logs.append(log);
+            violations.addAll(SoakRunner.violationsIn(log));
         }
     }
 }
--- a/src/test/java/waytrestle/platform/OutageHistory.java
+++ b/src/test/java/waytrestle/platform/OutageHistory.java
@@ -1,9 +1,7 @@
 package waytrestle.platform;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import waytrestle.platform.SimulatedInvoker.Arrival;
 import waytrestle.platform.SimulatedInvoker.State;
 import waytrestle.platform.SimulatedWatchServer.Loss;
@@ -17,9 +15,6 @@
     private static final long SOCKET_SLACK_MILLIS = 50;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
-    /** A write that a pause has caught comes so soon after its end. */
-    private static final long CAUGHT_MILLIS = 20;
-
     /** Pauses that ended longer before a late arrival are not reported with it. */
     private static final long REPORTED_MILLIS = 7_000;
 
@@ -66,7 +61,6 @@
     private final List<Drain> drains = new ArrayList<>();
     private final List<Suspension> suspensions = new ArrayList<>();
     private Outage outage;
-    private int caughtByPauses;
 
     OutageHistory(long graceMillis) {
         this.graceMillis = graceMillis;
@@ -98,21 +92,15 @@
         return drains.size();
     }
 
-    /** Late arrivals that a pause had caught between the last check and the write. */
-    synchronized int caughtByPauses() {
-        return caughtByPauses;
-    }
-
-    /** All late work. */
-    synchronized List<String> violations() {
+    /** All late work, but what stops of the controllers have caught. */
+    synchronized List<String> violations(DelayedSends delayedSends) {
         List<String> found = new ArrayList<>();
-        Set<Suspension> excused = new HashSet<>();
         for (Drain drain : drains) {
             long limit = drain.limitNanos(graceMillis);
             for (Arrival arrival : drain.invoker.arrivals()) {
                 boolean during = arrival.atNanos() > limit && arrival.atNanos() < drain.untilNanos;
                 boolean late = during && arrival.state() != State.READY;
-                if (late && !isCaughtByPause(arrival, limit, excused)) {
+                if (late && !delayedSends.explain(drain.invoker, arrival)) {
                     found.add(describe(drain, arrival, limit));
                 }
             }
@@ -120,19 +108,6 @@
         return found;
     }
 
-    /** One at most for each pause is excused, since a controller writes with one thread. */
-    private boolean isCaughtByPause(Arrival arrival, long limit, Set<Suspension> excused) {
-        for (Suspension each : suspensions) {
-            long since = arrival.atNanos() - each.untilNanos();
-            boolean rightAfter = Math.abs(since) < CAUGHT_MILLIS * NANOS_PER_MILLI;
-            if (rightAfter && each.fromNanos() < limit && excused.add(each)) {
-                caughtByPauses++;
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** What happened around it, in milliseconds before the arrival. */
     private String describe(Drain drain, Arrival arrival, long limit) {
         StringBuilder text = new StringBuilder("drain: ");
