--- a/src/main/java/waytrestle/http/HttpClient.java
+++ b/src/main/java/waytrestle/http/HttpClient.java
@@ -131,6 +131,9 @@
 
     /** Reads responses that have come already, where the loop has been busy elsewhere for long. */
     public void pollIfBehind() {
+        if (!loop.isBehind()) {
+            return;
+        }
         for (PooledConnection connection : List.copyOf(connections)) {
             if (connection.isUp && connection.call != null) {
                 connection.transport.pollIfBehind();
@@ -153,7 +156,7 @@
 
     /** A request under way. */
     public final class Call {
-        private final ByteBuffer[] request;
+        private final OutgoingRequest request;
         private final ResponseHandler handler;
         private final WithdrawalCheck withdrawal;
         private PooledConnection connection;
@@ -162,7 +165,7 @@
         private int connectionsBegun;
 
         private Call(ByteBuffer[] request, Withdrawal withdrawal, ResponseHandler handler) {
-            this.request = request;
+            this.request = new OutgoingRequest(request);
             this.withdrawal = new WithdrawalCheck(withdrawal, Loop::now);
             this.handler = handler;
         }
@@ -200,15 +203,6 @@
             connection = null;
             handler.answered(message);
         }
-
-        /** The same bytes for each try. */
-        private ByteBuffer[] copyOfRequest() {
-            ByteBuffer[] copy = new ByteBuffer[request.length];
-            for (int i = 0; i < request.length; i++) {
-                copy[i] = request[i].duplicate();
-            }
-            return copy;
-        }
     }
 
     /** Sends a request; the head and body are handed over. */
@@ -333,7 +327,7 @@
 
         private void write() {
             writtenBefore = transport.written();
-            ByteBuffer[] request = call.copyOfRequest();
+            ByteBuffer[] request = call.request.bytes();
             Call writing = call;
             if (!writing.withdrawal.isOutdated() || !writing.withdrawn()) {
                 transport.send(request);
--- a/src/main/java/waytrestle/net/Connection.java
+++ b/src/main/java/waytrestle/net/Connection.java
@@ -36,9 +36,6 @@
         CLOSED
     }
 
-    /** A loop behind by more looks again before it acts for a client. */
-    private static final long BEHIND_MICROS = 50_000;
-
     /** Bytes written a turn: a large answer must not hold up the small ones. */
     private static final long MAX_BYTES_PER_TURN = 256 * 1024;
 
@@ -237,7 +234,7 @@
 
     /** The same, where the loop has been busy elsewhere for long, or the last read has failed. */
     public void pollIfBehind() {
-        if (loop.behind() > BEHIND_MICROS || readRetry.isPending()) {
+        if (loop.isBehind() || readRetry.isPending()) {
             poll();
         }
     }
@@ -265,7 +262,7 @@
         if (role == PeerRole.CLIENT
                 && transfer.hasProgressed()
                 && in.hasRemaining()
-                && behind > BEHIND_MICROS) {
+                && behind > Loop.BEHIND_MICROS) {
             // Who sent this may have gone since: nobody waits for it.
             Transfer next = SocketTransfers.read(channel, in);
             if (next.status() == Transfer.Status.ENDED || next.status() == Transfer.Status.BROKEN) {
--- a/src/main/java/waytrestle/net/Loop.java
+++ b/src/main/java/waytrestle/net/Loop.java
@@ -31,6 +31,10 @@
             16; // descriptors: a crowd of broken connections must not use them up
     private static final long MAX_WAIT =
             1_000_000; // micros: a wake-up that the kernel refused is made up for then
+
+    /** A loop behind by more looks again before it acts for a client. */
+    static final long BEHIND_MICROS = 50_000;
+
     private static final int MAX_FURTHER_LOOKS =
             3; // a process that is stopped in each of them handles what it has found
     private static final long FAILED_SELECTION_PAUSE =
@@ -129,6 +133,11 @@
         return thread.getStackTrace();
     }
 
+    /** Whether that is so long that what has come may forbid what is about to be done. */
+    public boolean isBehind() {
+        return behind() > BEHIND_MICROS;
+    }
+
     /** Counts of the system calls that failed on this loop. */
     public SystemFaults faults() {
         return faults;
