--- a/src/test/java/waytrestle/gateway/EndpointSourceOutageTest.java
+++ b/src/test/java/waytrestle/gateway/EndpointSourceOutageTest.java
@@ -71,8 +71,9 @@
     private static final long MICROS_PER_MILLI = 1_000;
 
     /**
-     * Quiet machines serve all. A loaded one rejects some as crowded, outage or not; a gateway that
-     * stops at the end of the list's time serves under a third.
+     * Quiet machines serve all. A loaded one rejects some as crowded, outage or not. A gateway that
+     * stopped at the end of the list's time would serve 0.9 s of the outage, 3.4 s where queries
+     * are never answered.
      */
     private static final double LEAST_SERVED_SHARE = 0.8;
 
