Watch: a process stopped without a connection may have missed events since then

A controller was stopped while discovery was out of reach; meanwhile the server was back for half a second, an invoker was declared draining, and the server was lost again. After the resume the controller took the two outages for one and acted on its list two seconds and the lease from the first.

Change: after a stop of the process the list, where it was not current, counts as received from the stop's beginning.

--- a/src/main/java/waytrestle/discovery/watch/ListFreshness.java
+++ b/src/main/java/waytrestle/discovery/watch/ListFreshness.java
@@ -62,6 +62,16 @@
         atLatest(lastLineAtMicros + SILENT_MICROS);
     }
 
+    /**
+     * Nobody listened for a while, and the server may have been reachable. Guards against a process
+     * that was stopped between two outages: it takes them for one.
+     */
+    void mayHaveMissed(long sinceMicros) {
+        if (!current) {
+            receivedAtMicros = Math.min(receivedAtMicros, sinceMicros);
+        }
+    }
+
     /** The server is at another address from now on. */
     void moved(long nowMicros) {
         atLatest(nowMicros + MOVED_MICROS);
--- a/src/main/java/waytrestle/discovery/watch/WatchClient.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchClient.java
@@ -92,6 +92,9 @@
         if (connection != null) {
             connection.transport.pollIfBehind();
         }
+        if (loop.isBehind()) {
+            handle(new WatchState.ProcessStopped(earliestMicros()));
+        }
     }
 
     private void checkHeartbeat() {
--- a/src/main/java/waytrestle/discovery/watch/WatchState.java
+++ b/src/main/java/waytrestle/discovery/watch/WatchState.java
@@ -64,6 +64,12 @@
     /** The watch server is at another address now, or is to be followed for the first time. */
     public record AddressChanged() implements Event {}
 
+    /**
+     * The process has not run since that time. Where there was no connection it cannot tell whether
+     * the server was reachable meanwhile, and events were published.
+     */
+    public record ProcessStopped(long sinceMicros) implements Event {}
+
     /** It is time to check whether the server still sends heartbeats. */
     public record HeartbeatCheckDue() implements Event {}
 
@@ -155,6 +161,8 @@
             lost(LossCause.CLOSED);
             freshness.brokenOff(failed.sinceMicros());
             reconnect(nowMicros, commands);
+        } else if (event instanceof ProcessStopped stopped) {
+            freshness.mayHaveMissed(stopped.sinceMicros());
         } else if (event instanceof AddressChanged) {
             lost(LossCause.MOVED);
             freshness.moved(nowMicros);
--- a/src/test/java/waytrestle/discovery/watch/ListFreshnessTest.java
+++ b/src/test/java/waytrestle/discovery/watch/ListFreshnessTest.java
@@ -148,4 +148,19 @@
         receiveHeartbeat(5);
         assertCurrentUntil(5 * SECOND);
     }
+
+    @Test
+    void aProcessThatWasStoppedWithoutAConnectionMayHaveMissedEventsSinceThen() {
+        handle(new WatchState.ConnectionFailed(nowMicros));
+        nowMicros += SECOND;
+        handle(new WatchState.ProcessStopped(START_MICROS + SECOND / 2));
+        assertOutdatedAfter(SECOND / 2, WatchState.LossCause.CLOSED);
+    }
+
+    @Test
+    void aProcessThatWasStoppedWithAConnectionReadsWhatHasCome() {
+        nowMicros += SECOND;
+        handle(new WatchState.ProcessStopped(START_MICROS));
+        assertNull(published, "nothing has changed");
+    }
 }
