--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,7 +4,7 @@
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
 timeout -s TERM 116 java -Xmx512m -Droot="$(cd ../.. && pwd)" -Dfolder="$folder" -cp ../out \
-    BadClients UNKNOWN_IDS record.txt 80000
+    BadClients UNKNOWN_IDS record.txt 100000
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
