Cancel the timers of a request when it ends, and of a client when it leaves

Cause: two timers of each request (the scheduler's and the client's) wait for its deadline, since Transport.schedule gave nothing to cancel them by. Class histogram after 241,952 requests: 486,209 timers with their tasks and commands, 50 of 64 MB.

Change: Transport.schedule returns what cancels the task. OpenRequest holds one timer of each kind and cancels them at its end, a waiting client its own. A later retry timer replaces the earlier one, of which each awaited health check had added one.

ControllerTest used the deadline timer of a request that does not exist to see that a timer is delivered; it is one that belongs to no request now, and everything else it asserts is as before.

--- a/src/main/java/waytrestle/controller/OpenRequest.java
+++ b/src/main/java/waytrestle/controller/OpenRequest.java
@@ -9,7 +9,7 @@
 
 /**
  * A request that was started, until it has ended for its clients and none of its attempts is
- * outstanding. Holds its attempts and its send history.
+ * outstanding. Holds its attempts, its send history and, until it has ended, its timers.
  *
  * <p>Not thread-safe: used by the controller's event loop.
  */
@@ -23,6 +23,7 @@
     private final ResponseListener firstClient;
     private final FunctionHints functionHints;
     private final SendHistory sendHistory = new SendHistory();
+    private final RequestTimers timers = new RequestTimers();
     private final List<Attempt> attempts = new ArrayList<>(USUAL_ATTEMPTS);
     private int outstandingAttempts;
     private boolean completed;
@@ -69,6 +70,11 @@
         return sendHistory;
     }
 
+    /** Returns the timers that the scheduler has set for the request. */
+    RequestTimers timers() {
+        return timers;
+    }
+
     /** Returns all attempts in the order of their numbers, also those never sent. */
     List<Attempt> attempts() {
         return attempts;
@@ -94,8 +100,10 @@
         return completed;
     }
 
+    /** Records that the request has ended for its clients, and cancels its timers. */
     void markCompleted() {
         completed = true;
+        timers.cancelAll();
     }
 
     /** Returns whether the request ended with a result or an error of the function itself. */
--- a/src/main/java/waytrestle/controller/SchedulerCommandHandler.java
+++ b/src/main/java/waytrestle/controller/SchedulerCommandHandler.java
@@ -4,6 +4,7 @@
 import waytrestle.scheduler.RequestScheduler;
 import waytrestle.scheduler.SchedulerCommand;
 import waytrestle.scheduler.SchedulerEvent;
+import waytrestle.scheduler.SchedulerTimer;
 
 /**
  * Carries out the commands of the scheduler.
@@ -71,7 +72,29 @@
     }
 
     private void setTimer(SchedulerCommand.SetTimer command) {
-        transport.schedule(
+        if (command.timer() instanceof SchedulerTimer.RequestTimer timer) {
+            setRequestTimer(command, timer);
+        } else {
+            schedule(command);
+        }
+    }
+
+    /** Sets a timer of a request, unless the request has ended for its clients. */
+    private void setRequestTimer(
+            SchedulerCommand.SetTimer command, SchedulerTimer.RequestTimer timer) {
+        OpenRequest request = openRequests.find(timer.requestId());
+        if (request == null || request.isCompleted()) {
+            return;
+        }
+        if (timer instanceof SchedulerTimer.RequestDeadline) {
+            request.timers().setDeadline(schedule(command));
+        } else {
+            request.timers().setRetry(schedule(command));
+        }
+    }
+
+    private Transport.ScheduledTask schedule(SchedulerCommand.SetTimer command) {
+        return transport.schedule(
                 command.afterMicros(),
                 () ->
                         dispatcher.dispatchToScheduler(
--- a/src/main/java/waytrestle/controller/Transport.java
+++ b/src/main/java/waytrestle/controller/Transport.java
@@ -9,8 +9,14 @@
     /** Returns the monotonic time. */
     long nowMicros();
 
-    /** Runs a task after a delay, never within this call. */
-    void schedule(long delayMicros, Runnable task);
+    /** A task that was scheduled. */
+    interface ScheduledTask {
+        /** Prevents the task from running; does nothing if it has run or was cancelled. */
+        void cancel();
+    }
+
+    /** Runs a task after a delay, never within this call, unless it is cancelled before. */
+    ScheduledTask schedule(long delayMicros, Runnable task);
 
     /**
      * Creates the client of an invoker.
--- a/src/main/java/waytrestle/controller/WaitingClients.java
+++ b/src/main/java/waytrestle/controller/WaitingClients.java
@@ -48,7 +48,7 @@
     PendingResponse accept(IncomingRequest incoming, ResponseListener client) {
         lastClientId++;
         long clientId = lastClientId;
-        clients.put(clientId, new WaitingClient(client, incoming, transport.nowMicros(), null));
+        clients.put(clientId, new WaitingClient(client, incoming, transport.nowMicros()));
         dispatcher.dispatchToPendingRequests(
                 new PendingRequests.RequestArrived(
                         clientId,
@@ -61,7 +61,7 @@
     }
 
     private void disconnected(long clientId, IncomingRequest incoming) {
-        if (clients.remove(clientId) == null) {
+        if (remove(clientId) == null) {
             return;
         }
         listener.requestCompleted(
@@ -69,6 +69,15 @@
         dispatcher.dispatchToPendingRequests(new PendingRequests.ClientDisconnected(clientId));
     }
 
+    /** Removes a client, which no longer waits, and returns it; null where it has left before. */
+    private WaitingClient remove(long clientId) {
+        WaitingClient client = clients.remove(clientId);
+        if (client != null) {
+            client.cancelDeadlineTimer();
+        }
+        return client;
+    }
+
     /** Returns the client with the given id, or null where it no longer waits. */
     WaitingClient find(long clientId) {
         return clients.get(clientId);
@@ -81,7 +90,7 @@
 
     /** Passes a client its response; does nothing where the client has disconnected. */
     void respond(PendingRequests.RespondToClient command) {
-        WaitingClient client = clients.remove(command.clientId());
+        WaitingClient client = remove(command.clientId());
         if (client == null) {
             return;
         }
@@ -110,12 +119,16 @@
      * Schedules a notification of the pending requests for a client that waits until its deadline.
      */
     void setDeadlineTimer(PendingRequests.SetDeadlineTimer command) {
-        transport.schedule(command.afterMicros(), () -> deadlineExpired(command.clientId()));
-    }
-
-    private void deadlineExpired(long clientId) {
-        if (clients.containsKey(clientId)) {
-            dispatcher.dispatchToPendingRequests(new PendingRequests.DeadlineExpired(clientId));
+        long clientId = command.clientId();
+        WaitingClient client = clients.get(clientId);
+        if (client != null) {
+            Transport.ScheduledTask timer =
+                    transport.schedule(
+                            command.afterMicros(),
+                            () ->
+                                    dispatcher.dispatchToPendingRequests(
+                                            new PendingRequests.DeadlineExpired(clientId)));
+            clients.put(clientId, client.withDeadlineTimer(timer));
         }
     }
 }
--- a/src/main/java/waytrestle/emulator/SimHost.java
+++ b/src/main/java/waytrestle/emulator/SimHost.java
@@ -61,14 +61,33 @@
     }
 
     @Override
-    public void schedule(long micros, Runnable task) {
-        clock.after(
-                micros,
-                () -> {
-                    if (!dead) {
-                        task.run();
-                    }
-                });
+    public ScheduledTask schedule(long micros, Runnable task) {
+        SimTask scheduled = new SimTask(task);
+        clock.after(micros, scheduled);
+        return scheduled;
+    }
+
+    /**
+     * A task of the controller, which does not run once it was cancelled or the controller died.
+     */
+    private final class SimTask implements ScheduledTask, Runnable {
+        private Runnable task;
+
+        SimTask(Runnable task) {
+            this.task = task;
+        }
+
+        @Override
+        public void cancel() {
+            task = null;
+        }
+
+        @Override
+        public void run() {
+            if (task != null && !dead) {
+                task.run();
+            }
+        }
     }
 
     /** Attempts out. */
--- a/src/main/java/waytrestle/gateway/EventLoopTransport.java
+++ b/src/main/java/waytrestle/gateway/EventLoopTransport.java
@@ -18,7 +18,7 @@
     }
 
     @Override
-    public void schedule(long delayMicros, Runnable task) {
-        loop.after(delayMicros, task);
+    public ScheduledTask schedule(long delayMicros, Runnable task) {
+        return loop.after(delayMicros, task)::cancel;
     }
 }
--- a/src/test/java/waytrestle/gateway/ControllerTest.java
+++ b/src/test/java/waytrestle/gateway/ControllerTest.java
@@ -45,6 +45,8 @@
 import waytrestle.scheduler.SchedulerEvent.RequestReceived;
 import waytrestle.scheduler.SchedulerEvent.TimerExpired;
 import waytrestle.scheduler.SchedulerTimer;
+import waytrestle.scheduler.SchedulerTimer.EndpointResubscription;
+import waytrestle.scheduler.SchedulerTimer.QueuedRequestRetry;
 import waytrestle.scheduler.SchedulerTimer.RequestDeadline;
 import waytrestle.scheduler.StartKind;
 
@@ -54,7 +56,7 @@
  */
 class ControllerTest {
     private static final String ENDPOINT = "seat-charge";
-    private static final SchedulerTimer TIMER = new RequestDeadline(77);
+    private static final SchedulerTimer TIMER = new EndpointResubscription();
     private static final long TIMER_DELAY_MICROS = 1_000;
     private static final int PEER = 1;
 
@@ -126,6 +128,48 @@
         }
     }
 
+    /** Guards against timers that wait for the deadlines of requests that ended long before. */
+    @Test
+    void aRequestHasOneTimerOfEachKindAndNoneOnceItHasEnded() throws Exception {
+        try (GatewayFixture fixture = new GatewayFixture(1)) {
+            fixture.start(
+                    fixture.settingsText(false),
+                    scriptedScheduler(
+                            (event, commands) -> {
+                                if (event instanceof RequestReceived request) {
+                                    setTimers(commands, request.id());
+                                    if (request.function().equals("ended")) {
+                                        commands.add(new FailRequest(request.id()));
+                                    }
+                                } else if (event instanceof TimerExpired expired
+                                        && expired.timer() instanceof RequestDeadline deadline) {
+                                    commands.add(new FailRequest(deadline.requestId()));
+                                }
+                            }));
+            send(fixture, "ended", "ended");
+            GatewayFixture.waitUntil(
+                    () -> eventsOfType(TimerExpired.class).size() == 1, "the last timer");
+            assertEquals(TIMER, eventsOfType(TimerExpired.class).get(0).timer());
+            events.clear();
+            send(fixture, "open", "open");
+            GatewayFixture.waitUntil(
+                    () -> eventsOfType(TimerExpired.class).size() == 3, "the last timers");
+            assertEquals(
+                    List.of(QueuedRequestRetry.class, RequestDeadline.class, TIMER.getClass()),
+                    eventsOfType(TimerExpired.class).stream()
+                            .map(expired -> expired.timer().getClass())
+                            .toList());
+        }
+    }
+
+    /** Sets two retry timers, then the deadline's, then one that belongs to no request. */
+    private static void setTimers(Sink commands, long requestId) {
+        commands.add(new SetTimer(TIMER_DELAY_MICROS, new QueuedRequestRetry(requestId)));
+        commands.add(new SetTimer(2 * TIMER_DELAY_MICROS, new QueuedRequestRetry(requestId)));
+        commands.add(new SetTimer(3 * TIMER_DELAY_MICROS, new RequestDeadline(requestId)));
+        commands.add(new SetTimer(4 * TIMER_DELAY_MICROS, TIMER));
+    }
+
     private static void respondToOperation(GatewayFixture.ReceivedRequest request) {
         switch (request.path()) {
             case "/v2/repository/index" ->
--- a/src/test/java/waytrestle/platform/ClientFloodTest.java
+++ b/src/test/java/waytrestle/platform/ClientFloodTest.java
@@ -30,6 +30,12 @@
         assertSurvives(1, Kind.NEW_FUNCTION);
     }
 
+    /** Guards against timers that outlive their requests until the deadlines that clients name. */
+    @Test
+    void rejectedRequestsWithLongDeadlinesDoNotFillTheHeap() throws Exception {
+        assertSurvives(2, Kind.LONG_DEADLINE);
+    }
+
     private static void assertSurvives(long seed, Kind... kinds) throws Exception {
         try (PlatformFixture fixture = new PlatformFixture();
                 ControllerProcess controller = new SmallHeapController()) {
--- a/src/test/java/waytrestle/platform/PlatformControllerTest.java
+++ b/src/test/java/waytrestle/platform/PlatformControllerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static waytrestle.platform.PlatformFixture.FUNCTION;
 import static waytrestle.platform.PlatformFixture.awaitCondition;
 import static waytrestle.platform.PlatformFixture.correlationId;
 import static waytrestle.platform.PlatformFixture.readResponse;
@@ -368,6 +369,23 @@
                 "timers of completed requests last for their three seconds, no longer");
     }
 
+    /** Guards against a heap filled by timers of requests that ended long before their deadline. */
+    @Test
+    void timersOfEndedRequestsDoNotWaitForTheirDeadlines() throws Exception {
+        String unknown = FUNCTION.replace('7', '8');
+        for (int i = 0; i < 200; i++) {
+            String served = request("read", correlationId(2 * i), "", "x");
+            String rejected =
+                    request("read", correlationId(2 * i + 1), "X-Extras: load_ms:60000\r\n", "x")
+                            .replace(FUNCTION, unknown);
+            fixture.send(served.replace("Ms: 3000", "Ms: 30000"));
+            fixture.send(rejected.replace("Ms: 3000", "Ms: 30000"));
+        }
+        awaitCondition(
+                unchecked(() -> tableSizes().timers() <= 30),
+                "timers wait for deadlines of 30 s: " + tableSizes());
+    }
+
     /** Adds 100 invokers, sends 10 requests, removes the invokers and awaits that all is gone. */
     private void addAndRemoveInvokers(int round) throws Exception {
         String[] added = new String[100];
