Cancel the timers of a client connection when it closes

A client that connects, sends what cannot be read and closes, at full speed, fills the heap by its rate alone.

Change: HttpServer cancels the linger timer with the others when a connection closes; after a 408 one timer is set in place of two, the later of which did nothing. Connection.close cancels the registration's check.

--- a/src/main/java/waytrestle/http/HttpServer.java
+++ b/src/main/java/waytrestle/http/HttpServer.java
@@ -481,7 +481,7 @@
         private long messageSentSinceMicros;
         private final long createdAtMicros = Loop.nowMicros();
         private boolean headChecked, closing, waitsForBodyBytes, unregistered, hadRequest;
-        private TimerHeap.Timer waitTimer, firstRequestTimer;
+        private TimerHeap.Timer waitTimer, firstRequestTimer, lingerTimer;
 
         private ClientConnection(Connection connection, InetAddress address, long id) {
             this.address = address;
@@ -567,7 +567,6 @@
             } else {
                 countTurnedAway(parser.isReadingBody() ? "slow_body" : "slow_head");
                 refuse(new HttpError(408, "the request did not come in time"));
-                loop.after(limits.writeMicros(), this::close);
             }
         }
 
@@ -724,7 +723,8 @@
             // Bytes that the client still sends are read and dropped for a while. Closing with
             // unread bytes would send a reset, and the client would lose the response.
             connection.endOutput();
-            loop.after(Math.min(limits.writeMicros(), REFUSAL_LINGER_MICROS), this::close);
+            long lingerMicros = Math.min(limits.writeMicros(), REFUSAL_LINGER_MICROS);
+            lingerTimer = loop.after(lingerMicros, this::close);
         }
 
         private void responseQueued(Exchange answered, boolean closesConnection) {
@@ -759,6 +759,9 @@
             if (firstRequestTimer != null) {
                 firstRequestTimer.cancel();
             }
+            if (lingerTimer != null) {
+                lingerTimer.cancel();
+            }
             clients.remove(id);
             if (!unregistered) {
                 unregistered = true;
--- a/src/main/java/waytrestle/net/Connection.java
+++ b/src/main/java/waytrestle/net/Connection.java
@@ -446,6 +446,9 @@
         if (connectTimer != null) {
             connectTimer.cancel();
         }
+        if (registration != null) {
+            registration.cancelCheck();
+        }
         output.clear();
         input.clear();
         try {
--- a/src/main/java/waytrestle/net/Registration.java
+++ b/src/main/java/waytrestle/net/Registration.java
@@ -44,7 +44,9 @@
      */
     private int unconfirmedOperations;
 
-    private boolean checkPending;
+    /** The timer of the next check; null while none is pending. */
+    private TimerHeap.Timer checkTimer;
+
     private long checkDelayMicros = FIRST_CHECK_DELAY_MICROS;
 
     Registration(Loop loop, int operations, Handler handler) {
@@ -104,9 +106,18 @@
 
     /** Ends the registration; the channel stays open. */
     public void cancel() {
+        cancelCheck();
         key.cancel();
     }
 
+    /** Cancels the pending check, if any: the channel is about to be closed. */
+    void cancelCheck() {
+        if (checkTimer != null) {
+            checkTimer.cancel();
+            checkTimer = null;
+        }
+    }
+
     /**
      * Handles readiness that the selector has reported, which confirms that the kernel knows of
      * these operations.
@@ -124,14 +135,13 @@
     }
 
     private void scheduleCheck() {
-        if (!checkPending && unconfirmedOperations != 0) {
-            checkPending = true;
-            loop.after(checkDelayMicros, this::check);
+        if (checkTimer == null && unconfirmedOperations != 0) {
+            checkTimer = loop.after(checkDelayMicros, this::check);
         }
     }
 
     private void check() {
-        checkPending = false;
+        checkTimer = null;
         if (unconfirmedOperations == 0 || !key.isValid()) {
             return;
         }
--- a/src/test/java/waytrestle/http/HttpServerTest.java
+++ b/src/test/java/waytrestle/http/HttpServerTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -103,6 +104,31 @@
         return socket;
     }
 
+    /**
+     * Guards against timers that hold what is left of connections which their clients have closed.
+     */
+    @Test
+    void connectionsThatHaveClosedLeaveNoTimers() throws Exception {
+        for (int i = 0; i < 200; i++) {
+            try (Socket socket = connect()) {
+                String message = i % 2 == 0 ? "no request\r\n\r\n" : "GET / HTTP/1.1\r\n\r\n";
+                socket.getOutputStream().write(message.getBytes(StandardCharsets.US_ASCII));
+                assertTrue(socket.getInputStream().read() >= 0, "a response");
+            }
+            while (onLoop(server::connections) > 0) {
+                Thread.sleep(1);
+            }
+        }
+        int timers = onLoop(loop::timerCount);
+        assertTrue(timers <= 2, timers + " timers, where the listener may have some of its own");
+    }
+
+    private int onLoop(Supplier<Integer> value) throws Exception {
+        CompletableFuture<Integer> result = new CompletableFuture<>();
+        loop.execute(() -> result.complete(value.get()));
+        return result.get(5, TimeUnit.SECONDS);
+    }
+
     private static String readToEnd(Socket socket) throws Exception {
         return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
     }
