Count requests and preloads of a period in a bounded number of groups

The scheduler kept the arrival time of each request of the last preload period, and the send time of each preload, in lists that the request rate alone bounded: where settings limit preloads over a minute, clients at full speed fill megabytes with requests that are all rejected.

Requests, which earn preloads, are never counted too long; preloads never too short, so that the limit of the settings holds.

--- a/src/main/java/waytrestle/scheduler/PreloadPlanner.java
+++ b/src/main/java/waytrestle/scheduler/PreloadPlanner.java
@@ -51,22 +51,20 @@
             return false;
         }
         invoker.startPreload(function, state.now);
-        state.preloadTimes.add(state.now);
+        state.preloadsInPeriod.add(state.now);
         state.commands.add(new PreloadFunction(invoker.id, function.id, instances));
         return true;
     }
 
     private boolean isWithinRateLimit() {
         Preloading preloading = state.settings.preloading();
-        long period = preloading.preloadPeriodMicros();
-        if (period <= 0) {
-            state.preloadTimes.clear();
+        if (preloading.preloadPeriodMicros() <= 0) {
             return true;
         }
-        state.dropOlderThan(state.preloadTimes, period);
-        state.dropOlderThan(state.requestTimes, period);
-        double earnedPreloads = preloading.preloadsPerRequest() * state.requestTimes.size();
-        return state.preloadTimes.size() + 1 <= preloading.freePreloads() + earnedPreloads;
+        double earnedPreloads =
+                preloading.preloadsPerRequest() * state.requestsInPeriod.count(state.now);
+        long preloads = state.preloadsInPeriod.count(state.now) + 1;
+        return preloads <= preloading.freePreloads() + earnedPreloads;
     }
 
     /** Records the end of a preload request; ignores unknown functions and invokers. */
--- a/src/main/java/waytrestle/scheduler/SchedulerState.java
+++ b/src/main/java/waytrestle/scheduler/SchedulerState.java
@@ -1,12 +1,13 @@
 package waytrestle.scheduler;
 
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
 import waytrestle.stats.DecayingAverage;
 import waytrestle.stats.DecayingSum;
+import waytrestle.stats.SlidingWindowCount;
+import waytrestle.stats.SlidingWindowCount.Expiry;
 
 /**
  * The state of one scheduler, shared by its parts. Its size is bounded by the endpoint list, the
@@ -40,11 +41,11 @@
     /** Requests by id that lack their outcome or have attempts in flight. */
     final Map<Long, RequestState> requests = new HashMap<>();
 
-    /** Arrival times of the requests in the last period of the preload limit, oldest first. */
-    final ArrayDeque<Long> requestTimes = new ArrayDeque<>();
+    /** Requests in the last period of the preload limit; never too many, as they earn preloads. */
+    final SlidingWindowCount requestsInPeriod;
 
-    /** Send times of the preloads in the last period of the preload limit, oldest first. */
-    final ArrayDeque<Long> preloadTimes = new ArrayDeque<>();
+    /** Preloads sent in the last period of the preload limit; never too few. */
+    final SlidingWindowCount preloadsInPeriod;
 
     /** Requests for all functions; each weighs 1/e after one keep-alive. */
     final DecayingSum recentRequests;
@@ -80,6 +81,9 @@
         this.settings = settings;
         this.random = new SplittableRandom(seed);
         this.recentRequests = new DecayingSum(keepAliveMicros());
+        long period = settings.preloading().preloadPeriodMicros();
+        this.requestsInPeriod = new SlidingWindowCount(period, Expiry.WITH_FIRST);
+        this.preloadsInPeriod = new SlidingWindowCount(period, Expiry.WITH_LAST);
     }
 
     /** Returns the time after its last use in which an instance stays loaded; at least 1. */
@@ -124,7 +128,7 @@
         FunctionState function = functionOf(event);
         function.recordRequest(event, now);
         recentRequests.add(1, now);
-        requestTimes.add(now);
+        requestsInPeriod.add(now);
         int classes = settings.classes().size();
         RequestState request =
                 new RequestState(
@@ -157,11 +161,4 @@
             requests.remove(request.id);
         }
     }
-
-    /** Removes the times that lie further back than the span; the oldest time must come first. */
-    void dropOlderThan(ArrayDeque<Long> times, long spanMicros) {
-        while (!times.isEmpty() && times.peekFirst() < now - spanMicros) {
-            times.removeFirst();
-        }
-    }
 }
--- a/src/main/java/waytrestle/scheduler/StateMaintenance.java
+++ b/src/main/java/waytrestle/scheduler/StateMaintenance.java
@@ -55,8 +55,6 @@
     /** Runs the maintenance once, and sets the timer of the next run. */
     void run() {
         state.commands.add(new SetTimer(INTERVAL_MICROS, new SchedulerTimer.Maintenance()));
-        state.dropOlderThan(
-                state.requestTimes, Math.max(1, state.settings.preloading().preloadPeriodMicros()));
         state.invokers.values().removeIf(invoker -> !invoker.ready && invoker.inFlight == 0);
         double expiryMicros = EXPIRY_KEEP_ALIVES * state.keepAliveMicros();
         state.functions
