--- a/src/main/java/waytrestle/net/Connection.java
+++ b/src/main/java/waytrestle/net/Connection.java
@@ -125,13 +125,8 @@
     }
 
     private void connect(InetSocketAddress address, long connectMicros) {
-        connectTimer =
-                loop.after(
-                        connectMicros,
-                        () ->
-                                fail(
-                                        new SocketTimeoutException(
-                                                "not connected in " + connectMicros + " us")));
+        String timeout = "not connected in " + connectMicros + " us";
+        connectTimer = loop.after(connectMicros, () -> fail(new SocketTimeoutException(timeout)));
         sendWithoutDelay();
         try {
             channel.configureBlocking(false);
