--- a/review/standin-2/ControllerProcess.java
+++ b/review/standin-2/ControllerProcess.java
@@ -15,6 +15,12 @@
     private final Path root;
     private Process process;
 
+    /** The core that the controller runs on, -1 for all of them. */
+    int core = -1;
+
+    /** The share of a core, as the configuration tells it. */
+    double cores = 1.0;
+
     ControllerProcess(String name, Path root, Path folder) throws IOException {
         this.name = name;
         this.root = root;
@@ -41,8 +47,8 @@
         String listen = "127.0.0.1:" + address.getPort();
         String json =
                 "{\"name\":\"" + name + "\",\"listen\":\"" + listen
-                        + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
-                        + "\"memory_mb\":192,\"sockets\":" + sockets + "},\"board\":\"" + board
+                        + "\",\"seed\":\"" + seed() + "\",\"limits\":{\"cores\":" + cores
+                        + ",\"memory_mb\":192,\"sockets\":" + sockets + "},\"board\":\"" + board
                         + "\",\"known\":" + known + ",\"settings\":" + settings + "}";
         Path next = folder.resolve("config.new");
         Files.writeString(next, json);
@@ -50,6 +56,11 @@
                 java.nio.file.StandardCopyOption.REPLACE_EXISTING);
     }
 
+    /** The seed of the controller's random numbers, the same in every run. */
+    private String seed() {
+        return String.format("%016x", 0x8c1f30d27a5be964L + name.hashCode());
+    }
+
     private String runCommand() throws IOException {
         for (String line : Files.readAllLines(root.resolve("deploy/balancer.toml"))) {
             if (line.startsWith("run = ")) {
@@ -60,7 +71,11 @@
     }
 
     void start() throws IOException {
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runCommand());
+        ProcessBuilder builder =
+                core < 0
+                        ? new ProcessBuilder("/bin/sh", "-c", runCommand())
+                        : new ProcessBuilder(
+                                "taskset", "-c", "" + core, "/bin/sh", "-c", runCommand());
         builder.directory(root.toFile());
         builder.environment().put("BALANCER_NAME", name);
         builder.environment().put("BALANCER_LISTEN", "127.0.0.1:" + address.getPort());
