--- a/review/standin-2/Client.java
+++ b/review/standin-2/Client.java
@@ -49,8 +49,43 @@
         return all;
     }
 
-    /** Sends a request and waits for its answer, at most for the given time. */
+    /**
+     * Sends a request and waits for its answer, at most for the given time. A resting connection
+     * that has ended is replaced first. A request that crosses the end of a resting connection
+     * within 50 ms is sent once more, on a new connection.
+     */
     Answer call(byte[] request, long timeoutMillis) {
+        long begin = System.currentTimeMillis();
+        boolean resting = hasRestingConnection();
+        Answer answer = send(request, timeoutMillis);
+        long tookMillis = System.currentTimeMillis() - begin;
+        if (answer.status == 0 && resting && tookMillis <= 50) {
+            return send(request, timeoutMillis - tookMillis);
+        }
+        return answer;
+    }
+
+    private boolean hasRestingConnection() {
+        if (socket == null) {
+            return false;
+        }
+        try {
+            socket.setSoTimeout(1);
+            in.mark(1);
+            if (in.read() >= 0) {
+                in.reset();
+                return true;
+            }
+        } catch (java.net.SocketTimeoutException e) {
+            return true;
+        } catch (IOException e) {
+            // The connection has ended.
+        }
+        close();
+        return false;
+    }
+
+    private Answer send(byte[] request, long timeoutMillis) {
         Answer answer = new Answer();
         try {
             if (socket == null || System.currentTimeMillis() - lastUsedMillis > 3_500) {
@@ -72,6 +107,10 @@
         return answer;
     }
 
+    boolean isConnected() {
+        return socket != null;
+    }
+
     void connect() throws IOException {
         close();
         socket = new Socket();
