--- a/review/standin-2/CaseLargeFleet.java
+++ b/review/standin-2/CaseLargeFleet.java
@@ -10,7 +10,7 @@
 /** A controller with the usual traffic in a fleet of 3,200 invokers; without, in one of 200. */
 final class CaseLargeFleet {
     /** Controllers that share one core. */
-    private static final int CONTROLLERS = 3;
+    private static final int CONTROLLERS = 2;
 
     /** Requests a second of each controller. */
     private static final int RATE = Integer.getInteger("rate", 50);
