--- a/review/standin-2/Settings.java
+++ b/review/standin-2/Settings.java
@@ -12,10 +12,17 @@
 
     /** The site colombo-main. */
     static String colombo(int index, int controllers) {
+        return colombo(index, controllers, 1);
+    }
+
+    /** The site colombo-main with aims and deadlines multiplied by a factor. */
+    static String colombo(int index, int controllers, double factor) {
+        long aimUs = (long) (600_000 * factor);
+        long deadlineUs = (long) (5_000_000 * factor);
         String lanes =
-                lane("free-slots", "read_like", 600_000, 5_000_000, 2)
-                        + "," + lane("slot-suggest", "read_like", 1_200_000, 5_000_000, 3)
-                        + "," + lane("book-slot", "non_idempotent", 600_000, 5_000_000, 3);
+                lane("free-slots", "read_like", aimUs, deadlineUs, 2)
+                        + "," + lane("slot-suggest", "read_like", 2 * aimUs, deadlineUs, 3)
+                        + "," + lane("book-slot", "non_idempotent", aimUs, deadlineUs, 3);
         return "{\"azs\":[\"hall-a\",\"hall-b\"],\"balancers\":" + controllers
                 + ",\"clients\":{\"marks_retry\":true},\"discovery\":\"automatic\",\"domain\":{"
                 + "\"free_loads\":0.0,\"idle_memory_cost\":0.1,\"keep_alive_us\":9900000,"
