--- a/review/standin-2/CaseLargeFleet.java
+++ b/review/standin-2/CaseLargeFleet.java
@@ -65,7 +65,7 @@
         int inTier = world.trouble ? 1_600 : 100;
         for (int i = 0; i < CONTROLLERS; i++) {
             ControllerProcess controller = world.controller("n" + i);
-            controller.core = Runtime.getRuntime().availableProcessors() - 1;
+            controller.core = World.lastCore();
             controller.cores = 1.0 / CONTROLLERS;
             controller.writeConfig(
                     board.address(), board.known(), Settings.colombo(i, inTier), 1024);
--- a/review/standin-2/World.java
+++ b/review/standin-2/World.java
@@ -21,6 +21,7 @@
         folder = Files.createTempDirectory("waytrestle-review");
         record = new Record(caseFolder.resolve("record.txt"));
         record.line(trouble ? "with the disruption" : "without the disruption");
+        Runtime.getRuntime().addShutdownHook(new Thread(this::killControllers));
     }
 
     ControllerProcess controller(String name) throws IOException {
@@ -38,14 +39,31 @@
         return String.format("%016x", 0x7c55d20a00L + number);
     }
 
-    @Override
-    public void close() throws IOException {
+    private void killControllers() {
         for (ControllerProcess controller : controllers) {
             try {
                 controller.kill();
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
+        }
+    }
+
+    /** Returns the last core that this process may use. */
+    static int lastCore() throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc/self/status"))) {
+            if (line.startsWith("Cpus_allowed_list:")) {
+                String[] cores = line.substring(line.indexOf(':') + 1).trim().split("[,-]");
+                return Integer.parseInt(cores[cores.length - 1]);
+            }
+        }
+        throw new IOException("the cores of this process are not known");
+    }
+
+    @Override
+    public void close() throws IOException {
+        killControllers();
+        for (ControllerProcess controller : controllers) {
             if (Files.exists(controller.log())) {
                 record.line("log of controller " + controller.name + ":");
                 List<String> lines = Files.readAllLines(controller.log());
