A decision walks over the invokers once: large fleets answer within their time

Cause: InvokerSelector.nextRanked walked over all invokers once for each position of the ranking among cold candidates, and the position grows with the fleet. Ruled out: reading the endpoint list (0.5 and 0.6 s of CPU until ready), connections (descriptors 218 and 247). Change: one walk collects the candidates, quickselect finds the position; terms equal for all candidates are computed once; invokers are walked over in an array; ready invokers by kind are counted as they change; a changed endpoint no longer copies the set of ready invokers. controller.summary counts examined invokers.

--- a/src/main/java/waytrestle/controller/Controller.java
+++ b/src/main/java/waytrestle/controller/Controller.java
@@ -274,6 +274,11 @@
         return scheduler.rememberedFunctions();
     }
 
+    /** Returns how many invokers the scheduler has examined as candidates since the start. */
+    public long examinedInvokers() {
+        return scheduler.examinedInvokers();
+    }
+
     /** Returns how many sends the send guard has refused since the start, by reason. */
     public Map<SendGuard.Refusal, Long> refusedSends() {
         return sendGuard.counts();
--- a/src/main/java/waytrestle/controller/InvokerConnections.java
+++ b/src/main/java/waytrestle/controller/InvokerConnections.java
@@ -162,21 +162,19 @@
 
     private void updateReadiness(EndpointsUpdated update) {
         updatesAheadOfScheduler++;
-        Set<String> previouslyReady = Set.copyOf(readyInvokers);
+        Set<String> noLongerListedReady = new HashSet<>();
         if (update.snapshot()) {
+            noLongerListedReady.addAll(readyInvokers);
             readyInvokers.clear();
         }
         for (InvokerEndpoint endpoint : update.entries()) {
             if (endpoint.state() == EndpointState.READY) {
                 readyInvokers.add(endpoint.id());
-            } else {
-                readyInvokers.remove(endpoint.id());
-            }
-        }
-        for (String invoker : previouslyReady) {
-            if (!isReady(invoker)) {
-                newlyUnready.add(invoker);
+            } else if (readyInvokers.remove(endpoint.id())) {
+                noLongerListedReady.add(endpoint.id());
             }
         }
+        noLongerListedReady.removeAll(readyInvokers);
+        newlyUnready.addAll(noLongerListedReady);
     }
 }
--- a/src/main/java/waytrestle/platform/ControllerBootstrap.java
+++ b/src/main/java/waytrestle/platform/ControllerBootstrap.java
@@ -157,6 +157,7 @@
                 () ->
                         log.logSummary(
                                 controller.refusedSends(),
+                                controller.examinedInvokers(),
                                 loop.faults().counts(),
                                 discoveryMonitor.summary(),
                                 TableSizes.of(components, loop)));
--- a/src/main/java/waytrestle/platform/PlatformLog.java
+++ b/src/main/java/waytrestle/platform/PlatformLog.java
@@ -210,6 +210,7 @@
      * Logs the counts since the start. Not subject to the limit on lines per second.
      *
      * @param refusedSends number of sends that the send guard refused, by reason
+     * @param examinedInvokers number of invokers that decisions have examined, over all decisions
      * @param systemFaults number of failed system calls, by {@code operation.reaction}
      * @param discoverySummary the outages of service discovery, as {@link DiscoveryMonitor#summary}
      *     returns them
@@ -217,6 +218,7 @@
      */
     void logSummary(
             Map<SendGuard.Refusal, Long> refusedSends,
+            long examinedInvokers,
             Map<String, Long> systemFaults,
             String discoverySummary,
             TableSizes tableSizes) {
@@ -226,6 +228,7 @@
                         .with("attempts", attemptsByCode)
                         .with("repeats", repeats)
                         .with("refused_sends", refusedSends)
+                        .with("examined_invokers", examinedInvokers)
                         .with("preloads", preloadsByCode)
                         .with("health_checks", healthChecksByCode)
                         .with("discovery", discoverySummary)
--- a/src/main/java/waytrestle/scheduler/EndpointTracker.java
+++ b/src/main/java/waytrestle/scheduler/EndpointTracker.java
@@ -1,8 +1,6 @@
 package waytrestle.scheduler;
 
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Set;
 import waytrestle.scheduler.SchedulerEvent.EndpointsUpdated;
 import waytrestle.stats.DecayingAverage;
@@ -16,6 +14,7 @@
 final class EndpointTracker {
     private final SchedulerState state;
     private final ReadinessLeases leases;
+    private final InvokerCounts counts = new InvokerCounts();
 
     EndpointTracker(SchedulerState state, ReadinessLeases leases) {
         this.state = state;
@@ -27,19 +26,34 @@
         if (event.snapshot()) {
             Set<String> listedIds = new HashSet<>();
             event.entries().forEach(endpoint -> listedIds.add(endpoint.id()));
-            for (InvokerState invoker : state.invokers.values()) {
+            for (InvokerState invoker : state.invokers.inOrder()) {
                 if (!listedIds.contains(invoker.id)) {
+                    counts.remove(invoker);
                     invoker.ready = false;
+                    counts.add(invoker);
                     invoker.clearInstances();
                 }
             }
         }
         event.entries().forEach(this::update);
-        countReadyByKind();
+        recordReadyByKind();
+    }
+
+    /** Removes the invokers that are not ready and have no attempt in flight. */
+    void removeUnused() {
+        state.invokers.removeIf(this::removeIfUnused);
+    }
+
+    private boolean removeIfUnused(InvokerState invoker) {
+        boolean unused = !invoker.ready && invoker.inFlight == 0;
+        if (unused) {
+            counts.remove(invoker);
+        }
+        return unused;
     }
 
     private void update(InvokerEndpoint endpoint) {
-        InvokerState invoker = state.invokers.computeIfAbsent(endpoint.id(), InvokerState::new);
+        InvokerState invoker = state.invokers.findOrAdd(endpoint.id());
         boolean added = invoker.endpoint == null;
         boolean restarted =
                 !added && endpoint.startedAtMicros() > invoker.endpoint.startedAtMicros();
@@ -50,26 +64,24 @@
         if (restarted || added) {
             invoker.slowStartSince = Math.max(invoker.slowStartSince, endpoint.startedAtMicros());
         }
+        if (!added) {
+            counts.remove(invoker);
+        }
         invoker.endpoint = endpoint;
         leases.recordListed(invoker);
         invoker.ready = endpoint.state() == EndpointState.READY;
+        counts.add(invoker);
     }
 
-    private void countReadyByKind() {
-        Map<Integer, Integer> readyCounts = new HashMap<>();
-        for (InvokerState invoker : state.invokers.values()) {
-            readyCounts.merge(invoker.endpoint.kind(), invoker.ready ? 1 : 0, Integer::sum);
-        }
+    private void recordReadyByKind() {
         state.readyInvokersByKind.forEach(
-                (kind, average) -> average.setCount(readyCounts.getOrDefault(kind, 0), state.now));
-        readyCounts.forEach(
-                (kind, count) ->
-                        state.readyInvokersByKind
-                                .computeIfAbsent(
-                                        kind,
-                                        absent ->
-                                                new DecayingAverage(
-                                                        FinishTimeEstimate.RATE_DECAY_MICROS))
-                                .setCount(count, state.now));
+                (kind, average) -> average.setCount(counts.ready(kind), state.now));
+        for (int kind : counts.kinds()) {
+            state.readyInvokersByKind
+                    .computeIfAbsent(
+                            kind,
+                            absent -> new DecayingAverage(FinishTimeEstimate.RATE_DECAY_MICROS))
+                    .setCount(counts.ready(kind), state.now);
+        }
     }
 }
--- a/src/main/java/waytrestle/scheduler/FinishTimeEstimate.java
+++ b/src/main/java/waytrestle/scheduler/FinishTimeEstimate.java
@@ -29,6 +29,9 @@
 
     private final SchedulerState state;
 
+    /** Stands for the invokers of which nothing is known but their entry in the endpoint list. */
+    private final InvokerState unusedInvoker = new InvokerState("unused");
+
     /**
      * Probability that an invoker without a known instance of the function holds none. Set for each
      * request before its invokers are compared.
@@ -51,6 +54,48 @@
         return waitAndRunMicros(function, invoker) + loadMicrosAt(function, invoker, ranking);
     }
 
+    /**
+     * What a request's costs at all its candidates have in common, computed once for all of them.
+     *
+     * @param runMicros usual run time of the request's function
+     * @param loadMicros load time of the function for ranking
+     * @param crossZoneMicros cost of crossing zones
+     * @param failureMicros cost of a certain failure
+     * @param unusedMicros finish-time estimate at each invoker of which nothing is known but its
+     *     entry in the endpoint list
+     */
+    record CostTerms(
+            RequestState request,
+            double runMicros,
+            double loadMicros,
+            double crossZoneMicros,
+            double failureMicros,
+            double unusedMicros) {}
+
+    /** Returns what the request's costs at all its candidates have in common. */
+    CostTerms costTerms(RequestState request) {
+        double runMicros = runMicros(request.function);
+        double loadMicros = loadMicros(request.function, true);
+        double objectiveMicros = request.requestClass.objectiveMicros();
+        return new CostTerms(
+                request,
+                runMicros,
+                loadMicros,
+                state.settings.costs().crossZone() * objectiveMicros,
+                FAILURE_COST_OBJECTIVES * objectiveMicros,
+                rankingMicros(request.function, runMicros, loadMicros, unusedInvoker, null));
+    }
+
+    private double rankingMicros(
+            FunctionState function,
+            double runMicros,
+            double loadMicros,
+            InvokerState invoker,
+            FunctionInstance instance) {
+        return waitAndRunMicros(function, runMicros, invoker, instance)
+                + loadMicrosAt(invoker, instance, loadMicros, coldProbability);
+    }
+
     /**
      * Estimates the time that a request would spend in the invoker's queues and running, without a
      * load. Silence of the invoker for longer than two runs, and the rest of its backoff after a
@@ -58,9 +103,17 @@
      */
     double waitAndRunMicros(FunctionState function, InvokerState invoker) {
         FunctionInstance instance = state.instanceAt(invoker, function);
-        double run = runMicrosAt(function, invoker);
+        return waitAndRunMicros(function, runMicros(function), invoker, instance);
+    }
+
+    private double waitAndRunMicros(
+            FunctionState function,
+            double runMicros,
+            InvokerState invoker,
+            FunctionInstance instance) {
+        double run = runMicrosAt(invoker, runMicros);
         double queued = fadeToAverage(invoker, invoker.queuedRequests, state.averageQueuedRequests);
-        double queue = queued * runMicros(function) / PARALLEL_REQUESTS;
+        double queue = queued * runMicros / PARALLEL_REQUESTS;
         if (instance != null) {
             double capacity = instance.count * (double) function.concurrencyPerInstance;
             double queuedForInstance = instance.inFlight + instance.otherRequests + 1 - capacity;
@@ -78,9 +131,16 @@
      */
     double loadMicrosAt(FunctionState function, InvokerState invoker, boolean ranking) {
         FunctionInstance instance = state.instanceAt(invoker, function);
-        double loadMicros = loadMicros(function, ranking);
+        double probability = ranking ? coldProbability : coldProbability > 0.5 ? 1 : 0;
+        return loadMicrosAt(invoker, instance, loadMicros(function, ranking), probability);
+    }
+
+    private double loadMicrosAt(
+            InvokerState invoker,
+            FunctionInstance instance,
+            double loadMicros,
+            double probability) {
         if (instance == null) {
-            double probability = ranking ? coldProbability : coldProbability > 0.5 ? 1 : 0;
             return probability * loadMicros * (1 + LOAD_DELAY_SHARE * invoker.loadingFunctions);
         }
         if (!instance.isLoading()) {
@@ -95,14 +155,15 @@
      * invoker's slowness and by its concurrent requests.
      */
     double runMicrosAt(FunctionState function, InvokerState invoker) {
+        return runMicrosAt(invoker, runMicros(function));
+    }
+
+    private double runMicrosAt(InvokerState invoker, double runMicros) {
         boolean hasResponses = invoker.averageUsualMicros != 0;
         double usual =
                 hasResponses ? invoker.averageConcurrentRequests : state.averageOtherRequests;
         double runningRequests = concurrentRequests(invoker) + PARALLEL_REQUESTS;
-        return runMicros(function)
-                * invoker.slowness
-                * runningRequests
-                / (usual + PARALLEL_REQUESTS);
+        return runMicros * invoker.slowness * runningRequests / (usual + PARALLEL_REQUESTS);
     }
 
     /**
@@ -111,15 +172,31 @@
      * The settings state the cost of crossing zones as a multiple of the latency objective.
      */
     double costMicros(RequestState request, InvokerState invoker) {
-        double objective = request.requestClass.objectiveMicros();
+        FunctionInstance instance = state.instanceAt(invoker, request.function);
+        return costMicros(costTerms(request), invoker, instance);
+    }
+
+    /**
+     * Returns the cost of one candidate, as {@link #costMicros(RequestState, InvokerState)}.
+     *
+     * @param instance the instance of the request's function at the invoker; null if none is known
+     */
+    double costMicros(CostTerms terms, InvokerState invoker, FunctionInstance instance) {
         boolean crossesZones = invoker.endpoint.zone() != state.settings.zone();
-        double crossZoneCost = crossesZones ? state.settings.costs().crossZone() * objective : 0;
-        DecayingSum failures = invoker.failureShare.get(request.failureScope);
-        double failureCost =
-                failures == null
-                        ? 0
-                        : failures.value(state.now) * FAILURE_COST_OBJECTIVES * objective;
-        return finishMicros(request.function, invoker, true) + crossZoneCost + failureCost;
+        double crossZoneCost = crossesZones ? terms.crossZoneMicros : 0;
+        if (instance == null && invoker.isUnused(state.now)) {
+            return terms.unusedMicros + crossZoneCost;
+        }
+        double finish =
+                rankingMicros(
+                        terms.request.function,
+                        terms.runMicros,
+                        terms.loadMicros,
+                        invoker,
+                        instance);
+        DecayingSum failures = invoker.failureShare.get(terms.request.failureScope);
+        double failureCost = failures == null ? 0 : failures.value(state.now) * terms.failureMicros;
+        return finish + crossZoneCost + failureCost;
     }
 
     /**
--- a/src/main/java/waytrestle/scheduler/FinishTimeScheduler.java
+++ b/src/main/java/waytrestle/scheduler/FinishTimeScheduler.java
@@ -62,8 +62,8 @@
         router =
                 new RequestRouter(
                         state, estimate, selector, leases, slowStart, preloads, retryRules);
-        maintenance = new StateMaintenance(state, backoff, preloads);
         endpoints = new EndpointTracker(state, leases);
+        maintenance = new StateMaintenance(state, backoff, preloads, endpoints);
     }
 
     @Override
@@ -96,7 +96,7 @@
 
     @Override
     public boolean mayStartWork(String invoker, long nowMicros) {
-        InvokerState known = state.invokers.get(invoker);
+        InvokerState known = state.invokers.find(invoker);
         return known == null || leases.mayStartWork(known, nowMicros);
     }
 
@@ -110,6 +110,11 @@
         return state.functions.size();
     }
 
+    @Override
+    public long examinedInvokers() {
+        return state.examinedInvokers;
+    }
+
     private void requestReceived(RequestReceived event) {
         functionEviction.makeRoom();
         RequestState request = state.addRequest(event);
@@ -145,7 +150,7 @@
      * result.
      */
     private void healthCheckCompleted(HealthCheckCompleted event) {
-        InvokerState invoker = state.invokers.get(event.invoker());
+        InvokerState invoker = state.invokers.find(event.invoker());
         if (invoker == null) {
             return;
         }
--- a/src/main/java/waytrestle/scheduler/FunctionEviction.java
+++ b/src/main/java/waytrestle/scheduler/FunctionEviction.java
@@ -50,7 +50,7 @@
         Set<FunctionState> inUse = new HashSet<>();
         Set<FunctionState> known = new HashSet<>();
         state.requests.values().forEach(request -> inUse.add(request.function));
-        for (InvokerState invoker : state.invokers.values()) {
+        for (InvokerState invoker : state.invokers.inOrder()) {
             for (FunctionInstance instance : invoker.instances.values()) {
                 (instance.isInUse() ? inUse : known).add(instance.function);
             }
@@ -67,7 +67,7 @@
 
     private void evict(Set<FunctionState> evicted) {
         state.functions.values().removeIf(evicted::contains);
-        for (InvokerState invoker : state.invokers.values()) {
+        for (InvokerState invoker : state.invokers.inOrder()) {
             invoker.removeInstances(evicted::contains);
         }
     }
--- a/src/main/java/waytrestle/scheduler/InvokerSelector.java
+++ b/src/main/java/waytrestle/scheduler/InvokerSelector.java
@@ -1,5 +1,7 @@
 package waytrestle.scheduler;
 
+import waytrestle.scheduler.FinishTimeEstimate.CostTerms;
+
 /**
  * Chooses the invoker for a request: the candidate with the lowest cost, and among candidates of
  * nearly equal cost the one that {@link RendezvousHash} ranks highest.
@@ -26,6 +28,12 @@
     private final SlowStartBudget slowStart;
     private final RetryRules retryRules;
 
+    /** Candidates that hold an instance of the function of the request being routed. */
+    private final RankedCandidates warm = new RankedCandidates();
+
+    /** The other candidates for the request being routed. */
+    private final RankedCandidates cold = new RankedCandidates();
+
     InvokerSelector(
             SchedulerState state,
             FinishTimeEstimate estimate,
@@ -47,15 +55,16 @@
      * would spread a function's instances over all invokers, where instances evict each other.
      */
     InvokerState lowestCostInvoker(RequestState request) {
+        collectCandidates(request);
         double warmTieMicros = WARM_TIE_SHARE * request.requestClass.objectiveMicros();
-        InvokerState warm = bestRanked(request, true, warmTieMicros);
-        InvokerState cold = bestCold(request);
-        if (warm == null || cold == null) {
-            return warm == null ? cold : warm;
+        InvokerState best = warm.atPosition(request.function, 0, warmTieMicros);
+        InvokerState bestCold = bestCold(request);
+        if (best == null || bestCold == null) {
+            return best == null ? bestCold : best;
         }
-        return estimate.costMicros(request, cold) < estimate.costMicros(request, warm)
-                ? cold
-                : warm;
+        return estimate.costMicros(request, bestCold) < estimate.costMicros(request, best)
+                ? bestCold
+                : best;
     }
 
     /**
@@ -64,57 +73,37 @@
      * congested too.
      */
     InvokerState uncongestedColdInvoker(RequestState request) {
-        InvokerState cold = bestCold(request);
+        collectCandidates(request);
+        InvokerState bestCold = bestCold(request);
         long objective = request.requestClass.objectiveMicros();
-        boolean helps = cold != null && estimate.runMicrosAt(request.function, cold) < objective;
-        return helps ? cold : null;
+        boolean helps =
+                bestCold != null && estimate.runMicrosAt(request.function, bestCold) < objective;
+        return helps ? bestCold : null;
     }
 
     private InvokerState bestCold(RequestState request) {
-        return bestRanked(
-                request, false, COLD_TIE_SHARE * estimate.loadMicros(request.function, true));
-    }
-
-    private InvokerState bestRanked(RequestState request, boolean warm, double tieMicros) {
-        FunctionState function = request.function;
-        double lowest = Double.MAX_VALUE;
-        for (InvokerState invoker : state.invokers.values()) {
-            boolean eligible = isCandidate(request, invoker) && warm == isWarm(invoker, function);
-            double cost =
-                    eligible ? estimate.costMicros(request, invoker) : Double.POSITIVE_INFINITY;
-            invoker.candidateCostMicros = cost;
-            lowest = Math.min(lowest, cost);
-        }
-        int position = warm ? 0 : coldPosition(request);
-        InvokerState best = null;
-        for (int i = 0; i <= position; i++) {
-            InvokerState next = nextRanked(function, best, lowest + tieMicros);
-            best = next == null ? best : next;
-        }
-        return best;
-    }
-
-    private boolean isWarm(InvokerState invoker, FunctionState function) {
-        return state.instanceAt(invoker, function) != null;
+        double tieMicros = COLD_TIE_SHARE * estimate.loadMicros(request.function, true);
+        return cold.atPosition(request.function, coldPosition(request), tieMicros);
     }
 
     /**
-     * Returns the highest-ranked invoker whose cost is at most the given one and that ranks below
-     * another invoker, or null if there is none.
-     *
-     * @param above invoker to rank below; null for no such bound
+     * Collects the candidates for the request and their costs. This is the only walk over all
+     * invokers for a decision; its cost grows with their number.
      */
-    private InvokerState nextRanked(
-            FunctionState function, InvokerState above, double maxCostMicros) {
-        InvokerState next = null;
-        for (InvokerState invoker : state.invokers.values()) {
-            boolean below = above == null || RendezvousHash.prefers(function, above, invoker);
-            boolean eligible = invoker.candidateCostMicros <= maxCostMicros && below;
-            if (eligible && (next == null || RendezvousHash.prefers(function, invoker, next))) {
-                next = invoker;
+    private void collectCandidates(RequestState request) {
+        InvokerState[] invokers = state.invokers.inOrder();
+        warm.reset(invokers);
+        cold.reset(invokers);
+        CostTerms terms = estimate.costTerms(request);
+        boolean listValid = leases.isListValid();
+        for (int i = 0; i < invokers.length; i++) {
+            FunctionInstance instance = state.instanceAt(invokers[i], request.function);
+            if (isCandidate(request, invokers[i], instance, listValid)) {
+                double costMicros = estimate.costMicros(terms, invokers[i], instance);
+                (instance == null ? cold : warm).add(i, costMicros);
             }
         }
-        return next;
+        state.examinedInvokers += invokers.length;
     }
 
     /**
@@ -137,15 +126,21 @@
      * Returns whether the request may be sent to the invoker: neither draining, paused, of unknown
      * readiness, already tried for the request, outside the request's deduplication scope, over its
      * slow-start budget, nor cold while it is sent no loads.
+     *
+     * @param instance the instance of the request's function at the invoker; null if none is known
+     * @param listValid whether the endpoint list is recent enough to send work without a lease
      */
-    private boolean isCandidate(RequestState request, InvokerState invoker) {
-        boolean warmOrMayLoad =
-                state.now >= invoker.noLoadsUntil || isWarm(invoker, request.function);
+    private boolean isCandidate(
+            RequestState request,
+            InvokerState invoker,
+            FunctionInstance instance,
+            boolean listValid) {
+        boolean warmOrMayLoad = instance != null || state.now >= invoker.noLoadsUntil;
         return warmOrMayLoad
                 && invoker.ready
                 && !backoff.isPaused(invoker)
-                && leases.isCandidate(invoker)
-                && !request.excludedInvokers.contains(invoker)
+                && (listValid || leases.isCandidate(invoker))
+                && !request.excludes(invoker)
                 && retryRules.mayRetryAt(request, invoker)
                 && slowStart.admits(invoker, request.function);
     }
--- a/src/main/java/waytrestle/scheduler/InvokerState.java
+++ b/src/main/java/waytrestle/scheduler/InvokerState.java
@@ -3,7 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.function.Predicate;
 import waytrestle.stats.DecayingSum;
 
@@ -46,7 +45,7 @@
     long silentSince;
 
     /** Functions believed to be loaded or loading at the invoker, by function id. */
-    final Map<String, FunctionInstance> instances = new LinkedHashMap<>();
+    final LinkedHashMap<String, FunctionInstance> instances = new LinkedHashMap<>();
 
     // Speed, learned from warm responses.
     /** Ratio of response times at the invoker to the usual run times of their functions. */
@@ -76,7 +75,7 @@
 
     // Failures.
     /** Share of failed attempts, by {@link RequestState#failureScope}; decays over a keep-alive. */
-    final Map<Integer, DecayingSum> failureShare = new HashMap<>();
+    final HashMap<Integer, DecayingSum> failureShare = new HashMap<>();
 
     /** End of the backoff after full responses to warm attempts. */
     long fullUntil;
@@ -114,11 +113,6 @@
     /** Attempts sent during slow start, oldest first. */
     final ArrayDeque<SlowStartSend> slowStartSends = new ArrayDeque<>();
 
-    /**
-     * Cost for the request being routed, in microseconds; infinite if the invoker is no candidate.
-     */
-    double candidateCostMicros;
-
     InvokerState(String id) {
         this.id = id;
         this.hash = RendezvousHash.hash(id);
@@ -140,6 +134,20 @@
         averageUsualMicros = 0;
     }
 
+    /**
+     * Returns whether nothing that bears on the cost of a request without an instance here is known
+     * of the invoker but its entry in the endpoint list.
+     */
+    boolean isUnused(long nowMicros) {
+        return loadReportedAt == 0
+                && averageUsualMicros == 0
+                && slowness == 1
+                && warmInFlight == 0
+                && loadingFunctions == 0
+                && fullUntil <= nowMicros
+                && failureShare.isEmpty();
+    }
+
     /** Records that the invoker responded, whatever the response. */
     void recordResponse(long nowMicros) {
         silentSince = nowMicros;
--- a/src/main/java/waytrestle/scheduler/PreloadPlanner.java
+++ b/src/main/java/waytrestle/scheduler/PreloadPlanner.java
@@ -69,7 +69,7 @@
 
     /** Records the end of a preload request; ignores unknown functions and invokers. */
     void preloadCompleted(PreloadCompleted event) {
-        InvokerState invoker = state.invokers.get(event.invoker());
+        InvokerState invoker = state.invokers.find(event.invoker());
         FunctionInstance instance =
                 invoker == null ? null : invoker.instances.get(event.function());
         // A function may be forgotten while a preload of it is deferred or in flight.
--- a/src/main/java/waytrestle/scheduler/RendezvousHash.java
+++ b/src/main/java/waytrestle/scheduler/RendezvousHash.java
@@ -24,7 +24,7 @@
     /**
      * Returns the rank of an invoker for a function; never negative, and the highest comes first.
      */
-    private static long rank(FunctionState function, InvokerState invoker) {
+    static long rank(FunctionState function, InvokerState invoker) {
         long rank = (function.hash ^ invoker.hash) * FIRST_MULTIPLIER;
         rank ^= rank >>> 32;
         rank *= SECOND_MULTIPLIER;
--- a/src/main/java/waytrestle/scheduler/RequestScheduler.java
+++ b/src/main/java/waytrestle/scheduler/RequestScheduler.java
@@ -40,4 +40,12 @@
     default int rememberedFunctions() {
         return 0;
     }
+
+    /**
+     * Returns how many invokers were examined as candidates since the start, summed over all
+     * decisions: what decisions cost by the size of the fleet.
+     */
+    default long examinedInvokers() {
+        return 0;
+    }
 }
--- a/src/main/java/waytrestle/scheduler/RequestState.java
+++ b/src/main/java/waytrestle/scheduler/RequestState.java
@@ -91,6 +91,11 @@
         boundAt = attempt.sentAt;
     }
 
+    /** Returns whether the invoker has failed the request and is not tried again for now. */
+    boolean excludes(InvokerState invoker) {
+        return !excludedInvokers.isEmpty() && excludedInvokers.contains(invoker);
+    }
+
     /** Returns whether the request has neither an outcome nor a streamed response. */
     boolean isUndecided() {
         return !streaming && !completed;
--- a/src/main/java/waytrestle/scheduler/RetryRules.java
+++ b/src/main/java/waytrestle/scheduler/RetryRules.java
@@ -29,9 +29,12 @@
      * may have run.
      */
     boolean mayRetryAt(RequestState request, InvokerState invoker) {
-        if (!request.mayHaveRun || request.requestClass.idempotency() != Idempotency.KEYED) {
-            return true;
-        }
+        return !request.mayHaveRun
+                || request.requestClass.idempotency() != Idempotency.KEYED
+                || isInDeduplicationScope(request, invoker);
+    }
+
+    private static boolean isInDeduplicationScope(RequestState request, InvokerState invoker) {
         InvokerEndpoint endpoint = invoker.endpoint;
         InvokerEndpoint bound = request.boundInvoker.endpoint;
         return switch (request.requestClass.deduplicationScope()) {
--- a/src/main/java/waytrestle/scheduler/SchedulerState.java
+++ b/src/main/java/waytrestle/scheduler/SchedulerState.java
@@ -32,8 +32,8 @@
      */
     long estimateMicros = RequestScheduler.NO_ESTIMATE;
 
-    /** Invokers by id, in the order in which they were first listed. */
-    final Map<String, InvokerState> invokers = new LinkedHashMap<>();
+    /** All known invokers. */
+    final InvokerTable invokers = new InvokerTable();
 
     /** Functions by id, in the order of their first requests. */
     final Map<String, FunctionState> functions = new LinkedHashMap<>();
@@ -77,6 +77,9 @@
     /** Probability that an invoker without a known instance holds none, at a retry. */
     double retryColdProbability = 0.5;
 
+    /** Invokers examined as candidates since the start, summed over all decisions. */
+    long examinedInvokers;
+
     SchedulerState(SchedulerSettings settings, long seed) {
         this.settings = settings;
         this.random = new SplittableRandom(seed);
@@ -93,6 +96,9 @@
 
     /** Returns what is believed about the function's instances at the invoker; null if none. */
     FunctionInstance instanceAt(InvokerState invoker, FunctionState function) {
+        if (invoker.instances.isEmpty()) {
+            return null; // spares a look-up at most invokers of a large fleet
+        }
         FunctionInstance instance = invoker.instances.get(function.id);
         return instance != null && isExpired(instance) ? null : instance;
     }
--- a/src/main/java/waytrestle/scheduler/SlowStartBudget.java
+++ b/src/main/java/waytrestle/scheduler/SlowStartBudget.java
@@ -57,9 +57,10 @@
 
     /** Returns whether one more request for the function may be sent to the invoker now. */
     boolean admits(InvokerState invoker, FunctionState function) {
-        if (!isInSlowStart(invoker)) {
-            return true;
-        }
+        return !isInSlowStart(invoker) || isWithinBudget(invoker, function);
+    }
+
+    private boolean isWithinBudget(InvokerState invoker, FunctionState function) {
         invoker.dropSlowStartSends(state.now - rules.overloadWindowMicros());
         double size = relativeSize(function);
         double budget =
--- a/src/main/java/waytrestle/scheduler/StateMaintenance.java
+++ b/src/main/java/waytrestle/scheduler/StateMaintenance.java
@@ -32,11 +32,17 @@
     private final SchedulerState state;
     private final InvokerBackoff backoff;
     private final PreloadPlanner preloads;
+    private final EndpointTracker endpoints;
 
-    StateMaintenance(SchedulerState state, InvokerBackoff backoff, PreloadPlanner preloads) {
+    StateMaintenance(
+            SchedulerState state,
+            InvokerBackoff backoff,
+            PreloadPlanner preloads,
+            EndpointTracker endpoints) {
         this.state = state;
         this.backoff = backoff;
         this.preloads = preloads;
+        this.endpoints = endpoints;
     }
 
     /** Sets the timer of the first run, after a random delay so that controllers run apart. */
@@ -55,13 +61,16 @@
     /** Runs the maintenance once, and sets the timer of the next run. */
     void run() {
         state.commands.add(new SetTimer(INTERVAL_MICROS, new SchedulerTimer.Maintenance()));
-        state.invokers.values().removeIf(invoker -> !invoker.ready && invoker.inFlight == 0);
+        endpoints.removeUnused();
         double expiryMicros = EXPIRY_KEEP_ALIVES * state.keepAliveMicros();
         state.functions
                 .values()
                 .removeIf(function -> state.now - function.lastRequestAt > expiryMicros);
-        for (InvokerState invoker : state.invokers.values()) {
+        for (InvokerState invoker : state.invokers.inOrder()) {
             backoff.checkSilence(invoker);
+            if (invoker.instances.isEmpty()) {
+                continue;
+            }
             invoker.instances.values().removeIf(state::isExpired);
             for (FunctionInstance instance : invoker.instances.values()) {
                 considerForKeepAlive(instance.function, invoker);
--- a/src/test/java/waytrestle/scheduler/EndpointTrackerTest.java
+++ b/src/test/java/waytrestle/scheduler/EndpointTrackerTest.java
@@ -6,7 +6,12 @@
 import static waytrestle.scheduler.SchedulerFixture.onlyCommand;
 import static waytrestle.scheduler.SchedulerFixture.readyInvoker;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 import waytrestle.scheduler.SchedulerCommand.ForwardAttempt;
 import waytrestle.scheduler.SchedulerCommand.SetTimer;
@@ -17,6 +22,37 @@
 
 /** How the scheduler applies snapshots and changes of the endpoint list. */
 class EndpointTrackerTest {
+    @Property(tries = 300, seed = "59")
+    void readyInvokersOfEachKindAreCountedAsAWalkOverAllWouldCountThem(@ForAll long seed) {
+        SplittableRandom draw = new SplittableRandom(seed);
+        SchedulerState state = new SchedulerState(new SchedulerFixture().settings(), seed);
+        EndpointTracker tracker = new EndpointTracker(state, new ReadinessLeases(state));
+        EndpointState[] states = EndpointState.values();
+        for (int update = 0; update < 30; update++) {
+            List<InvokerEndpoint> entries = new ArrayList<>();
+            while (draw.nextInt(3) > 0) {
+                EndpointState drawn = states[draw.nextInt(states.length)];
+                String id = "w" + draw.nextInt(8);
+                entries.add(new InvokerEndpoint(id, 0, 0, draw.nextInt(3), drawn, 1, 0));
+            }
+            tracker.update(new EndpointsUpdated(draw.nextInt(4) == 0, false, entries));
+            state.readyInvokersByKind.forEach(
+                    (kind, ready) -> assertEquals(readyOfKind(state, kind), ready.count()));
+            for (InvokerState invoker : state.invokers.inOrder()) {
+                assertTrue(state.readyInvokersByKind.containsKey(invoker.endpoint.kind()));
+            }
+            if (draw.nextBoolean()) {
+                tracker.removeUnused();
+            }
+        }
+    }
+
+    private static long readyOfKind(SchedulerState state, int kind) {
+        return Stream.of(state.invokers.inOrder())
+                .filter(invoker -> invoker.ready && invoker.endpoint.kind() == kind)
+                .count();
+    }
+
     @Test
     void drainingInvokersAndInvokersMissingInASnapshotReceiveNoAttempts() {
         SchedulerFixture scheduler =
