A response with bytes behind its stated length is served only if another one follows

Cause: PooledConnection.responseCompleted took all bytes behind a response for a stray response, closed the connection and completed the call; a length that is too short looks the same. It also looked at one read alone. Change: another response behind it is told by its head (own status line, readable as far as it has come), also where the kernel still holds it; anything else may be the rest of the body and fails as malformed: idempotent requests are sent again, others fail. Chunks, 204 and 304 mark their own end. Connection's options are set in one place, and looks into the kernel are in InputProbe.

--- a/src/main/java/waytrestle/http/HttpClient.java
+++ b/src/main/java/waytrestle/http/HttpClient.java
@@ -121,11 +121,6 @@
         return Long.MAX_VALUE;
     }
 
-    /** Returns the number of idle connections. */
-    public int idleConnections() {
-        return idle.size();
-    }
-
     /** Returns how often bytes such as a duplicate response arrived without a request in flight. */
     public long strayResponses() {
         return strayResponses;
@@ -357,7 +352,7 @@
                 if (message == null) {
                     startStallTimer();
                 } else {
-                    responseCompleted(message, in.hasRemaining());
+                    responseCompleted(message, transport.readFollowing(in));
                 }
             } catch (HttpError e) {
                 fail(ExchangeFailure.MALFORMED, e.getMessage());
@@ -374,7 +369,8 @@
             fail(ExchangeFailure.MALFORMED, "the response stopped before its end");
         }
 
-        private void responseCompleted(HttpMessage message, boolean moreFollows) {
+        private void responseCompleted(HttpMessage message, ByteBuffer following) {
+            boolean moreFollows = following.hasRemaining();
             Call completed = call;
             if (completed == null) {
                 strayResponses++;
@@ -382,14 +378,15 @@
                 return;
             }
             strayResponses += moreFollows ? 1 : 0;
+            if (responses.mayBeCutShort(message, following)) {
+                // Passing it on could serve a part of a body as the whole one.
+                fail(ExchangeFailure.MALFORMED, "bytes follow the stated length of the response");
+                return;
+            }
             call = null;
             // A duplicate response must not be taken for the response to the next request.
-            boolean reusable =
-                    !closed
-                            && !moreFollows
-                            && message.keepsAlive()
-                            && transport.pendingBytes() == 0;
-            if (reusable) {
+            boolean mayReuse = !closed && !moreFollows && message.keepsAlive();
+            if (mayReuse && transport.pendingBytes() == 0) {
                 becomeIdle();
             } else {
                 closeAndRelease();
--- a/src/main/java/waytrestle/http/HttpMessage.java
+++ b/src/main/java/waytrestle/http/HttpMessage.java
@@ -16,7 +16,7 @@
     Bytes content = Bytes.NONE;
     String method = "", target = "", reason = "";
     int status;
-    boolean http10, endedByClose;
+    boolean http10, endedByClose, hasStatedLength;
     final List<String> headerNames = new ArrayList<>(), headerValues = new ArrayList<>();
 
     /** Returns the request method; empty for a response. */
@@ -126,6 +126,11 @@
         return endedByClose;
     }
 
+    /** Returns whether a Content-Length alone, which may be 0, tells where the body ends. */
+    public boolean hasStatedLength() {
+        return hasStatedLength;
+    }
+
     /** Returns the number of header lines. */
     public int headerCount() {
         return headerNames.size();
--- a/src/main/java/waytrestle/http/HttpParser.java
+++ b/src/main/java/waytrestle/http/HttpParser.java
@@ -387,6 +387,7 @@
         }
         boolean neverHasBody =
                 !parsesRequests && (head.status < 200 || head.status == 204 || head.status == 304);
+        head.hasStatedLength = !neverHasBody && length >= 0;
         if (neverHasBody) {
             state = State.DONE;
         } else if (coding != null) {
--- a/src/main/java/waytrestle/http/ResponseReader.java
+++ b/src/main/java/waytrestle/http/ResponseReader.java
@@ -17,14 +17,17 @@
     private static final int BAD_REQUEST = 400;
     private static final int CONTENT_TOO_LARGE = 413;
 
+    private final HttpLimits limits;
     private final HttpParser parser;
     private final FairByteLimit incompleteResponses;
+    private final ReceivedStatusLine statusLine = new ReceivedStatusLine();
     private int interimResponses;
 
     /** Bytes received of the incomplete response, 0 between responses. */
     private long reservedBytes;
 
     ResponseReader(HttpLimits limits, FairByteLimit incompleteResponses) {
+        this.limits = limits;
         this.parser = HttpParser.responses(limits);
         this.incompleteResponses = incompleteResponses;
     }
@@ -38,10 +41,10 @@
      */
     HttpMessage next(ByteBuffer in, boolean expected) throws HttpError {
         int bytes = in.remaining();
-        HttpMessage message = parser.next(in);
+        HttpMessage message = parse(in);
         while (message != null && message.status() < FIRST_FINAL_STATUS) {
             checkInterim(message, expected);
-            message = parser.next(in);
+            message = parse(in);
         }
         if (message == null) {
             reserve(bytes);
@@ -52,6 +55,43 @@
         return message;
     }
 
+    private HttpMessage parse(ByteBuffer in) throws HttpError {
+        if (parser.isBetweenMessages()) {
+            statusLine.clear();
+        }
+        int from = in.position();
+        HttpMessage message = parser.next(in);
+        statusLine.append(in, from, in.position());
+        return message;
+    }
+
+    /**
+     * Returns whether the response may have been cut short by its own Content-Length: the bytes
+     * behind it are not the begin of another response, so they may be the rest of its body. A body
+     * in chunks marks its end itself, and no other response has a body that could go on.
+     *
+     * @param response the response that {@link #next} has returned last
+     * @param following the bytes behind it, as far as they have arrived; not changed
+     */
+    boolean mayBeCutShort(HttpMessage response, ByteBuffer following) {
+        return following.hasRemaining()
+                && response.hasStatedLength()
+                && !beginsAnotherResponse(following);
+    }
+
+    /** Returns whether the bytes repeat the status line and go on as a head, as far as they go. */
+    private boolean beginsAnotherResponse(ByteBuffer following) {
+        if (!statusLine.isRepeatedBy(following)) {
+            return false;
+        }
+        try {
+            HttpParser.responses(limits).stopAtBody().next(following.duplicate());
+            return true;
+        } catch (HttpError e) {
+            return false;
+        }
+    }
+
     private void checkInterim(HttpMessage message, boolean expected) throws HttpError {
         interimResponses++;
         if (!expected
--- a/src/main/java/waytrestle/net/Connection.java
+++ b/src/main/java/waytrestle/net/Connection.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketOption;
 import java.net.SocketTimeoutException;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
@@ -88,7 +89,7 @@
             Function<Connection, ConnectionHandler> handlerFactory)
             throws IOException {
         Connection accepted = new Connection(loop, channel, maxUnreadBytes, State.OPEN);
-        accepted.sendWithoutDelay();
+        accepted.setOption(StandardSocketOptions.TCP_NODELAY, true, "ignored");
         try {
             accepted.registration = loop.register(channel, SelectionKey.OP_READ, accepted::ready);
         } catch (IOException e) {
@@ -127,7 +128,7 @@
     private void connect(InetSocketAddress address, long connectMicros) {
         String timeout = "not connected in " + connectMicros + " us";
         connectTimer = loop.after(connectMicros, () -> fail(new SocketTimeoutException(timeout)));
-        sendWithoutDelay();
+        setOption(StandardSocketOptions.TCP_NODELAY, true, "ignored");
         try {
             channel.configureBlocking(false);
             boolean done = channel.connect(address);
@@ -135,19 +136,19 @@
             if (done) {
                 loop.after(0, this::established);
             }
-        } catch (IOException e) {
-            failLater(e);
-        } catch (RuntimeException e) {
-            failLater(new IOException(e));
+        } catch (IOException | RuntimeException e) {
+            failLater(e instanceof IOException failure ? failure : new IOException(e));
         }
     }
 
-    /** Sets TCP_NODELAY; where that fails, the connection is still good and is used without it. */
-    private void sendWithoutDelay() {
+    /** Sets an option; where that fails, the connection is still good and is used without it. */
+    private <T> void setOption(SocketOption<T> option, T value, String reactionToFailure) {
         try {
-            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            if (channel != null && channel.isOpen()) {
+                channel.setOption(option, value);
+            }
         } catch (IOException e) {
-            countFault("set_option", "ignored", e);
+            countFault("set_option", reactionToFailure, e);
         }
     }
 
@@ -213,7 +214,15 @@
 
     /** Returns what the kernel knows of an idle connection; reads and discards up to one byte. */
     public IdleState checkIdle() {
-        return IdleState.ofRead(SocketTransfers.read(channel, loop.oneByteBuffer()));
+        return loop.inputProbe().checkIdle(channel);
+    }
+
+    /**
+     * Returns the first bytes behind the input that the handler has taken: the rest of the offered
+     * buffer and what the kernel holds. If there are any, the handler must close the connection.
+     */
+    public ByteBuffer readFollowing(ByteBuffer offered) {
+        return loop.inputProbe().readFollowing(channel, offered);
     }
 
     /**
@@ -457,13 +466,7 @@
 
     /** Closes at once with a TCP reset, so that the peer learns that nobody waits for it. */
     public void reset() {
-        try {
-            if (channel != null && channel.isOpen()) {
-                channel.setOption(StandardSocketOptions.SO_LINGER, 0);
-            }
-        } catch (IOException e) {
-            countFault("set_option", "closed_instead_of_reset", e);
-        }
+        setOption(StandardSocketOptions.SO_LINGER, 0, "closed_instead_of_reset");
         close();
     }
 
@@ -489,8 +492,7 @@
 
     /**
      * Sets how long after a failure the socket of a broken connection is closed; 0 for at once. A
-     * client that sees a close soon after sending a request may conclude that the close crossed the
-     * request, and send the request again elsewhere.
+     * client may take a close soon after a request for one that crossed it, and send it elsewhere.
      */
     public void delayCloseIfBroken(long micros) {
         brokenCloseDelayMicros = micros;
--- a/src/main/java/waytrestle/net/Loop.java
+++ b/src/main/java/waytrestle/net/Loop.java
@@ -64,7 +64,7 @@
     private final TimerHeap timers = new TimerHeap();
     private final ConcurrentLinkedQueue<Runnable> submittedTasks = new ConcurrentLinkedQueue<>();
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
-    private final ByteBuffer oneByte = ByteBuffer.allocateDirect(1);
+    private final InputProbe inputProbe = new InputProbe();
     private final Consumer<Throwable> failureHandler;
     private final SystemFaults faults = new SystemFaults();
     private final List<Runnable> endTasks = new ArrayList<>();
@@ -275,12 +275,9 @@
         }
     }
 
-    /**
-     * Returns the loop's buffer of one byte, cleared. For a handler that checks another connection
-     * while the read buffer still holds its own input.
-     */
-    ByteBuffer oneByteBuffer() {
-        return oneByte.clear();
+    /** Returns what a handler looks at other input with while the read buffer holds its own. */
+    InputProbe inputProbe() {
+        return inputProbe;
     }
 
     /**
--- a/src/main/java/waytrestle/standin/OddInvoker.java
+++ b/src/main/java/waytrestle/standin/OddInvoker.java
@@ -23,8 +23,8 @@
  * HTTP: plain sockets, a thread a connection. A function does what its name says: {@code s418}
  * answers that status with a body, {@code s418e} without one (a number after a dash tells functions
  * of one kind apart), {@code html}, {@code reset}, {@code trickle}, {@code chunks} and {@code
- * headers} without end, {@code twice}, {@code short}, {@code huge}, {@code deep}, {@code interim},
- * {@code heals}; {@code lanesN} runs N at a time; all others run and answer.
+ * headers} without end, {@code twice}, {@code cut}, {@code short}, {@code huge}, {@code deep},
+ * {@code interim}, {@code heals}; {@code lanesN} runs N at a time; all others run and answer.
  */
 public final class OddInvoker implements AutoCloseable {
     /** What it says of itself beside its answers. */
@@ -204,6 +204,12 @@
                 out.write(answer("first"));
                 out.write(answer("second"));
             }
+            case "cut" -> {
+                ByteArrayOutputStream cut = new ByteArrayOutputStream();
+                cut.write(answer("first"));
+                write(cut, " and the rest of a longer body");
+                out.write(cut.toByteArray());
+            }
             case "short" -> {
                 write(out, "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"outputs\":[");
                 socket.close();
--- a/src/test/java/waytrestle/gateway/MisbehavingInvokerTest.java
+++ b/src/test/java/waytrestle/gateway/MisbehavingInvokerTest.java
@@ -220,6 +220,20 @@
         assertEquals(20, countAttempts("f"));
     }
 
+    /** The caller must not get a part of a body as the whole one: it cannot tell. */
+    @Test
+    void responseWithMoreBytesThanItsLengthStatesIsNotServed() throws Exception {
+        fixture.start();
+        HttpResponse<String> idempotent = sendAndWait("seat-check", "cut");
+        assertTrue(idempotent.statusCode() >= 500, idempotent.body());
+        assertTrue(countAttempts("cut") > 1, "an idempotent request is sent again");
+        int attemptsBefore = countAttempts("cut");
+        HttpResponse<String> nonIdempotent = sendAndWait("seat-charge", "cut-2");
+        assertTrue(nonIdempotent.statusCode() >= 500, nonIdempotent.body());
+        assertTrue(nonIdempotent.body().contains("\"harmless\":false"), nonIdempotent.body());
+        assertEquals(attemptsBefore + 1, countAttempts("cut"));
+    }
+
     @Test
     void functionUnknownToAllInvokersReturns404WithinTwoAttemptsForBothMissAnswersSettings()
             throws Exception {
