Bytes that no request has asked for end their connection before they are parsed

Cause: PooledConnection.received parsed first and asked afterwards whether a request was waiting. A part of a message on an idle connection was kept for up to 250 ms, and the response to the next request was read as its rest. Ruled out: a reuse delay that is too short (strays at 0.1 to 100 ms). Change: the first byte without an outstanding request ends the connection; a request of which nothing has left moves to another one; new connections are looked at too. Log event and counters. PooledConnection has its own file.

--- a/src/main/java/waytrestle/gateway/Gateway.java
+++ b/src/main/java/waytrestle/gateway/Gateway.java
@@ -159,7 +159,7 @@
                         Math.floorDiv(wallMillis.getAsLong(), 1_000));
         controller =
                 new Controller(
-                        new SocketTransport(loop, config),
+                        new SocketTransport(loop, config, metrics),
                         controllerListener.dependencies(),
                         wallMillis,
                         controllerListener,
--- a/src/main/java/waytrestle/gateway/SocketTransport.java
+++ b/src/main/java/waytrestle/gateway/SocketTransport.java
@@ -1,6 +1,8 @@
 package waytrestle.gateway;
 
 import java.nio.ByteBuffer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import waytrestle.config.GatewayConfig;
 import waytrestle.controller.AttemptResult;
 import waytrestle.controller.InvokerClient;
@@ -12,6 +14,7 @@
 import waytrestle.http.HttpMessage;
 import waytrestle.invoker.InferProtocol;
 import waytrestle.invoker.LoadMetrics;
+import waytrestle.metrics.Metrics;
 import waytrestle.net.Loop;
 import waytrestle.requests.RequestHandler.IncomingRequest;
 import waytrestle.requests.RequestOutcome.Served;
@@ -24,14 +27,24 @@
  * <p>Not thread-safe: used by the controller's event loop.
  */
 final class SocketTransport extends EventLoopTransport {
+    private static final Logger LOG = LoggerFactory.getLogger(SocketTransport.class);
+    private static final String STRAY_BYTES_METRIC = "waytrestle_invoker_stray_bytes_total";
+    private static final long MICROS_PER_MILLI = 1_000;
+
     private final GatewayConfig config;
     private final HttpLimits responseLimits;
 
     /** Limits the responses that are being received, over all invokers. */
     private final FairByteLimit responseBytes;
 
-    SocketTransport(Loop loop, GatewayConfig config) {
+    private final Metrics.Counter strayBytes;
+
+    SocketTransport(Loop loop, GatewayConfig config, Metrics metrics) {
         super(loop);
+        this.strayBytes = metrics.counter(STRAY_BYTES_METRIC, "");
+        metrics.setHelp(
+                STRAY_BYTES_METRIC,
+                "Connections to invokers on which bytes arrived that no request had asked for.");
         this.config = config;
         this.responseBytes = new FairByteLimit(config.invokerConnections().maxTotalResponseBytes());
         HttpLimits defaults = HttpLimits.DEFAULT;
@@ -52,6 +65,15 @@
         return new SocketInvokerClient(invoker, connectionsLostListener);
     }
 
+    private void recordStrayBytes(String invokerId, int bytes, long idleMicros) {
+        strayBytes.increment();
+        LOG.warn(
+                "invoker.stray_bytes invoker={} bytes={} idle_ms={}",
+                invokerId,
+                bytes,
+                idleMicros / MICROS_PER_MILLI);
+    }
+
     /** The client of one invoker. */
     private final class SocketInvokerClient extends HttpInvokerClient {
         private final InferProtocol protocol;
@@ -66,7 +88,10 @@
                                     config.schedulerSettings().limits().connectTimeoutMicros(),
                                     config.invokerConnections().idleCloseMicros(),
                                     responseBytes)
-                            .withPeerEndListener(connectionsLostListener));
+                            .withPeerEndListener(connectionsLostListener)
+                            .withStrayBytesListener(
+                                    (peer, bytes, idleMicros) ->
+                                            recordStrayBytes(invokerId, bytes, idleMicros)));
             protocol = new InferProtocol(invokerId, config.schedulerSettings().controllerIndex());
         }
 
--- a/src/main/java/waytrestle/http/HttpClient.java
+++ b/src/main/java/waytrestle/http/HttpClient.java
@@ -1,9 +1,6 @@
 package waytrestle.http;
 
-import java.io.IOException;
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
-import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Iterator;
@@ -11,10 +8,8 @@
 import java.util.List;
 import java.util.Set;
 import waytrestle.net.Connection;
-import waytrestle.net.ConnectionHandler;
 import waytrestle.net.IdleState;
 import waytrestle.net.Loop;
-import waytrestle.net.NoSocketException;
 import waytrestle.net.TimerHeap;
 
 /**
@@ -28,27 +23,28 @@
     /** Connections tried for one request; more resets in a row are a fault of the peer. */
     private static final int MAX_CONNECTION_ATTEMPTS_PER_CALL = 3;
 
-    private final Loop loop;
+    final Loop loop;
     private final InetSocketAddress peer;
-    private final HttpLimits limits;
+    final HttpLimits limits;
     private final int maxConnections;
     private final long connectTimeoutMicros;
-    private final long idleTimeoutMicros;
-    private final FairByteLimit incompleteResponses;
+    final long idleTimeoutMicros;
+    final FairByteLimit incompleteResponses;
 
     /** Idle connections, the most recently used one last. */
-    private final ArrayDeque<PooledConnection> idle = new ArrayDeque<>();
+    final ArrayDeque<PooledConnection> idle = new ArrayDeque<>();
 
     /** All open or connecting connections, in the order in which they were started. */
-    private final Set<PooledConnection> connections = new LinkedHashSet<>();
+    final Set<PooledConnection> connections = new LinkedHashSet<>();
 
-    private final PeerEndDetector peerEnd = new PeerEndDetector();
-    private ConnectionLimit connectionLimit = new ConnectionLimit(Integer.MAX_VALUE);
-    private Runnable peerEndListener = () -> {};
-    private long responseStallMicros = Long.MAX_VALUE;
+    final PeerEndDetector peerEnd = new PeerEndDetector();
+    ConnectionLimit connectionLimit = new ConnectionLimit(Integer.MAX_VALUE);
+    Runnable peerEndListener = () -> {};
+    long responseStallMicros = Long.MAX_VALUE;
+    private StrayBytesListener strayBytesListener = (peerAddress, bytes, idleMicros) -> {};
     private long reuseDelayMicros;
     private long strayResponses;
-    private boolean closed;
+    boolean closed;
 
     /**
      * Creates a client without any connection.
@@ -121,7 +117,24 @@
         return Long.MAX_VALUE;
     }
 
-    /** Returns how often bytes such as a duplicate response arrived without a request in flight. */
+    /** Receives reports of bytes from the peer that no request has asked for. */
+    public interface StrayBytesListener {
+        /**
+         * Called once for each connection that ends for them.
+         *
+         * @param bytes number of bytes that were seen; more may have arrived
+         * @param idleMicros time since the last response on the connection was complete
+         */
+        void strayBytesReceived(InetSocketAddress peer, int bytes, long idleMicros);
+    }
+
+    /** Sets the listener for bytes that no request has asked for; it runs on the event loop. */
+    public HttpClient withStrayBytesListener(StrayBytesListener listener) {
+        strayBytesListener = listener;
+        return this;
+    }
+
+    /** Returns how often bytes such as a duplicate response arrived that no request asked for. */
     public long strayResponses() {
         return strayResponses;
     }
@@ -153,13 +166,13 @@
 
     /** A request in flight or waiting for its connection. */
     public final class Call {
-        private final OutgoingRequest request;
+        final OutgoingRequest request;
         private final ResponseHandler handler;
-        private final WithdrawalCheck withdrawal;
-        private PooledConnection connection;
+        final WithdrawalCheck withdrawal;
+        PooledConnection connection;
         private TimerHeap.Timer deadline;
         private boolean hasEnded;
-        private int connectionAttempts;
+        int connectionAttempts;
 
         private Call(ByteBuffer[] request, Withdrawal withdrawal, ResponseHandler handler) {
             this.request = new OutgoingRequest(request);
@@ -168,7 +181,7 @@
         }
 
         /** Ends the call if its request was withdrawn; returns whether the call has ended. */
-        private boolean endIfWithdrawn() {
+        boolean endIfWithdrawn() {
             ExchangeFailure failure = hasEnded ? null : withdrawal.failureIfWithdrawn();
             if (failure != null) {
                 fail(failure, "the request was withdrawn before it was sent");
@@ -181,7 +194,7 @@
             fail(ExchangeFailure.CANCELLED, "cancelled");
         }
 
-        private void fail(ExchangeFailure failure, String detail) {
+        void fail(ExchangeFailure failure, String detail) {
             if (hasEnded) {
                 return;
             }
@@ -194,7 +207,7 @@
             loop.after(0, () -> handler.exchangeFailed(failure, detail));
         }
 
-        private void complete(HttpMessage message) {
+        void complete(HttpMessage message) {
             hasEnded = true;
             deadline.cancel();
             connection = null;
@@ -224,37 +237,19 @@
                 loop.after(
                         timeoutMicros,
                         () -> call.fail(ExchangeFailure.TIMEOUT, "no response in time"));
-        PooledConnection connection = takeReusableConnection();
-        // Checked after polling idle connections, which takes time: right before the write.
-        if (call.endIfWithdrawn()) {
-            returnUnused(connection);
-        } else if (connection == null) {
+        if (!call.endIfWithdrawn() && !startOnIdleConnection(call)) {
             openConnectionFor(call);
-        } else {
-            connection.idleTimer.cancel();
-            connectionLimit.removeIdle(connection);
-            connection.assign(call);
         }
         return call;
     }
 
-    /** Puts a connection that was taken and not used, or null, back to the idle ones. */
-    private void returnUnused(PooledConnection connection) {
-        if (connection == null) {
-            return;
-        }
-        if (closed) {
-            connection.closeAndRelease();
-        } else {
-            idle.add(connection);
-        }
-    }
-
     /**
-     * Takes the most recently used idle connection whose reuse delay has passed, which the peer is
-     * least likely to have closed. Returns null without one.
+     * Sends the request on the most recently used idle connection, which the peer is least likely
+     * to have closed, whose reuse delay has passed and on which nothing has arrived. The look at
+     * the connection and the write follow each other directly: bytes that arrive between them would
+     * be taken for the response. Returns false without such a connection.
      */
-    private PooledConnection takeReusableConnection() {
+    private boolean startOnIdleConnection(Call call) {
         long now = Loop.nowMicros();
         for (Iterator<PooledConnection> all = idle.descendingIterator(); all.hasNext(); ) {
             PooledConnection candidate = all.next();
@@ -267,10 +262,12 @@
             }
             all.remove();
             if (candidate.checkReusable(state)) {
-                return candidate;
+                candidate.leaveIdle();
+                candidate.assign(call);
+                return true;
             }
         }
-        return null;
+        return false;
     }
 
     private void openConnectionFor(Call call) {
@@ -278,7 +275,7 @@
             call.fail(ExchangeFailure.NO_ROOM, "all connections allowed to the peer are in use");
             return;
         }
-        PooledConnection connection = new PooledConnection();
+        PooledConnection connection = new PooledConnection(this);
         connection.transport =
                 Connection.open(loop, peer, limits.bodyBytes(), connectTimeoutMicros, connection);
         connections.add(connection);
@@ -286,212 +283,37 @@
         connection.assign(call);
     }
 
-    private void openAnotherConnectionFor(Call call) {
-        if (!call.endIfWithdrawn()) {
-            openConnectionFor(call);
-        }
+    /** Returns whether a request that was not sent may open one more connection. */
+    boolean hasConnectionAttemptLeft(Call call) {
+        return !closed && call.connectionAttempts < MAX_CONNECTION_ATTEMPTS_PER_CALL;
     }
 
-    /** A pooled connection to the peer, with at most one request at a time. */
-    private final class PooledConnection implements ConnectionHandler {
-        private final ResponseReader responses = new ResponseReader(limits, incompleteResponses);
-        private Connection transport;
-        private Call call; // null while the connection is idle
-        private TimerHeap.Timer idleTimer;
-        private TimerHeap.Timer stallTimer;
-        private boolean isConnected;
-        private boolean isReleased;
-        private long lastUsedAtMicros;
-        private long connectedAtMicros;
-        private long writtenBytesBeforeRequest;
-
-        /** Returns whether an idle connection can be reused, after closing it if not. */
-        private boolean checkReusable(IdleState state) {
-            if (state == IdleState.UNEXPECTED_DATA) {
-                strayResponses++;
-                closeAndRelease();
-            } else if (state == IdleState.ENDED) {
-                closed(null);
-            }
-            return state == IdleState.USABLE;
-        }
-
-        private void assign(Call next) {
-            call = next;
-            next.connection = this;
-            if (isConnected) {
-                writeRequest();
-            }
-        }
-
-        private void writeRequest() {
-            writtenBytesBeforeRequest = transport.writtenBytes();
-            ByteBuffer[] request = call.request.bytes();
-            Call writing = call;
-            if (!writing.withdrawal.isOutdated() || !writing.endIfWithdrawn()) {
-                transport.send(request);
-                writing.withdrawal.requestWritten();
-            }
-        }
-
-        @Override
-        public void connected() {
-            isConnected = true;
-            connectedAtMicros = Loop.nowMicros();
-            // While the connection was established, the caller may have withdrawn the request.
-            if (call != null && !call.endIfWithdrawn()) {
-                writeRequest();
-            }
-        }
-
-        @Override
-        public void received(ByteBuffer in) {
-            cancelStallTimer();
-            try {
-                HttpMessage message = responses.next(in, call != null);
-                if (message == null) {
-                    startStallTimer();
-                } else {
-                    responseCompleted(message, transport.readFollowing(in));
-                }
-            } catch (HttpError e) {
-                fail(ExchangeFailure.MALFORMED, e.getMessage());
-            }
-        }
-
-        private void startStallTimer() {
-            if (responseStallMicros < Long.MAX_VALUE) {
-                stallTimer = loop.after(responseStallMicros, this::failStalledResponse);
-            }
-        }
-
-        private void failStalledResponse() {
-            fail(ExchangeFailure.MALFORMED, "the response stopped before its end");
-        }
-
-        private void responseCompleted(HttpMessage message, ByteBuffer following) {
-            boolean moreFollows = following.hasRemaining();
-            Call completed = call;
-            if (completed == null) {
-                strayResponses++;
-                closeAndRelease();
-                return;
-            }
-            strayResponses += moreFollows ? 1 : 0;
-            if (responses.mayBeCutShort(message, following)) {
-                // Passing it on could serve a part of a body as the whole one.
-                fail(ExchangeFailure.MALFORMED, "bytes follow the stated length of the response");
-                return;
-            }
-            call = null;
-            // A duplicate response must not be taken for the response to the next request.
-            boolean mayReuse = !closed && !moreFollows && message.keepsAlive();
-            if (mayReuse && transport.pendingBytes() == 0) {
-                becomeIdle();
-            } else {
-                closeAndRelease();
-            }
-            completed.complete(message);
-        }
-
-        private void becomeIdle() {
-            lastUsedAtMicros = Loop.nowMicros();
-            idleTimer = loop.after(idleTimeoutMicros, this::closeAndRelease);
-            idle.add(this);
-            connectionLimit.addIdle(this, this::closeAndRelease);
-        }
-
-        private void cancelStallTimer() {
-            if (stallTimer != null) {
-                stallTimer.cancel();
-                stallTimer = null;
-            }
-        }
-
-        private void fail(ExchangeFailure failure, String detail) {
-            Call failed = call;
-            if (failed != null) {
-                failed.fail(failure, detail);
-            } else {
-                closeAndRelease();
-            }
-        }
-
-        @Override
-        public void closed(IOException cause) {
-            HttpMessage response = responses.finishAtClose();
-            Call interrupted = call;
-            boolean wasIdle = interrupted == null && !isReleased;
-            closeAndRelease();
-            reportPeerEnd(wasIdle);
-            if (interrupted == null) {
-                return;
-            }
-            if (response != null) {
-                call = null;
-                interrupted.complete(response);
-            } else if (cause instanceof NoSocketException) {
-                // No connection was tried, so the failure says nothing about the peer.
-                interrupted.fail(ExchangeFailure.NO_ROOM, cause.getMessage());
-            } else if (mayRetryOnNewConnection(interrupted, cause)) {
-                interrupted.connection = null;
-                loop.after(0, () -> openAnotherConnectionFor(interrupted));
-            } else {
-                interrupted.fail(
-                        failureByProgress(),
-                        cause == null ? "the peer closed" : String.valueOf(cause.getMessage()));
-            }
-        }
-
-        private void reportPeerEnd(boolean wasIdle) {
-            if (wasIdle) {
-                peerEnd.idleConnectionClosed(Loop.nowMicros(), lastUsedAtMicros);
-            }
-            if (connections.isEmpty() && !closed && peerEnd.consumeProcessEnd(Loop.nowMicros())) {
-                loop.after(0, peerEndListener);
-            }
-        }
-
-        private ExchangeFailure failureByProgress() {
-            if (!isConnected) {
-                return ExchangeFailure.NO_CONNECTION;
-            }
-            boolean nothingWritten = transport.writtenBytes() == writtenBytesBeforeRequest;
-            return nothingWritten
-                    ? ExchangeFailure.BEFORE_FIRST_BYTE
-                    : ExchangeFailure.AFTER_FIRST_BYTE;
-        }
-
-        /** Returns whether no byte was written, no connection refused and an attempt is left. */
-        private boolean mayRetryOnNewConnection(Call interrupted, IOException cause) {
-            boolean refused =
-                    cause instanceof ConnectException || cause instanceof SocketTimeoutException;
-            return failureByProgress() != ExchangeFailure.AFTER_FIRST_BYTE
-                    && !refused
-                    && !closed
-                    && interrupted.connectionAttempts < MAX_CONNECTION_ATTEMPTS_PER_CALL;
+    /**
+     * Sends a request, of which no byte has left, on a new connection, or fails it if no attempt is
+     * left.
+     */
+    void resendElsewhere(Call call) {
+        call.connection = null;
+        if (hasConnectionAttemptLeft(call)) {
+            loop.after(0, () -> openAnotherConnectionFor(call));
+        } else {
+            call.fail(ExchangeFailure.BEFORE_FIRST_BYTE, "bytes arrived before the request");
         }
+    }
 
-        private void reset() {
-            transport.reset();
-            closeAndRelease();
+    private void openAnotherConnectionFor(Call call) {
+        if (!call.endIfWithdrawn()) {
+            openConnectionFor(call);
         }
+    }
 
-        private void closeAndRelease() {
-            if (isReleased) {
-                return;
-            }
-            isReleased = true;
-            cancelStallTimer();
-            responses.release();
-            connections.remove(this);
-            connectionLimit.release();
-            connectionLimit.removeIdle(this);
-            idle.remove(this);
-            if (idleTimer != null) {
-                idleTimer.cancel();
-            }
-            transport.close();
-        }
+    /**
+     * Counts and reports bytes that no request has asked for.
+     *
+     * @param sinceMicros when the last response on the connection was complete
+     */
+    void recordStrayBytes(int bytes, long sinceMicros) {
+        strayResponses++;
+        strayBytesListener.strayBytesReceived(peer, bytes, Loop.nowMicros() - sinceMicros);
     }
 }
--- a/src/main/java/waytrestle/http/ResponseReader.java
+++ b/src/main/java/waytrestle/http/ResponseReader.java
@@ -36,14 +36,13 @@
      * Returns the next final response, or null if it is not complete yet.
      *
      * @param in the received bytes
-     * @param expected whether a request on the connection awaits its response
      * @throws HttpError if the bytes are not a valid response or exceed a limit
      */
-    HttpMessage next(ByteBuffer in, boolean expected) throws HttpError {
+    HttpMessage next(ByteBuffer in) throws HttpError {
         int bytes = in.remaining();
         HttpMessage message = parse(in);
         while (message != null && message.status() < FIRST_FINAL_STATUS) {
-            checkInterim(message, expected);
+            checkInterim(message);
             message = parse(in);
         }
         if (message == null) {
@@ -92,10 +91,9 @@
         }
     }
 
-    private void checkInterim(HttpMessage message, boolean expected) throws HttpError {
+    private void checkInterim(HttpMessage message) throws HttpError {
         interimResponses++;
-        if (!expected
-                || message.status() == SWITCHING_PROTOCOLS
+        if (message.status() == SWITCHING_PROTOCOLS
                 || interimResponses > MAX_INTERIM_RESPONSES_PER_REQUEST) {
             throw new HttpError(BAD_REQUEST, "an interim response (1xx) that cannot be skipped");
         }
--- a/src/main/java/waytrestle/platform/ControllerBootstrap.java
+++ b/src/main/java/waytrestle/platform/ControllerBootstrap.java
@@ -174,7 +174,8 @@
                         settings,
                         addresses,
                         config.invokerIdleTimeoutMicros(),
-                        maxInvokerConnections);
+                        maxInvokerConnections,
+                        log::strayBytesReceived);
         ControllerDependencies dependencies =
                 new ControllerDependencies(
                         settings,
--- a/src/main/java/waytrestle/platform/PlatformLog.java
+++ b/src/main/java/waytrestle/platform/PlatformLog.java
@@ -1,6 +1,7 @@
 package waytrestle.platform;
 
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.time.Instant;
 import java.util.Collection;
 import java.util.EnumMap;
@@ -63,6 +64,7 @@
     private final Map<String, Long> requestsByOutcome = new TreeMap<>();
 
     private long currentSecond;
+    private long strayBytes;
     private int linesInSecond;
 
     PlatformLog(PrintStream out, LongSupplier wallMillis) {
@@ -169,6 +171,19 @@
         requestsByOutcome.merge(outcome, 1L, Long::sum);
     }
 
+    /** Counts and logs bytes of an invoker that no request has asked for. */
+    void strayBytesReceived(InetSocketAddress invoker, int bytes, long idleMicros) {
+        strayBytes++;
+        logMessage(
+                new LogLine("invoker.stray_bytes")
+                        .with(
+                                "invoker",
+                                invoker.getAddress().getHostAddress() + ":" + invoker.getPort())
+                        .with("bytes", bytes)
+                        .with("idle_ms", idleMicros / MICROS_PER_MILLI)
+                        .toString());
+    }
+
     @Override
     public void sentOnExpiredList(WorkKind kind) {
         sentOnExpiredList.merge(kind, 1L, Long::sum);
@@ -233,6 +248,7 @@
                         .with("health_checks", healthChecksByCode)
                         .with("discovery", discoverySummary)
                         .with("sent_on_expired_list", sentOnExpiredList)
+                        .with("stray_bytes", strayBytes)
                         .with("system_faults", systemFaults)
                         .with("tables", tableSizes.byName())
                         .toString());
--- a/src/main/java/waytrestle/platform/PlatformTransport.java
+++ b/src/main/java/waytrestle/platform/PlatformTransport.java
@@ -66,6 +66,7 @@
     private final ConnectionLimit connectionLimit;
     private final FairByteLimit responseBuffer = new FairByteLimit(MAX_BUFFERED_RESPONSE_BYTES);
     private final long idleTimeoutMicros;
+    private final HttpClient.StrayBytesListener strayBytesListener;
 
     /**
      * Creates a transport without connections.
@@ -73,16 +74,19 @@
      * @param invokerIdleTimeoutMicros time after which invokers close an idle connection; 0 if not
      *     declared
      * @param maxConnections largest number of connections to all invokers together
+     * @param strayBytesListener receives reports of bytes that no request has asked for
      */
     PlatformTransport(
             Loop loop,
             SchedulerSettings settings,
             InvokerAddresses addresses,
             long invokerIdleTimeoutMicros,
-            int maxConnections) {
+            int maxConnections,
+            HttpClient.StrayBytesListener strayBytesListener) {
         super(loop);
         this.settings = settings;
         this.addresses = addresses;
+        this.strayBytesListener = strayBytesListener;
         this.connectionLimit = new ConnectionLimit(maxConnections);
         this.idleTimeoutMicros =
                 invokerIdleTimeoutMicros > 0
@@ -111,6 +115,7 @@
                         responseBuffer)
                 .withConnectionLimit(connectionLimit)
                 .withResponseStallMicros(RESPONSE_STALL_TIMEOUT_MICROS)
-                .withReuseDelayMicros(REUSE_DELAY_MICROS);
+                .withReuseDelayMicros(REUSE_DELAY_MICROS)
+                .withStrayBytesListener(strayBytesListener);
     }
 }
