Kept responses are stored at their size and counted at what they retain

Cause: IdempotencyStore kept the body with the array of 16 KiB that its first chunk was read into, and counted its 52 bytes against the bound. Responses in flight were not needed to explain it. Change: Bytes.compact and Bytes.retainedBytes; the store keeps compact bodies and counts what they retain. Test: IdempotencyStoreTest.keptResponseRetainsAndCountsItsOwnSizeAlone; with the store as before it failed: "expected: <52> but was: <16384>".

--- a/src/main/java/waytrestle/Bytes.java
+++ b/src/main/java/waytrestle/Bytes.java
@@ -61,6 +61,28 @@
         return size;
     }
 
+    /**
+     * Returns the number of bytes of the arrays that the sequence keeps in memory, which may be far
+     * more than {@link #size}: a segment may use a small part of its array.
+     */
+    public long retainedBytes() {
+        long retained = 0;
+        for (Segment segment : segments) {
+            retained += segment.array().length;
+        }
+        return retained;
+    }
+
+    /**
+     * Returns the same bytes in memory of their size, for bytes that are kept: a copy if the arrays
+     * hold more than the bytes.
+     *
+     * @throws ArithmeticException if there are more bytes than an array can hold
+     */
+    public Bytes compact() {
+        return retainedBytes() == size ? this : of(array());
+    }
+
     /**
      * Returns the bytes from one position to another, sharing the arrays.
      *
--- a/src/main/java/waytrestle/requests/IdempotencyEntry.java
+++ b/src/main/java/waytrestle/requests/IdempotencyEntry.java
@@ -83,13 +83,13 @@
         return OVERHEAD_BYTES + BYTES_PER_CHARACTER * request.key().length() + responseBytes();
     }
 
-    /** Returns the size of the response body in bytes, 0 without one. */
+    /** Returns the memory that the response body retains in bytes, 0 without one. */
     long responseBytes() {
         if (outcome instanceof Served served) {
-            return served.body().size();
+            return served.body().retainedBytes();
         }
         if (outcome instanceof FunctionError error) {
-            return error.body().size();
+            return error.body().retainedBytes();
         }
         return 0;
     }
--- a/src/main/java/waytrestle/requests/IdempotencyStore.java
+++ b/src/main/java/waytrestle/requests/IdempotencyStore.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.Set;
 import waytrestle.requests.RequestOutcome.Failed;
+import waytrestle.requests.RequestOutcome.FunctionError;
 import waytrestle.requests.RequestOutcome.Reason;
 import waytrestle.requests.RequestOutcome.Rejected;
+import waytrestle.requests.RequestOutcome.Served;
 import waytrestle.scheduler.Idempotency;
 
 /**
@@ -233,7 +235,7 @@
             bytes -= entry.bytes();
             return;
         }
-        entry.complete(outcome, nowMicros);
+        entry.complete(withCompactBody(outcome), nowMicros);
         bytes += entry.responseBytes();
         completed.add(entry);
         if (entry.isIdempotent()) {
@@ -246,6 +248,25 @@
         }
     }
 
+    /**
+     * Returns the outcome with its body in memory of the body's size. A response in small chunks
+     * comes in an array that is far larger, and an entry is kept much longer than a response takes.
+     */
+    private static RequestOutcome withCompactBody(RequestOutcome outcome) {
+        if (outcome instanceof Served served) {
+            return new Served(served.contentType(), served.body().compact(), served.jsonBytes());
+        }
+        if (outcome instanceof FunctionError error) {
+            return new FunctionError(
+                    error.status(),
+                    error.contentType(),
+                    error.body().compact(),
+                    error.mayHaveRun(),
+                    error.attemptSummary());
+        }
+        return outcome;
+    }
+
     /** Returns whether a repeat after the outcome is a new request, so no entry is needed. */
     private static boolean isRepeatNew(IdempotencyEntry entry, RequestOutcome outcome) {
         boolean rejected = outcome instanceof Rejected;
--- a/src/test/java/waytrestle/requests/IdempotencyStoreTest.java
+++ b/src/test/java/waytrestle/requests/IdempotencyStoreTest.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
+import waytrestle.Bytes;
 import waytrestle.requests.IdempotencyStore.Bounds;
 import waytrestle.requests.IdempotencyStore.KeyedRequest;
 import waytrestle.requests.IdempotencyStore.LookupResult;
@@ -44,6 +46,25 @@
         return new Served("", new byte[bytes]);
     }
 
+    /**
+     * A small response in chunks comes in an array of 16 KiB. Guards against a store that counts
+     * the bytes and keeps the array: within half a minute it filled the heap.
+     */
+    @Test
+    void keptResponseRetainsAndCountsItsOwnSizeAlone() {
+        Bytes small = Bytes.of(List.of(new byte[16 * 1024]), /* lastLength= */ 52);
+        KeyedRequest request = request("a", Idempotency.IDEMPOTENT);
+        long requestId = ++lastRequestId;
+        store.requestStarted(requestId, request);
+        long bytesBefore = store.bytes();
+        store.requestCompleted(now, requestId, new Served("", small, -1), now);
+        Completed kept = assertInstanceOf(Completed.class, lookUp(request));
+        Bytes body = assertInstanceOf(Served.class, kept.outcome()).body();
+        assertEquals(small, body);
+        assertEquals(52, body.retainedBytes());
+        assertEquals(52, store.bytes() - bytesBefore);
+    }
+
     private KeyedRequest request(String key, Idempotency idempotency) {
         return requestSignedAt(key, idempotency, wallSeconds);
     }
